Add the build skeleton, the design page and the library's interfaces

Change: CMake project with GLib, libsoup, nghttp2, Boost.Log, tl::expected, TCLAP and RapidCheck from Debian; .clang-format and .clang-tidy for the LLVM Coding Standards with trailing underscores on data members; docs/design.md with decisions D1 to D8; public headers of the library; schema of the rows and of the messages between entry hosts with generated code.

Conclusion: parts can now be written side by side against the headers.

--- /dev/null
+++ b/include/oleandergauge/base.h
@@ -0,0 +1,175 @@
+#ifndef OLEANDERGAUGE_BASE_H
+#define OLEANDERGAUGE_BASE_H
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+namespace oleandergauge {
+
+/// Spans of time, in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// The monotonic clock of one process. The library never reads it: every call
+/// that depends on time takes a TimePoint. Values of different processes are
+/// not comparable.
+struct MonotonicClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock, Duration>;
+  static constexpr bool is_steady = true;
+};
+
+using TimePoint = MonotonicClock::time_point;
+
+/// A string that names one kind of thing; names of different kinds do not
+/// convert into each other. Ordered and hashable.
+template <typename Tag> class Name {
+public:
+  Name() = default;
+  explicit Name(std::string Text) : Text_(std::move(Text)) {}
+  const std::string &str() const { return Text_; }
+  bool empty() const { return Text_.empty(); }
+  friend bool operator==(const Name &, const Name &) = default;
+  friend auto operator<=>(const Name &, const Name &) = default;
+
+private:
+  std::string Text_;
+};
+
+using HostId = Name<struct HostTag>;
+using WorkerId = Name<struct WorkerTag>;
+using PartitionId = Name<struct PartitionTag>;
+using FailureDomain = Name<struct FailureDomainTag>;
+using Rack = Name<struct RackTag>;
+using Region = Name<struct RegionTag>;
+using TeamId = Name<struct TeamTag>;
+using QueueId = Name<struct QueueTag>;
+using JobId = Name<struct JobTag>;
+/// The caller's own identifier of a request, unique within its team.
+using RequestId = Name<struct RequestTag>;
+
+/// Counts the owners of a partition; a higher epoch fences all lower ones.
+using Epoch = std::uint64_t;
+
+/// One task of a job. Ordered by job, then index.
+struct TaskId {
+  JobId Job_;
+  std::uint32_t Index_ = 0;
+  friend bool operator==(const TaskId &, const TaskId &) = default;
+  friend auto operator<=>(const TaskId &, const TaskId &) = default;
+};
+
+/// Amounts that a worker holds and a task takes. Componentwise; no component
+/// of a task's demand may exceed what is left of a worker.
+struct Resources {
+  std::int64_t CpuMilli_ = 0;  ///< Thousandths of a core.
+  std::int64_t MemoryMib_ = 0; ///< Mebibytes.
+  std::int32_t Accelerators_ = 0;
+  std::int32_t Slots_ = 0;
+  std::int32_t Connections_ = 0;
+
+  friend bool operator==(const Resources &, const Resources &) = default;
+
+  /// True where every component is at most that of \p Other.
+  bool fitsIn(const Resources &Other) const {
+    return CpuMilli_ <= Other.CpuMilli_ && MemoryMib_ <= Other.MemoryMib_ &&
+           Accelerators_ <= Other.Accelerators_ && Slots_ <= Other.Slots_ &&
+           Connections_ <= Other.Connections_;
+  }
+
+  friend Resources operator+(const Resources &A, const Resources &B) {
+    return {A.CpuMilli_ + B.CpuMilli_, A.MemoryMib_ + B.MemoryMib_,
+            A.Accelerators_ + B.Accelerators_, A.Slots_ + B.Slots_,
+            A.Connections_ + B.Connections_};
+  }
+
+  friend Resources operator-(const Resources &A, const Resources &B) {
+    return {A.CpuMilli_ - B.CpuMilli_, A.MemoryMib_ - B.MemoryMib_,
+            A.Accelerators_ - B.Accelerators_, A.Slots_ - B.Slots_,
+            A.Connections_ - B.Connections_};
+  }
+};
+
+/// The larger of \p A and \p B in each component.
+Resources componentMax(const Resources &A, const Resources &B);
+
+/// Says whether a request's work may have run. NotRun is a promise.
+enum class Verdict { NotRun, MayHaveRun, Ran };
+
+/// "not_run", "may_have_run" or "ran".
+std::string_view toString(Verdict Value);
+
+/// Why a request was refused. The text form is part of the API.
+enum class RefusalReason {
+  InvalidRequest,
+  UnknownKey,
+  WrongTeam,
+  UnknownQueue,
+  LimitReached,
+  QueueFull,
+  FitsNoWorker,
+  GangExceedsPartition,
+  DeadlineExceeded,
+  StaleConfiguration,
+  StoreUnavailable,
+  OwnerUnavailable,
+  Draining,
+  Cancelled,
+  Conflict,
+  NotFound,
+  WorkerFailed,
+};
+
+/// Snake case, as in "limit_reached".
+std::string_view toString(RefusalReason Value);
+
+/// The error of every operation that serves a request.
+struct Refusal {
+  Verdict Verdict_ = Verdict::NotRun;
+  RefusalReason Reason_ = RefusalReason::InvalidRequest;
+  std::string Message_;
+  Duration RetryAfter_{0}; ///< Zero where a retry cannot help.
+  friend bool operator==(const Refusal &, const Refusal &) = default;
+};
+
+template <typename T> using Result = tl::expected<T, Refusal>;
+
+/// How a task is treated: see "Unlike workloads" in docs/design.md.
+enum class WorkClass { Direct, Batch, Gang, Service };
+
+/// "direct", "batch", "gang" or "service".
+std::string_view toString(WorkClass Value);
+
+/// A 64-bit hash (xxh64) that is the same on every host and in every version.
+std::uint64_t stableHash(std::string_view Text);
+
+namespace detail {
+
+/// Joins the call operators of lambdas into one visitor for std::visit.
+template <typename... Ts> struct Overloaded : Ts... {
+  using Ts::operator()...;
+};
+template <typename... Ts> Overloaded(Ts...) -> Overloaded<Ts...>;
+
+} // namespace detail
+} // namespace oleandergauge
+
+template <typename Tag> struct std::hash<oleandergauge::Name<Tag>> {
+  std::size_t operator()(const oleandergauge::Name<Tag> &Value) const {
+    return std::hash<std::string>()(Value.str());
+  }
+};
+
+template <> struct std::hash<oleandergauge::TaskId> {
+  std::size_t operator()(const oleandergauge::TaskId &Value) const {
+    return std::hash<oleandergauge::JobId>()(Value.Job_) * 31 + Value.Index_;
+  }
+};
+
+#endif // OLEANDERGAUGE_BASE_H
--- /dev/null
+++ b/include/oleandergauge/membership.h
@@ -0,0 +1,103 @@
+#ifndef OLEANDERGAUGE_MEMBERSHIP_H
+#define OLEANDERGAUGE_MEMBERSHIP_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "oleandergauge/base.h"
+#include "oleandergauge/config.h"
+
+namespace oleandergauge {
+
+/// Time between two heartbeats to each peer.
+inline constexpr Duration HeartbeatInterval = std::chrono::milliseconds(500);
+/// A peer that was silent for this long counts as unreachable.
+inline constexpr Duration PeerSilence = std::chrono::milliseconds(1500);
+/// A member that the live list has shown gone for this long no longer counts.
+inline constexpr Duration LiveListLag = std::chrono::milliseconds(10000);
+
+/// A registered entry host: row "member/<host>".
+struct Member {
+  HostId Host_;
+  std::string Address_; ///< "ip:port" of its peer link.
+  Region Region_;
+  FailureDomain Domain_;
+  friend bool operator==(const Member &, const Member &) = default;
+};
+
+struct OwnedPartition {
+  PartitionId Partition_;
+  Epoch Epoch_ = 0;
+  std::size_t Waiting_ = 0;
+  friend bool operator==(const OwnedPartition &,
+                         const OwnedPartition &) = default;
+};
+
+/// What a host tells each peer.
+struct Heartbeat {
+  Member From_;
+  bool Draining_ = false;
+  PeerVouch Vouch_; ///< SentAt_ and HeadReadAt_ are moved to the receiver's
+                    ///< clock by the codec, never later than the real ones.
+  std::vector<OwnedPartition> Owned_;
+  friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
+};
+
+/// Who is there, who owns what, and in which order hosts should take a
+/// partition. Pure; fed by rows, heartbeats and the live list.
+class Membership {
+public:
+  explicit Membership(Member Self) : Self_(std::move(Self)) {}
+
+  /// The rows "member/" as last read.
+  void setRegistered(TimePoint Now, const std::vector<Member> &Members);
+  /// Entry hosts that the live list shows.
+  void setListed(TimePoint Now, const std::vector<HostId> &Hosts);
+  void noteHeartbeat(TimePoint Now, const Heartbeat &Beat);
+  /// The "owner" row of a partition, where no heartbeat says more.
+  void noteOwnerRow(const PartitionId &Partition, Epoch RowEpoch,
+                    const HostId &Owner);
+
+  /// Registered members, the host itself among them, less those that the
+  /// live list has shown gone for LiveListLag.
+  std::vector<HostId> countedMembers(TimePoint Now) const;
+  /// Members heard within PeerSilence that do not drain; the host itself
+  /// included unless it drains.
+  std::vector<HostId> livePeers(TimePoint Now) const;
+  /// Whom to send heartbeats to.
+  std::vector<Member> peers() const;
+  /// The host that owns the partition as far as known, highest epoch first.
+  std::optional<Member> ownerOf(const PartitionId &Partition) const;
+  /// Place of this host among the live ones in the order of preference for
+  /// the partition: 0 takes first. Hosts that own fewer partitions come
+  /// first, then by rendezvous hash.
+  std::uint32_t rankFor(const PartitionId &Partition, TimePoint Now) const;
+  void setDraining(bool Draining) { Draining_ = Draining; }
+  void setOwned(std::vector<OwnedPartition> Owned);
+
+private:
+  struct Peer {
+    Member Member_;
+    bool Draining_ = false;
+    std::optional<TimePoint> HeardAt_;
+    std::vector<OwnedPartition> Owned_;
+  };
+  struct OwnerEntry {
+    Epoch Epoch_ = 0;
+    HostId Host_;
+  };
+
+  Member Self_;
+  bool Draining_ = false;
+  std::vector<OwnedPartition> Owned_;
+  std::map<HostId, Peer> Peers_;
+  std::map<HostId, TimePoint> MissingSince_;
+  std::map<PartitionId, OwnerEntry> Owners_;
+};
+
+} // namespace oleandergauge
+
+#endif // OLEANDERGAUGE_MEMBERSHIP_H
--- /dev/null
+++ b/src/codec/json.cc
@@ -0,0 +1,1 @@
+#include "codec/json.h"
--- /dev/null
+++ b/src/codec/json.h
@@ -0,0 +1,1 @@
+// Placeholder replaced by the JSON codec.
--- /dev/null
+++ b/src/daemon/settings.cc
@@ -0,0 +1,1 @@
+#include "daemon/settings.h"
