--- a/include/oleandergauge/base.h
+++ b/include/oleandergauge/base.h
@@ -22,7 +22,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<MonotonicClock, Duration>;
-  static constexpr bool is_steady = true;
 };
 
 using TimePoint = MonotonicClock::time_point;
--- a/src/daemon/settings.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "daemon/settings.h"
--- a/src/daemon/settings.h
+++ /dev/null
@@ -1,1 +0,0 @@
-// placeholder
--- /dev/null
+++ b/src/daemon/task.cc
@@ -0,0 +1,77 @@
+#include "daemon/task.h"
+
+namespace oleandergauge::daemon {
+namespace {
+
+using Work = std::function<void()>;
+
+gboolean runOnce(gpointer Data) {
+  (*static_cast<Work *>(Data))();
+  return G_SOURCE_REMOVE;
+}
+
+gboolean runAgain(gpointer Data) {
+  (*static_cast<Work *>(Data))();
+  return G_SOURCE_CONTINUE;
+}
+
+void freeWork(gpointer Data) { delete static_cast<Work *>(Data); }
+
+void attach(GMainContext *Context, GSource *Source, GSourceFunc Run,
+            Work Wanted) {
+  g_source_set_callback(Source, Run, new Work(std::move(Wanted)), freeWork);
+  g_source_attach(Source, Context);
+  g_source_unref(Source);
+}
+
+guint toMillis(Duration Span) {
+  using std::chrono::duration_cast;
+  return static_cast<guint>(
+      duration_cast<std::chrono::milliseconds>(Span).count());
+}
+
+} // namespace
+
+TimePoint monotonicNow() { return TimePoint(Duration(g_get_monotonic_time())); }
+
+TaskThread::TaskThread(std::string Name)
+    : Name_(std::move(Name)), Context_(g_main_context_new()),
+      Loop_(g_main_loop_new(Context_, FALSE)) {
+  Thread_ = std::thread([this] {
+    g_main_context_push_thread_default(Context_);
+    g_main_loop_run(Loop_);
+    g_main_context_pop_thread_default(Context_);
+  });
+}
+
+TaskThread::~TaskThread() {
+  stop();
+  g_main_loop_unref(Loop_);
+  g_main_context_unref(Context_);
+}
+
+void TaskThread::post(std::function<void()> Wanted) {
+  GSource *Source = g_idle_source_new();
+  g_source_set_priority(Source, G_PRIORITY_DEFAULT);
+  attach(Context_, Source, runOnce, std::move(Wanted));
+}
+
+void TaskThread::every(Duration Interval, std::function<void()> Wanted) {
+  attach(Context_, g_timeout_source_new(toMillis(Interval)), runAgain,
+         std::move(Wanted));
+}
+
+void TaskThread::after(Duration Delay, std::function<void()> Wanted) {
+  attach(Context_, g_timeout_source_new(toMillis(Delay)), runOnce,
+         std::move(Wanted));
+}
+
+void TaskThread::stop() {
+  if (!Thread_.joinable())
+    return;
+  // Posted, so that a stop before the loop runs is not lost.
+  post([this] { g_main_loop_quit(Loop_); });
+  Thread_.join();
+}
+
+} // namespace oleandergauge::daemon
