--- /dev/null
+++ b/src/daemon/metrics.cc
@@ -0,0 +1,197 @@
+#include "daemon/metrics.h"
+
+#include <cmath>
+#include <map>
+#include <mutex>
+#include <tuple>
+
+#include <boost/histogram.hpp>
+#include <nlohmann/json.hpp>
+
+namespace oleandergauge::daemon {
+namespace {
+
+namespace bh = boost::histogram;
+
+/// Five buckets a decade over seven decades: an estimate from a bucket is at
+/// most 58% off.
+constexpr int Buckets = 35;
+constexpr double LeastUs = 1e2;
+constexpr double MostUs = 1e9;
+constexpr double MicrosPerSecond = 1e6;
+
+using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using Samples = decltype(bh::make_histogram(LogAxis(Buckets, 1.0, 2.0)));
+
+struct Series {
+  Samples Samples_ = bh::make_histogram(LogAxis(Buckets, LeastUs, MostUs));
+  std::uint64_t Count_ = 0;
+  double SumUs_ = 0.0;
+
+  /// Number of samples in bucket \p Index; -1 holds those below the axis and
+  /// Buckets those above it.
+  std::uint64_t at(int Index) const {
+    return static_cast<std::uint64_t>(Samples_.at(Index));
+  }
+  double upperUs(int Index) const {
+    return Index < 0 ? LeastUs : Samples_.axis(0).bin(Index).upper();
+  }
+  /// Upper bound of the bucket in which the quantile lies.
+  double quantileUs(double Part) const {
+    double Wanted = Part * static_cast<double>(Count_);
+    std::uint64_t Seen = 0;
+    for (int Index = -1; Index < Buckets; ++Index) {
+      Seen += at(Index);
+      if (static_cast<double>(Seen) >= Wanted)
+        return upperUs(Index);
+    }
+    return MostUs;
+  }
+};
+
+using SeriesKey = std::tuple<std::string, TeamId, WorkClass>;
+using ScalarKey = std::pair<std::string, std::string>;
+
+std::string escape(const std::string &Text) {
+  std::string Out;
+  for (char C : Text) {
+    if (C == '\\' || C == '"')
+      Out += '\\';
+    Out += C == '\n' ? std::string("\\n") : std::string(1, C);
+  }
+  return Out;
+}
+
+/// "{a=\"b\",c=\"d\"}", or nothing where there are no labels.
+std::string writeLabels(const Labels &With) {
+  std::string Out;
+  for (const auto &[Name, Value] : With)
+    Out += (Out.empty() ? "" : ",") + Name + "=\"" + escape(Value) + "\"";
+  return Out.empty() ? Out : "{" + Out + "}";
+}
+
+std::string writeNumber(double Value) {
+  char Text[32];
+  std::snprintf(Text, sizeof(Text), "%.9g", Value);
+  return Text;
+}
+
+void writeScalars(std::string &Out, const std::map<ScalarKey, double> &Values,
+                  const char *Kind) {
+  std::string Previous;
+  for (const auto &[Key, Value] : Values) {
+    const auto &[Name, With] = Key;
+    if (Name != Previous)
+      Out.append("# TYPE ").append(Name).append(" ").append(Kind).append("\n");
+    Previous = Name;
+    Out.append(Name).append(With).append(" ").append(writeNumber(Value));
+    Out += '\n';
+  }
+}
+
+void writeSeries(std::string &Out, const std::string &Name, Labels With,
+                 const Series &Values) {
+  std::uint64_t Seen = 0;
+  Labels Bucket = With;
+  Bucket.emplace_back("le", "");
+  auto writeBucket = [&](const std::string &Upper) {
+    Bucket.back().second = Upper;
+    Out += Name + "_bucket" + writeLabels(Bucket) + " " + std::to_string(Seen) +
+           "\n";
+  };
+  for (int Index = -1; Index < Buckets; ++Index) {
+    Seen += Values.at(Index);
+    writeBucket(writeNumber(Values.upperUs(Index) / MicrosPerSecond));
+  }
+  Seen = Values.Count_;
+  writeBucket("+Inf");
+  std::string Suffix = writeLabels(With) + " ";
+  Out += Name + "_sum" + Suffix + writeNumber(Values.SumUs_ / MicrosPerSecond) +
+         "\n" + Name + "_count" + Suffix + std::to_string(Values.Count_) + "\n";
+}
+
+nlohmann::json bucketsJson(const Series &Values) {
+  nlohmann::json Out = nlohmann::json::array();
+  for (int Index = -1; Index <= Buckets; ++Index) {
+    if (Values.at(Index) == 0)
+      continue;
+    nlohmann::json Upper = nullptr;
+    if (Index < Buckets)
+      Upper = Values.upperUs(Index);
+    Out.push_back({{"le_us", Upper}, {"count", Values.at(Index)}});
+  }
+  return Out;
+}
+
+} // namespace
+
+struct Metrics::State {
+  mutable std::mutex Lock_;
+  std::map<ScalarKey, double> Counters_;
+  std::map<ScalarKey, double> Gauges_;
+  std::map<SeriesKey, Series> Series_;
+};
+
+Metrics::Metrics() : State_(std::make_unique<State>()) {}
+Metrics::~Metrics() = default;
+
+void Metrics::count(const std::string &Name, const Labels &With,
+                    std::uint64_t Amount) {
+  std::lock_guard<std::mutex> Guard(State_->Lock_);
+  ScalarKey Key{"oleandergauge_" + Name + "_total", writeLabels(With)};
+  State_->Counters_[Key] += static_cast<double>(Amount);
+}
+
+void Metrics::set(const std::string &Name, const Labels &With, double Value) {
+  std::lock_guard<std::mutex> Guard(State_->Lock_);
+  State_->Gauges_[{"oleandergauge_" + Name, writeLabels(With)}] = Value;
+}
+
+void Metrics::observe(const std::string &Name, const TeamId &Team,
+                      WorkClass Class, Duration Sample) {
+  std::lock_guard<std::mutex> Guard(State_->Lock_);
+  Series &Values = State_->Series_[{Name, Team, Class}];
+  auto Micros = static_cast<double>(Sample.count());
+  Values.Samples_(Micros);
+  ++Values.Count_;
+  Values.SumUs_ += Micros;
+}
+
+std::string Metrics::exposition() const {
+  std::lock_guard<std::mutex> Guard(State_->Lock_);
+  std::string Out;
+  writeScalars(Out, State_->Counters_, "counter");
+  writeScalars(Out, State_->Gauges_, "gauge");
+  std::string Previous;
+  for (const auto &[Key, Values] : State_->Series_) {
+    const auto &[Short, Team, Class] = Key;
+    std::string Name = "oleandergauge_" + Short + "_seconds";
+    if (Name != Previous)
+      Out += "# TYPE " + Name + " histogram\n";
+    Previous = Name;
+    Labels With{{"team", Team.str()}, {"class", std::string(toString(Class))}};
+    writeSeries(Out, Name, With, Values);
+  }
+  return Out;
+}
+
+std::string Metrics::histogramsJson() const {
+  std::lock_guard<std::mutex> Guard(State_->Lock_);
+  nlohmann::json All = nlohmann::json::array();
+  for (const auto &[Key, Values] : State_->Series_) {
+    const auto &[Name, Team, Class] = Key;
+    All.push_back({{"name", Name},
+                   {"team", Team.str()},
+                   {"class", toString(Class)},
+                   {"count", Values.Count_},
+                   {"sum_us", Values.SumUs_},
+                   {"p50_us", Values.quantileUs(0.5)},
+                   {"p90_us", Values.quantileUs(0.9)},
+                   {"p99_us", Values.quantileUs(0.99)},
+                   {"buckets", bucketsJson(Values)}});
+  }
+  return nlohmann::json{{"histograms", All}}.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace oleandergauge::daemon
--- /dev/null
+++ b/src/daemon/metrics.h
@@ -0,0 +1,47 @@
+#ifndef OLEANDERGAUGE_DAEMON_METRICS_H
+#define OLEANDERGAUGE_DAEMON_METRICS_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "oleandergauge/base.h"
+
+namespace oleandergauge::daemon {
+
+/// Label names and values, in the order in which they are written.
+using Labels = std::vector<std::pair<std::string, std::string>>;
+
+/// The host's own counters, gauges and histograms. Safe from every thread.
+/// Histograms have logarithmic buckets from 100 us to 1000 s.
+class Metrics {
+public:
+  Metrics();
+  ~Metrics();
+
+  /// Adds to the counter "oleandergauge_<Name>_total".
+  void count(const std::string &Name, const Labels &With,
+             std::uint64_t Amount = 1);
+  /// Sets the gauge "oleandergauge_<Name>".
+  void set(const std::string &Name, const Labels &With, double Value);
+  /// Adds a sample to the histogram "oleandergauge_<Name>_seconds" of a team
+  /// and class.
+  void observe(const std::string &Name, const TeamId &Team, WorkClass Class,
+               Duration Sample);
+
+  /// All of it in the Prometheus text exposition format.
+  std::string exposition() const;
+  /// The histograms as JSON: for each name, team and class the count, sum,
+  /// estimated p50, p90, p99 and the filled buckets, in microseconds.
+  std::string histogramsJson() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> State_;
+};
+
+} // namespace oleandergauge::daemon
+
+#endif // OLEANDERGAUGE_DAEMON_METRICS_H
