--- /dev/null
+++ b/src/daemon/host.cc
@@ -0,0 +1,222 @@
+#include "daemon/host.h"
+
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+#include <glib-unix.h>
+
+#include "daemon/config_task.h"
+#include "daemon/http_api.h"
+#include "daemon/log.h"
+#include "daemon/metrics.h"
+#include "daemon/partition_task.h"
+#include "daemon/peer_task.h"
+
+namespace oleandergauge::daemon {
+namespace {
+
+constexpr int SecondSignalExitCode = 130;
+
+/// The tasks of one process, their wiring and the order of a shutdown. Runs on
+/// the main thread.
+class Host {
+public:
+  explicit Host(const Settings &Options);
+  ~Host();
+  Host(const Host &) = delete;
+  Host &operator=(const Host &) = delete;
+
+  int run();
+
+private:
+  enum class Phase { Serving, FinishingRequests, DrainingPartitions, Leaving };
+
+  template <typename Task>
+  void launch(TaskThread &Thread, std::unique_ptr<Task> &Started);
+  template <typename Task>
+  void destroyOn(TaskThread &Thread, std::unique_ptr<Task> &Ended);
+  static gboolean onSignal(gpointer Data);
+  static gboolean onDrainLimit(gpointer Data);
+  void drain();
+  void receive(const HostMessage &Message);
+  void take(const HttpIdle &);
+  void take(const PartitionsDrained &);
+  void take(const Deregistered &);
+  void take(const TaskFailed &Failure);
+  void quit(int ExitCode);
+
+  const Settings &Options_;
+  Metrics Figures_;
+  GMainLoop *Loop_;
+  Phase Phase_ = Phase::Serving;
+  int ExitCode_ = 0;
+  TaskThread PartitionThread_{"partition"};
+  TaskThread ConfigThread_{"config"};
+  TaskThread HttpThread_{"http"};
+  TaskThread PeerThread_{"peer"};
+  std::unique_ptr<PartitionTask> Partitions_;
+  std::unique_ptr<ConfigTask> Config_;
+  std::unique_ptr<HttpApi> Http_;
+  std::unique_ptr<PeerTask> Peer_;
+};
+
+/// A mailbox to a task that is made after the mailbox.
+template <typename Message, typename Task>
+Mailbox<Message> mailboxTo(TaskThread &Thread, std::unique_ptr<Task> &To) {
+  return makeMailbox<Message>(Thread, [&To](Message Sent) {
+    if (To)
+      To->handle(std::move(Sent));
+  });
+}
+
+/// Runs \p Work on the main thread.
+void postToMain(std::function<void()> Work) {
+  GSource *Source = g_idle_source_new();
+  g_source_set_priority(Source, G_PRIORITY_DEFAULT);
+  auto Run = [](gpointer Data) -> gboolean {
+    (*static_cast<std::function<void()> *>(Data))();
+    return G_SOURCE_REMOVE;
+  };
+  auto Free = [](gpointer Data) {
+    delete static_cast<std::function<void()> *>(Data);
+  };
+  g_source_set_callback(Source, Run, new std::function<void()>(std::move(Work)),
+                        Free);
+  g_source_attach(Source, nullptr);
+  g_source_unref(Source);
+}
+
+Host::Host(const Settings &Options)
+    : Options_(Options), Loop_(g_main_loop_new(nullptr, FALSE)) {
+  auto ToPartitions =
+      mailboxTo<PartitionTaskMessage>(PartitionThread_, Partitions_);
+  auto ToConfig = mailboxTo<ConfigTaskMessage>(ConfigThread_, Config_);
+  auto ToHttp = mailboxTo<HttpTaskMessage>(HttpThread_, Http_);
+  auto ToPeer = mailboxTo<PeerTaskMessage>(PeerThread_, Peer_);
+  Mailbox<HostMessage> ToHost = [this](HostMessage Sent) {
+    postToMain([this, Sent = std::move(Sent)] { receive(Sent); });
+  };
+  Partitions_ = std::make_unique<PartitionTask>(
+      PartitionThread_, Options_, Figures_,
+      PartitionTaskOutputs{ToHttp, ToPeer, ToConfig, ToHost});
+  Config_ = std::make_unique<ConfigTask>(
+      ConfigThread_, Options_, Figures_,
+      ConfigTaskOutputs{ToPartitions, ToHttp, ToPeer, ToHost});
+  Http_ =
+      std::make_unique<HttpApi>(HttpThread_, Options_, Figures_,
+                                HttpApiOutputs{ToPartitions, ToConfig, ToHost});
+  Peer_ = std::make_unique<PeerTask>(PeerThread_, Options_,
+                                     PeerTaskOutputs{ToPartitions, ToConfig});
+}
+
+template <typename Task>
+void Host::launch(TaskThread &Thread, std::unique_ptr<Task> &Started) {
+  Thread.post([this, &Started] {
+    try {
+      Started->start();
+    } catch (const std::runtime_error &Error) {
+      TaskFailed Failure{Error.what()};
+      postToMain([this, Failure] { receive(Failure); });
+    }
+  });
+}
+
+/// Clients and servers are destroyed on the thread that made them.
+template <typename Task>
+void Host::destroyOn(TaskThread &Thread, std::unique_ptr<Task> &Ended) {
+  Thread.stop([&Ended] { Ended.reset(); });
+}
+
+Host::~Host() {
+  destroyOn(PeerThread_, Peer_);
+  destroyOn(HttpThread_, Http_);
+  destroyOn(ConfigThread_, Config_);
+  destroyOn(PartitionThread_, Partitions_);
+  g_main_loop_unref(Loop_);
+}
+
+int Host::run() {
+  guint Term = g_unix_signal_add(SIGTERM, onSignal, this);
+  guint Interrupt = g_unix_signal_add(SIGINT, onSignal, this);
+  launch(PartitionThread_, Partitions_);
+  launch(PeerThread_, Peer_);
+  launch(ConfigThread_, Config_);
+  launch(HttpThread_, Http_);
+  logLine(LogLevel::Info, "started",
+          {{"version", std::string(OLEANDERGAUGE_VERSION)},
+           {"address", Options_.HttpListen_}});
+  g_main_loop_run(Loop_);
+  g_source_remove(Term);
+  g_source_remove(Interrupt);
+  return ExitCode_;
+}
+
+gboolean Host::onSignal(gpointer Data) {
+  auto *Self = static_cast<Host *>(Data);
+  if (Self->Phase_ != Phase::Serving) {
+    logLine(LogLevel::Warning, "second signal; ending at once");
+    std::_Exit(SecondSignalExitCode);
+  }
+  Self->drain();
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean Host::onDrainLimit(gpointer Data) {
+  auto *Self = static_cast<Host *>(Data);
+  logLine(LogLevel::Warning, "drain limit reached; ending with work in flight",
+          {{"phase", static_cast<std::int64_t>(Self->Phase_)}});
+  Self->quit(1);
+  return G_SOURCE_REMOVE;
+}
+
+void Host::drain() {
+  logLine(LogLevel::Info, "draining");
+  Phase_ = Phase::FinishingRequests;
+  auto Limit = std::chrono::duration_cast<std::chrono::milliseconds>(
+                   Options_.DrainLimit_)
+                   .count();
+  g_timeout_add(static_cast<guint>(Limit), onDrainLimit, this);
+  ConfigThread_.post([this] { Config_->handle(DrainAnnounced{}); });
+  HttpThread_.post([this] { Http_->handle(RefuseNew{}); });
+}
+
+void Host::receive(const HostMessage &Message) {
+  std::visit([this](const auto &Taken) { take(Taken); }, Message);
+}
+
+void Host::take(const HttpIdle &) {
+  if (Phase_ != Phase::FinishingRequests)
+    return;
+  Phase_ = Phase::DrainingPartitions;
+  PartitionThread_.post([this] { Partitions_->handle(DrainRequested{}); });
+}
+
+void Host::take(const PartitionsDrained &) {
+  if (Phase_ != Phase::DrainingPartitions)
+    return;
+  Phase_ = Phase::Leaving;
+  ConfigThread_.post([this] { Config_->handle(DeregisterRequested{}); });
+}
+
+void Host::take(const Deregistered &) { quit(0); }
+
+void Host::take(const TaskFailed &Failure) {
+  logLine(LogLevel::Error, Failure.Message_);
+  quit(1);
+}
+
+void Host::quit(int ExitCode) {
+  ExitCode_ = ExitCode;
+  logLine(LogLevel::Info, "stopped", {{"exit", std::int64_t(ExitCode)}});
+  g_main_loop_quit(Loop_);
+}
+
+} // namespace
+
+int runHost(const Settings &Options) {
+  Host Own(Options);
+  return Own.run();
+}
+
+} // namespace oleandergauge::daemon
--- /dev/null
+++ b/src/daemon/http_api.cc
@@ -0,0 +1,291 @@
+#include "daemon/http_api.h"
+
+#include <utility>
+
+#include "codec/peer.h"
+#include "daemon/api_reply.h"
+#include "daemon/caller_api.h"
+#include "daemon/dispatcher.h"
+#include "daemon/http_server.h"
+#include "daemon/log.h"
+#include "daemon/operator_api.h"
+#include "daemon/peer_link.h"
+#include "daemon/status_page.h"
+
+namespace oleandergauge::daemon {
+namespace {
+
+constexpr Duration DispatchInterval = std::chrono::milliseconds(10);
+constexpr Duration IdleCheckInterval = std::chrono::milliseconds(20);
+constexpr Duration ShedRetryHint = std::chrono::milliseconds(500);
+constexpr Duration DrainRetryHint = std::chrono::milliseconds(100);
+
+/// "/v1/jobs/<id>/explain" gives {"v1", "jobs", "<id>", "explain"}.
+std::vector<std::string> splitPath(const std::string &Path) {
+  std::vector<std::string> Out;
+  std::size_t Begin = 1;
+  while (Begin < Path.size()) {
+    std::size_t End = std::min(Path.find('/', Begin), Path.size());
+    Out.push_back(Path.substr(Begin, End - Begin));
+    Begin = End + 1;
+  }
+  return Out;
+}
+
+/// The first two segments, which are few; labels of figures must be.
+std::string routeLabel(const std::vector<std::string> &Parts) {
+  static const std::set<std::string> Known = {"calls",   "jobs", "status",
+                                              "records", "log",  "histograms"};
+  if (Parts.size() >= 2 && Known.count(Parts[1]) != 0)
+    return Parts[1];
+  return Parts.size() == 1 && Parts[0] == "metrics" ? "metrics" : "other";
+}
+
+/// Whether the request brings new work or a new question of a caller; figures
+/// and the status page are served until the end.
+bool isRefusedInDrain(const std::string &Route) {
+  return Route == "calls" || Route == "jobs" || Route == "records" ||
+         Route == "log";
+}
+
+} // namespace
+
+class HttpApi::Engine {
+public:
+  Engine(TaskThread &Thread, const Settings &Options, Metrics &Figures,
+         HttpApiOutputs Outputs);
+
+  void start();
+  void receive(HttpTaskMessage Message);
+
+private:
+  void take(const HomeAnswered &Answer) { Home_.handle(Answer); }
+  void take(const RoutingChanged &Changed);
+  void take(const PartitionsReported &Reported) { Reported_ = Reported; }
+  void take(const ChangeAnswered &Answer) { Operators_.handle(Answer); }
+  void take(const RecordAnswered &Answer) { Operators_.handle(Answer); }
+  void take(const LogAnswered &Answer) { Operators_.handle(Answer); }
+  void take(const RefuseNew &Wanted);
+
+  DispatcherOutputs dispatcherOutputs();
+  void checkIdle();
+  void received(const HttpRequest &Request, HttpResponder Respond);
+  std::optional<Refusal> refuseNow(const std::string &Route) const;
+  void route(const HttpRequest &Request, const std::vector<std::string> &Parts,
+             HttpResponder Respond);
+  bool routeJob(const HttpRequest &Request,
+                const std::vector<std::string> &Parts, HttpResponder &Respond);
+  bool routeRecord(const HttpRequest &Request,
+                   const std::vector<std::string> &Parts,
+                   HttpResponder &Respond);
+  bool routePage(const HttpRequest &Request, const HttpResponder &Respond);
+  HttpResponse statusPage() const;
+
+  TaskThread &Thread_;
+  const Settings &Options_;
+  Metrics &Figures_;
+  HttpApiOutputs Outputs_;
+  std::shared_ptr<const Routing> Routing_ = std::make_shared<Routing>();
+  PartitionsReported Reported_;
+  Dispatcher Home_;
+  CallerApi Callers_;
+  OperatorApi Operators_;
+  bool Draining_ = false;
+  bool IdleTold_ = false;
+  std::unique_ptr<PeerClient> Peers_;
+  std::unique_ptr<HttpServer> Server_;
+};
+
+HttpApi::Engine::Engine(TaskThread &Thread, const Settings &Options,
+                        Metrics &Figures, HttpApiOutputs Outputs)
+    : Thread_(Thread), Options_(Options), Figures_(Figures),
+      Outputs_(std::move(Outputs)),
+      Home_(Options.Host_, Figures, dispatcherOutputs()),
+      Callers_(Options, Figures, Home_,
+               {monotonicNow, [] { return g_get_real_time() / 1000; }}),
+      Operators_(Options, Outputs_.Config_) {}
+
+DispatcherOutputs HttpApi::Engine::dispatcherOutputs() {
+  DispatcherOutputs Out;
+  Out.Local_ = Outputs_.Partitions_;
+  Out.Peer_ = [this](const Member &Owner, const PartitionId &Partition,
+                     const HomeRequest &Request, Duration Timeout, auto Done) {
+    Peers_->request(Owner.Address_, ForwardPath,
+                    encodeForward({Partition, Request}), Timeout,
+                    [Done = std::move(Done)](const PeerReply &Reply) {
+                      ForwardOutcome Out{Reply.Outcome_, std::nullopt};
+                      if (Reply.Outcome_ == PeerOutcome::Answered)
+                        Out.Answer_ = decodeForwardReply(Reply.Body_);
+                      Done(Out);
+                    });
+  };
+  Out.Now_ = monotonicNow;
+  return Out;
+}
+
+void HttpApi::Engine::start() {
+  Peers_ = std::make_unique<PeerClient>();
+  Thread_.every(DispatchInterval, [this] { Home_.tick(); });
+  Server_ = std::make_unique<HttpServer>(
+      Options_.HttpListen_, Options_.MaxBodyBytes_,
+      [this](const HttpRequest &Request, HttpResponder Respond) {
+        received(Request, std::move(Respond));
+      });
+  logLine(LogLevel::Info, "listening", {{"address", Options_.HttpListen_}});
+}
+
+void HttpApi::Engine::receive(HttpTaskMessage Message) {
+  std::visit([this](const auto &Taken) { take(Taken); }, Message);
+}
+
+void HttpApi::Engine::take(const RoutingChanged &Changed) {
+  Routing_ = Changed.Routing_;
+  Callers_.setRouting(Routing_);
+  Operators_.setRouting(Routing_);
+  Home_.setRouting(Routing_);
+}
+
+void HttpApi::Engine::take(const RefuseNew &) {
+  Draining_ = true;
+  Thread_.every(IdleCheckInterval, [this] { checkIdle(); });
+}
+
+void HttpApi::Engine::checkIdle() {
+  bool Idle = !Server_ || Server_->inFlight() == 0;
+  if (Idle && !std::exchange(IdleTold_, true))
+    Outputs_.Host_(HttpIdle{});
+}
+
+std::optional<Refusal>
+HttpApi::Engine::refuseNow(const std::string &Route) const {
+  if (Draining_ && isRefusedInDrain(Route))
+    return Refusal{Verdict::NotRun, RefusalReason::Draining,
+                   "this host shuts down; ask another one", DrainRetryHint};
+  if (Server_->inFlight() > Options_.MaxInFlight_)
+    return Refusal{Verdict::NotRun, RefusalReason::QueueFull,
+                   "this host has too many requests in flight", ShedRetryHint};
+  return std::nullopt;
+}
+
+void HttpApi::Engine::received(const HttpRequest &Request,
+                               HttpResponder Respond) {
+  std::vector<std::string> Parts = splitPath(Request.Path_);
+  std::string Route = routeLabel(Parts);
+  HttpResponder Counted =
+      [this, Route, Respond = std::move(Respond)](const HttpResponse &Answer) {
+        Figures_.count(
+            "http_requests",
+            {{"route", Route}, {"status", std::to_string(Answer.Status_)}});
+        HttpResponse Sent = Answer;
+        Sent.CloseConnection_ = Sent.CloseConnection_ || Draining_;
+        Respond(std::move(Sent));
+      };
+  if (std::optional<Refusal> Why = refuseNow(Route)) {
+    HttpResponse Refused = refusalResponse(*Why);
+    Refused.Status_ = 503;
+    Counted(std::move(Refused));
+    return;
+  }
+  route(Request, Parts, std::move(Counted));
+}
+
+void HttpApi::Engine::route(const HttpRequest &Request,
+                            const std::vector<std::string> &Parts,
+                            HttpResponder Respond) {
+  if (Request.Method_ == "POST" && Request.Path_ == "/v1/calls") {
+    Callers_.call(Request, std::move(Respond));
+    return;
+  }
+  if (Request.Method_ == "POST" && Request.Path_ == "/v1/jobs") {
+    Callers_.submit(Request, std::move(Respond));
+    return;
+  }
+  if (routeJob(Request, Parts, Respond) ||
+      routeRecord(Request, Parts, Respond) || routePage(Request, Respond))
+    return;
+  Respond(refusalResponse({Verdict::NotRun, RefusalReason::NotFound,
+                           "there is no such route", Duration(0)}));
+}
+
+bool HttpApi::Engine::routeJob(const HttpRequest &Request,
+                               const std::vector<std::string> &Parts,
+                               HttpResponder &Respond) {
+  if (Parts.size() < 3 || Parts[0] != "v1" || Parts[1] != "jobs")
+    return false;
+  JobId Job(Parts[2]);
+  bool Reads = Request.Method_ == "GET";
+  if (Reads && Parts.size() == 3)
+    Callers_.query(Request, Job, std::move(Respond));
+  else if (Reads && Parts.size() == 4 && Parts[3] == "explain")
+    Callers_.explain(Request, Job, std::move(Respond));
+  else if (Request.Method_ == "DELETE" && Parts.size() == 3)
+    Callers_.cancel(Request, Job, std::move(Respond));
+  else
+    return false;
+  return true;
+}
+
+bool HttpApi::Engine::routeRecord(const HttpRequest &Request,
+                                  const std::vector<std::string> &Parts,
+                                  HttpResponder &Respond) {
+  const std::string &Method = Request.Method_;
+  if (Method == "GET" && Request.Path_ == "/v1/log") {
+    Operators_.log(Request, Respond);
+    return true;
+  }
+  if (Parts.size() < 3 || Parts[0] != "v1" || Parts[1] != "records")
+    return false;
+  bool Known = Method == "GET" || Method == "PUT" || Method == "DELETE";
+  if (Method == "GET" && Parts.size() == 3)
+    Operators_.list(Request, Parts[2], Respond);
+  else if (Known && Parts.size() == 4)
+    Operators_.record(Request, Parts[2], Parts[3], Respond);
+  else
+    return false;
+  return true;
+}
+
+bool HttpApi::Engine::routePage(const HttpRequest &Request,
+                                const HttpResponder &Respond) {
+  if (Request.Method_ != "GET")
+    return false;
+  HttpResponse Out;
+  if (Request.Path_ == "/metrics") {
+    Out.ContentType_ = "text/plain; version=0.0.4";
+    Figures_.set("http_in_flight", {},
+                 static_cast<double>(Server_->inFlight()));
+    Out.Body_ = Figures_.exposition();
+  } else if (Request.Path_ == "/v1/histograms") {
+    Out.Body_ = Figures_.histogramsJson();
+  } else if (Request.Path_ == "/v1/status") {
+    Out = statusPage();
+  } else {
+    return false;
+  }
+  Respond(std::move(Out));
+  return true;
+}
+
+HttpResponse HttpApi::Engine::statusPage() const {
+  StatusFacts Facts;
+  Facts.Self_ = Options_.member();
+  Facts.Now_ = monotonicNow();
+  Facts.Draining_ = Draining_;
+  Facts.InFlight_ = Server_->inFlight();
+  return jsonResponse(200, statusJson(Facts, *Routing_, Reported_.Partitions_));
+}
+
+HttpApi::HttpApi(TaskThread &Thread, const Settings &Options, Metrics &Figures,
+                 HttpApiOutputs Outputs)
+    : Engine_(std::make_unique<Engine>(Thread, Options, Figures,
+                                       std::move(Outputs))) {}
+
+HttpApi::~HttpApi() = default;
+
+void HttpApi::start() { Engine_->start(); }
+
+void HttpApi::handle(HttpTaskMessage Message) {
+  Engine_->receive(std::move(Message));
+}
+
+} // namespace oleandergauge::daemon
--- /dev/null
+++ b/src/daemon/http_server.cc
@@ -0,0 +1,192 @@
+#include "daemon/http_server.h"
+
+#include <stdexcept>
+#include <utility>
+
+#include <libsoup/soup.h>
+
+namespace oleandergauge::daemon {
+namespace {
+
+constexpr const char *OperatorHeader = "X-Oleandergauge-Operator";
+
+/// A request that did not reach the handler ran nothing.
+std::string refusalBody(const char *Message) {
+  return std::string(R"({"verdict":"not_run","reason":"invalid_request",)") +
+         R"("message":")" + Message + R"(","retry_after_ms":0})";
+}
+
+void setResponse(SoupServerMessage *Message, const HttpResponse &Answer) {
+  soup_server_message_set_status(Message, Answer.Status_, nullptr);
+  soup_server_message_set_response(Message, Answer.ContentType_.c_str(),
+                                   SOUP_MEMORY_COPY, Answer.Body_.data(),
+                                   Answer.Body_.size());
+  if (Answer.CloseConnection_)
+    soup_message_headers_replace(
+        soup_server_message_get_response_headers(Message), "Connection",
+        "close");
+}
+
+std::string header(SoupServerMessage *Message, const char *Name) {
+  const char *Value = soup_message_headers_get_one(
+      soup_server_message_get_request_headers(Message), Name);
+  return Value == nullptr ? "" : Value;
+}
+
+std::map<std::string, std::string> readQuery(GHashTable *Query) {
+  std::map<std::string, std::string> Out;
+  if (Query == nullptr)
+    return Out;
+  GHashTableIter Iter;
+  gpointer Key = nullptr;
+  gpointer Value = nullptr;
+  g_hash_table_iter_init(&Iter, Query);
+  while (g_hash_table_iter_next(&Iter, &Key, &Value) != FALSE)
+    Out[static_cast<const char *>(Key)] = static_cast<const char *>(Value);
+  return Out;
+}
+
+std::string readBody(SoupServerMessage *Message) {
+  GBytes *Bytes =
+      soup_message_body_flatten(soup_server_message_get_request_body(Message));
+  gsize Size = 0;
+  auto Data = static_cast<const char *>(g_bytes_get_data(Bytes, &Size));
+  std::string Out(Data == nullptr ? "" : Data, Size);
+  g_bytes_unref(Bytes);
+  return Out;
+}
+
+GSocketAddress *parseAddress(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  auto Port = static_cast<guint>(std::stoul(Address.substr(Colon + 1)));
+  return g_inet_socket_address_new_from_string(Address.substr(0, Colon).c_str(),
+                                               Port);
+}
+
+/// A request while it is served. Lives until its message has finished; the
+/// responder may outlive that.
+struct Exchange {
+  Exchange(SoupServerMessage *Message, std::size_t &InFlight)
+      : Message_(Message), InFlight_(InFlight) {
+    g_object_ref(Message_);
+    ++InFlight_;
+  }
+  ~Exchange() { end(); }
+  Exchange(const Exchange &) = delete;
+  Exchange &operator=(const Exchange &) = delete;
+
+  void respond(const HttpResponse &Answer) {
+    if (Message_ == nullptr || std::exchange(Answered_, true))
+      return;
+    setResponse(Message_, Answer);
+    soup_server_message_unpause(Message_);
+  }
+
+  void end() {
+    if (Message_ == nullptr)
+      return;
+    --InFlight_;
+    g_object_unref(std::exchange(Message_, nullptr));
+  }
+
+  SoupServerMessage *Message_;
+  std::size_t &InFlight_;
+  bool Answered_ = false;
+};
+
+using SharedExchange = std::shared_ptr<Exchange>;
+
+void onFinished(SoupServerMessage *, gpointer Data) {
+  (*static_cast<SharedExchange *>(Data))->end();
+}
+
+void freeExchange(gpointer Data, GClosure *) {
+  delete static_cast<SharedExchange *>(Data);
+}
+
+} // namespace
+
+struct HttpServer::State {
+  static void onEarly(SoupServer *, SoupServerMessage *Message, const char *,
+                      GHashTable *, gpointer Data);
+  static void onRequest(SoupServer *, SoupServerMessage *Message,
+                        const char *Path, GHashTable *Query, gpointer Data);
+
+  SoupServer *Server_ = nullptr;
+  goffset MaxBodyBytes_ = 0;
+  HttpHandler Handler_;
+  std::size_t InFlight_ = 0;
+};
+
+/// Refuses by the headers alone, before the body is read.
+void HttpServer::State::onEarly(SoupServer *, SoupServerMessage *Message,
+                                const char *, GHashTable *, gpointer Data) {
+  const auto &Own = *static_cast<State *>(Data);
+  SoupMessageHeaders *Headers =
+      soup_server_message_get_request_headers(Message);
+  HttpResponse Refused;
+  Refused.CloseConnection_ = true;
+  if (soup_message_headers_get_encoding(Headers) == SOUP_ENCODING_CHUNKED) {
+    Refused.Status_ = SOUP_STATUS_LENGTH_REQUIRED;
+    Refused.Body_ = refusalBody("the length of the body must be given");
+    setResponse(Message, Refused);
+  } else if (soup_message_headers_get_content_length(Headers) >
+             Own.MaxBodyBytes_) {
+    Refused.Status_ = SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
+    Refused.Body_ = refusalBody("the body is too large");
+    setResponse(Message, Refused);
+  }
+}
+
+void HttpServer::State::onRequest(SoupServer *, SoupServerMessage *Message,
+                                  const char *Path, GHashTable *Query,
+                                  gpointer Data) {
+  auto &Own = *static_cast<State *>(Data);
+  HttpRequest Request;
+  Request.Method_ = soup_server_message_get_method(Message);
+  Request.Path_ = Path;
+  Request.Query_ = readQuery(Query);
+  Request.Authorization_ = header(Message, "Authorization");
+  Request.Operator_ = header(Message, OperatorHeader);
+  Request.Body_ = readBody(Message);
+  auto Held = std::make_shared<Exchange>(Message, Own.InFlight_);
+  g_signal_connect_data(Message, "finished", G_CALLBACK(onFinished),
+                        new SharedExchange(Held), freeExchange,
+                        static_cast<GConnectFlags>(0));
+  soup_server_message_pause(Message);
+  Own.Handler_(std::move(Request),
+               [Held](const HttpResponse &Answer) { Held->respond(Answer); });
+}
+
+HttpServer::HttpServer(const std::string &Address, std::size_t MaxBodyBytes,
+                       HttpHandler Handler)
+    : State_(std::make_unique<State>()) {
+  State_->MaxBodyBytes_ = static_cast<goffset>(MaxBodyBytes);
+  State_->Handler_ = std::move(Handler);
+  State_->Server_ = soup_server_new("server-header", "oleandergauge", nullptr);
+  soup_server_add_early_handler(State_->Server_, nullptr, State::onEarly,
+                                State_.get(), nullptr);
+  soup_server_add_handler(State_->Server_, nullptr, State::onRequest,
+                          State_.get(), nullptr);
+  GSocketAddress *Where = parseAddress(Address);
+  GError *Error = nullptr;
+  bool Bound = soup_server_listen(State_->Server_, Where,
+                                  static_cast<SoupServerListenOptions>(0),
+                                  &Error) != FALSE;
+  g_object_unref(Where);
+  if (Bound)
+    return;
+  std::string Message = "cannot listen on " + Address + ": " + Error->message;
+  g_error_free(Error);
+  g_object_unref(State_->Server_);
+  throw std::runtime_error(Message);
+}
+
+HttpServer::~HttpServer() {
+  soup_server_disconnect(State_->Server_);
+  g_object_unref(State_->Server_);
+}
+
+std::size_t HttpServer::inFlight() const { return State_->InFlight_; }
+
+} // namespace oleandergauge::daemon
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -89,22 +89,22 @@
   }
 }
 
-void writeSeries(std::string &Out, const std::string &Name, Labels With,
+void writeSeries(std::string &Out, const std::string &Name, const Labels &With,
                  const Series &Values) {
   std::uint64_t Seen = 0;
   Labels Bucket = With;
   Bucket.emplace_back("le", "");
-  auto writeBucket = [&](const std::string &Upper) {
+  auto WriteBucket = [&](const std::string &Upper) {
     Bucket.back().second = Upper;
     Out += Name + "_bucket" + writeLabels(Bucket) + " " + std::to_string(Seen) +
            "\n";
   };
   for (int Index = -1; Index < Buckets; ++Index) {
     Seen += Values.at(Index);
-    writeBucket(writeNumber(Values.upperUs(Index) / MicrosPerSecond));
+    WriteBucket(writeNumber(Values.upperUs(Index) / MicrosPerSecond));
   }
   Seen = Values.Count_;
-  writeBucket("+Inf");
+  WriteBucket("+Inf");
   std::string Suffix = writeLabels(With) + " ";
   Out += Name + "_sum" + Suffix + writeNumber(Values.SumUs_ / MicrosPerSecond) +
          "\n" + Name + "_count" + Suffix + std::to_string(Values.Count_) + "\n";
--- /dev/null
+++ b/src/daemon/operator_api.h
@@ -0,0 +1,57 @@
+#ifndef OLEANDERGAUGE_DAEMON_OPERATOR_API_H
+#define OLEANDERGAUGE_DAEMON_OPERATOR_API_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "daemon/http_server.h"
+#include "daemon/messages.h"
+#include "daemon/settings.h"
+
+namespace oleandergauge::daemon {
+
+/// The routes of operators: records and their log. Changes are committed by
+/// the configuration task; an answer that says so comes after the commit.
+class OperatorApi {
+public:
+  OperatorApi(const Settings &Options, Mailbox<ConfigTaskMessage> Config)
+      : Options_(Options), Config_(std::move(Config)),
+        Routing_(std::make_shared<Routing>()) {}
+
+  void setRouting(std::shared_ptr<const Routing> Known) {
+    Routing_ = std::move(Known);
+  }
+
+  /// GET /v1/records/<kind>
+  void list(const HttpRequest &Request, const std::string &Kind,
+            const HttpResponder &Respond);
+  /// GET, PUT and DELETE /v1/records/<kind>/<name>. PUT carries the record's
+  /// fields and expected_version, DELETE the latter as a query.
+  void record(const HttpRequest &Request, const std::string &Kind,
+              const std::string &Name, const HttpResponder &Respond);
+  /// GET /v1/log?after=<version>&limit=<count>
+  void log(const HttpRequest &Request, const HttpResponder &Respond);
+
+  void handle(const ChangeAnswered &Answer);
+  void handle(const RecordAnswered &Answer);
+  void handle(const LogAnswered &Answer);
+
+private:
+  Result<void> authorize(const HttpRequest &Request) const;
+  Result<RecordChange> readChange(const HttpRequest &Request, RecordKind Kind,
+                                  const std::string &Name) const;
+  Token hold(HttpResponder Respond);
+  void respond(Token Id, HttpResponse Answer);
+
+  const Settings &Options_;
+  Mailbox<ConfigTaskMessage> Config_;
+  std::shared_ptr<const Routing> Routing_;
+  std::map<Token, HttpResponder> Waiters_;
+  Token NextToken_ = 1;
+};
+
+} // namespace oleandergauge::daemon
+
+#endif // OLEANDERGAUGE_DAEMON_OPERATOR_API_H
--- /dev/null
+++ b/src/daemon/peer_task.cc
@@ -0,0 +1,91 @@
+#include "daemon/peer_task.h"
+
+#include <utility>
+
+#include "codec/peer.h"
+
+namespace oleandergauge::daemon {
+namespace {
+
+constexpr Duration SweepInterval = std::chrono::seconds(10);
+/// Longer than any request that an entry host holds (call-timeout-ms).
+constexpr Duration LongestWait = std::chrono::minutes(20);
+
+Result<JobStatus> malformed() {
+  return tl::unexpected(Refusal{Verdict::NotRun, RefusalReason::InvalidRequest,
+                                "the forwarded request cannot be decoded",
+                                Duration(0)});
+}
+
+} // namespace
+
+PeerTask::PeerTask(TaskThread &Thread, const Settings &Options,
+                   PeerTaskOutputs Outputs)
+    : Thread_(Thread), Options_(Options), Outputs_(std::move(Outputs)) {}
+
+void PeerTask::start() {
+  Server_ = std::make_unique<PeerServer>(
+      Options_.PeerListen_,
+      [this](const std::string &Path, const std::string &Body,
+             PeerResponder Respond) {
+        received(Path, Body, std::move(Respond));
+      });
+  Thread_.every(SweepInterval, [this] { sweep(); });
+}
+
+void PeerTask::handle(const PeerTaskMessage &Message) {
+  std::visit([this](const auto &Taken) { take(Taken); }, Message);
+}
+
+void PeerTask::received(const std::string &Path, const std::string &Body,
+                        PeerResponder Respond) {
+  if (Path == HeartbeatPath) {
+    Token Id = NextToken_++;
+    Waiters_[Id] = {std::move(Respond), monotonicNow()};
+    Outputs_.Config_(HeartbeatReceived{Id, Body});
+    return;
+  }
+  auto Asked = Path == ForwardPath ? decodeForward(Body) : std::nullopt;
+  if (!Asked) {
+    Respond(encodeForwardReply(malformed()));
+    return;
+  }
+  Token Id = NextToken_++;
+  Waiters_[Id] = {std::move(Respond), monotonicNow()};
+  HomeRequest Request = Asked->Request_;
+  std::visit([&](auto &Any) { Any.Token_ = Id; }, Request);
+  Outputs_.Partitions_(
+      HomeAsked{Requester::Peer, Asked->Partition_, std::move(Request)});
+}
+
+void PeerTask::take(const HomeAnswered &Answer) {
+  respond(Answer.Token_, encodeForwardReply(Answer.Answer_));
+}
+
+void PeerTask::take(const HeartbeatAnswered &Answer) {
+  respond(Answer.Token_, Answer.Body_);
+}
+
+void PeerTask::respond(Token Id, const std::string &Body) {
+  auto Found = Waiters_.find(Id);
+  if (Found == Waiters_.end())
+    return;
+  PeerResponder Respond = std::move(Found->second.Respond_);
+  Waiters_.erase(Found);
+  Respond(Body);
+}
+
+/// Gives up on requests whose sender can no longer wait for the answer.
+void PeerTask::sweep() {
+  TimePoint Now = monotonicNow();
+  for (auto It = Waiters_.begin(); It != Waiters_.end();) {
+    if (Now - It->second.Since_ < LongestWait) {
+      ++It;
+      continue;
+    }
+    Outputs_.Partitions_(HomeAbandoned{Requester::Peer, It->first});
+    It = Waiters_.erase(It);
+  }
+}
+
+} // namespace oleandergauge::daemon
--- /dev/null
+++ b/src/daemon/peer_task.h
@@ -0,0 +1,54 @@
+#ifndef OLEANDERGAUGE_DAEMON_PEER_TASK_H
+#define OLEANDERGAUGE_DAEMON_PEER_TASK_H
+
+#include <map>
+#include <memory>
+
+#include "daemon/messages.h"
+#include "daemon/peer_link.h"
+#include "daemon/settings.h"
+
+namespace oleandergauge::daemon {
+
+/// Where the peer task sends its messages.
+struct PeerTaskOutputs {
+  Mailbox<PartitionTaskMessage> Partitions_;
+  Mailbox<ConfigTaskMessage> Config_;
+};
+
+/// Takes requests of other entry hosts and hands them to the tasks that
+/// answer them.
+class PeerTask {
+public:
+  PeerTask(TaskThread &Thread, const Settings &Options,
+           PeerTaskOutputs Outputs);
+
+  /// Listens; on the task's thread. Throws std::runtime_error where the
+  /// address cannot be bound.
+  void start();
+  void handle(const PeerTaskMessage &Message);
+
+private:
+  struct Waiter {
+    PeerResponder Respond_;
+    TimePoint Since_;
+  };
+
+  void received(const std::string &Path, const std::string &Body,
+                PeerResponder Respond);
+  void take(const HomeAnswered &Answer);
+  void take(const HeartbeatAnswered &Answer);
+  void respond(Token Id, const std::string &Body);
+  void sweep();
+
+  TaskThread &Thread_;
+  const Settings &Options_;
+  PeerTaskOutputs Outputs_;
+  std::map<Token, Waiter> Waiters_;
+  Token NextToken_ = 1;
+  std::unique_ptr<PeerServer> Server_;
+};
+
+} // namespace oleandergauge::daemon
+
+#endif // OLEANDERGAUGE_DAEMON_PEER_TASK_H
--- a/src/daemon/task.cc
+++ b/src/daemon/task.cc
@@ -40,6 +40,8 @@
   Thread_ = std::thread([this] {
     g_main_context_push_thread_default(Context_);
     g_main_loop_run(Loop_);
+    if (Last_)
+      Last_();
     g_main_context_pop_thread_default(Context_);
   });
 }
@@ -74,4 +76,10 @@
   Thread_.join();
 }
 
+void TaskThread::stop(std::function<void()> Last) {
+  // Set on the thread itself, before the loop ends.
+  post([this, Last = std::move(Last)] { Last_ = Last; });
+  stop();
+}
+
 } // namespace oleandergauge::daemon
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -35,11 +35,15 @@
   void after(Duration Delay, std::function<void()> Work);
   /// Ends the loop after the running callback and joins the thread.
   void stop();
+  /// As stop(), and runs \p Last on the task's thread after the loop ended, so
+  /// that no timer runs after it.
+  void stop(std::function<void()> Last);
 
 private:
   std::string Name_;
   GMainContext *Context_;
   GMainLoop *Loop_;
+  std::function<void()> Last_;
   std::thread Thread_;
 };
 
