--- a/include/oleandergauge/base.h
+++ b/include/oleandergauge/base.h
@@ -35,7 +35,10 @@
   const std::string &str() const { return Text_; }
   bool empty() const { return Text_.empty(); }
   friend bool operator==(const Name &, const Name &) = default;
-  friend auto operator<=>(const Name &, const Name &) = default;
+  // Written out, as clang-tidy 14 reports code that it makes for a default.
+  friend std::strong_ordering operator<=>(const Name &A, const Name &B) {
+    return A.Text_ <=> B.Text_;
+  }
 
 private:
   std::string Text_;
--- a/include/oleandergauge/config.h
+++ b/include/oleandergauge/config.h
@@ -164,6 +164,10 @@
 /// How old evidence may be before a host stops admitting and starting.
 inline constexpr Duration EvidenceBound = std::chrono::milliseconds(3000);
 
+/// Stands for a moment that is not known, earlier than any known one; far
+/// enough from the ends of the range that a difference cannot overflow.
+inline constexpr TimePoint UnknownMoment{Duration::min() / 2};
+
 /// What one registered host last said about the store. Times are on the
 /// clock of the host that keeps this.
 struct PeerVouch {
@@ -174,13 +178,15 @@
   /// True where the peer cannot reach the store, has no change in flight and
   /// will make none until EvidenceBound after its last vouch.
   bool StoreOut_ = false;
-  /// Moment, not later than the real one, at which the peer sent this.
+  /// Moment, not later than the real one, at which the peer sent this;
+  /// UnknownMoment where nothing bounds it.
   TimePoint SentAt_;
   friend bool operator==(const PeerVouch &, const PeerVouch &) = default;
 };
 
 /// Decides whether a host may act on its view of the records. See decision
-/// D4 in docs/design.md.
+/// D4 in docs/design.md. Calls may come late, doubled and in any order; the
+/// head version only rises, so the highest one that was ever seen counts.
 class FreshnessGuard {
 public:
   explicit FreshnessGuard(HostId Self) : Self_(std::move(Self)) {}
@@ -190,39 +196,58 @@
   void noteHeadRead(std::uint64_t HeadVersion, TimePoint BeganAt);
   /// The store did not answer a read that began at \p BeganAt.
   void noteStoreFailure(TimePoint BeganAt);
+  /// A vouch out of a peer's reply to this host's heartbeat.
   void noteVouch(const HostId &Peer, const PeerVouch &Vouch);
   /// The registered members, less those that the live list has shown gone
-  /// for its lag. The host itself is among them.
+  /// for its lag. The host itself is among them once it is registered.
   void setMembers(std::vector<HostId> Members);
   /// The view the host acts on now.
   void setAppliedVersion(std::uint64_t HeadVersion);
-  /// True while a change of this host may be in flight.
+  /// True while a change of this host may be in flight, which includes a
+  /// change whose outcome is not known yet.
   void setChangeInFlight(bool InFlight) { ChangeInFlight_ = InFlight; }
 
   /// True where the applied view is proven to be the head at a moment not
-  /// older than EvidenceBound.
+  /// older than EvidenceBound, and nothing shows a higher head.
   bool mayAct(TimePoint Now) const;
   /// The moment up to which the applied view is proven; empty where never.
   std::optional<TimePoint> provenAt(TimePoint Now) const;
   /// True where unanimous members say that the store is out.
   bool outageProven(TimePoint Now) const;
+  /// The moment up to which an outage proves the applied view; empty where
+  /// the members are not unanimous.
+  std::optional<TimePoint> outageProvenAt(TimePoint Now) const;
   /// What this host tells its peers. A vouch of an outage binds the host:
-  /// see mayCommitChange.
+  /// see mayCommitChange. Must be made anew for each reply.
   PeerVouch vouch(TimePoint Now);
   /// False until EvidenceBound after the last vouch of an outage and after
-  /// registration; applies to operator changes and takeovers.
+  /// registration; applies to operator changes and takeovers. Also false
+  /// until every counted member has answered a heartbeat once since the
+  /// registration: members that are cut off from the store cannot read the
+  /// new row and would otherwise be unanimous without this host.
   bool mayCommitChange(TimePoint Now) const;
   /// The host registered at \p Now.
-  void noteRegistered(TimePoint Now) { RegisteredAt_ = Now; }
+  void noteRegistered(TimePoint Now);
 
 private:
+  void noteKnownHead(std::uint64_t HeadVersion,
+                     std::optional<TimePoint> ReadAt);
+  bool seesOutage() const;
+  bool introduced(TimePoint Now) const;
+
   HostId Self_;
   std::uint64_t Applied_ = 0;
+  /// The highest head that any evidence shows, and when it was last read.
+  std::uint64_t KnownHead_ = 0;
+  std::optional<TimePoint> KnownHeadAt_;
+  /// The host's own reads.
   std::optional<std::uint64_t> HeadVersion_;
   std::optional<TimePoint> HeadReadAt_;
+  std::optional<TimePoint> StoreReadAt_;
   std::optional<TimePoint> StoreFailedAt_;
   std::optional<TimePoint> LastOutageVouch_;
   std::optional<TimePoint> RegisteredAt_;
+  bool Introduced_ = false;
   bool ChangeInFlight_ = false;
   std::vector<HostId> Members_;
   std::map<HostId, PeerVouch> Vouches_;
--- a/include/oleandergauge/membership.h
+++ b/include/oleandergauge/membership.h
@@ -52,17 +52,24 @@
 public:
   explicit Membership(Member Self) : Self_(std::move(Self)) {}
 
-  /// The rows "member/" as last read.
+  /// The rows "member/" as last read. A peer that was heard lately stays, as
+  /// the rows may have been read before it registered.
   void setRegistered(TimePoint Now, const std::vector<Member> &Members);
-  /// Entry hosts that the live list shows.
+  /// Entry hosts that the live list shows. Called only with lists that were
+  /// read, never in place of one that could not be.
   void setListed(TimePoint Now, const std::vector<HostId> &Hosts);
+  /// A heartbeat, or a reply to one. Its sender is a member from now on; a
+  /// host sends heartbeats only once it is registered. Late and doubled ones
+  /// never lower an epoch. One whose SentAt_ is not known (a request) makes
+  /// the sender known but does not show it live.
   void noteHeartbeat(TimePoint Now, const Heartbeat &Beat);
   /// The "owner" row of a partition, where no heartbeat says more.
   void noteOwnerRow(const PartitionId &Partition, Epoch RowEpoch,
                     const HostId &Owner);
 
-  /// Registered members, the host itself among them, less those that the
-  /// live list has shown gone for LiveListLag.
+  /// Registered members, the host itself among them once its row was read,
+  /// less those that the live list has shown gone for LiveListLag and that
+  /// were not heard for as long.
   std::vector<HostId> countedMembers(TimePoint Now) const;
   /// Members heard within PeerSilence that do not drain; the host itself
   /// included unless it drains.
@@ -76,25 +83,34 @@
   /// first, then by rendezvous hash.
   std::uint32_t rankFor(const PartitionId &Partition, TimePoint Now) const;
   void setDraining(bool Draining) { Draining_ = Draining; }
-  void setOwned(std::vector<OwnedPartition> Owned);
+  void setOwned(const std::vector<OwnedPartition> &Owned);
 
 private:
   struct Peer {
     Member Member_;
     bool Draining_ = false;
-    std::optional<TimePoint> HeardAt_;
-    std::vector<OwnedPartition> Owned_;
+    /// When it sent the latest of its heartbeats, and when any came in.
+    TimePoint SentAt_ = UnknownMoment;
+    TimePoint ContactAt_ = UnknownMoment;
+    std::optional<TimePoint> MissingSince_;
+    std::optional<TimePoint> MissingUntil_;
   };
   struct OwnerEntry {
     Epoch Epoch_ = 0;
     HostId Host_;
+    bool Released_ = false;
   };
 
+  bool counts(const Peer &Each, TimePoint Now) const;
+  void noteClaim(const PartitionId &Partition, Epoch ClaimedEpoch,
+                 const HostId &Host);
+  void dropClaims(const HostId &Host, const std::vector<OwnedPartition> &Kept);
+  std::size_t ownedBy(const HostId &Host) const;
+
   Member Self_;
+  bool SelfRegistered_ = false;
   bool Draining_ = false;
-  std::vector<OwnedPartition> Owned_;
   std::map<HostId, Peer> Peers_;
-  std::map<HostId, TimePoint> MissingSince_;
   std::map<PartitionId, OwnerEntry> Owners_;
 };
 
