--- a/test/core/membership_test.cc
+++ b/test/core/membership_test.cc
@@ -145,9 +145,9 @@
   for (std::size_t Self = 0; Self < 3; ++Self) {
     Membership Members(member(Names[Self]));
     for (std::size_t Host = 0; Host < 3; ++Host) {
-      std::vector<OwnedPartition> Owned;
-      for (int I = 0; I < Counts[Host]; ++I)
-        Owned.push_back({PartitionId(Names[Host] + std::to_string(I)), 1, 0});
+      std::vector<OwnedPartition> Owned(static_cast<std::size_t>(Counts[Host]));
+      for (std::size_t I = 0; I < Owned.size(); ++I)
+        Owned[I] = {PartitionId(Names[Host] + std::to_string(I)), 1, 0};
       if (Host == Self)
         Members.setOwned(Owned);
       else
