--- a/include/oleandergauge/journal.h
+++ b/include/oleandergauge/journal.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <variant>
@@ -81,6 +82,8 @@
 
 /// Smallest time between two batches under load; 20 writes a second.
 inline constexpr Duration JournalSpacing = std::chrono::milliseconds(50);
+/// A failed request is tried again after this time.
+inline constexpr Duration JournalRetry = std::chrono::milliseconds(100);
 /// Batches between two snapshots.
 inline constexpr std::uint64_t SnapshotInterval = 200;
 /// Encoded size at which a batch is closed.
@@ -115,6 +118,8 @@
   explicit Journal(PartitionId Partition);
 
   /// Begins a new epoch after replay. \p NextSequence follows the last row.
+  /// Drops what is queued or in flight; tickets of earlier epochs mean nothing
+  /// from now on.
   void open(const Condition &Fence, Epoch HeldEpoch,
             std::uint64_t NextSequence);
   /// Queues a transition and returns its ticket, which grows by one.
@@ -122,6 +127,9 @@
   /// The next request, if one is due. Nothing is sent at or after
   /// \p ValidUntil.
   std::optional<TableRequest> poll(TimePoint Now, TimePoint ValidUntil);
+  /// The answer to the last request of poll. Every request needs one; the
+  /// caller passes OutcomeUnknown where no answer came in time, and drops
+  /// answers to older requests.
   JournalOutcome answered(TimePoint Now, const TableReply &Reply);
 
   /// Tickets up to this one were part of a write that was sent at least once.
@@ -138,21 +146,28 @@
   enum class Pending { None, Write, ReadBack };
 
   void formBatch();
-  JournalOutcome commitBatch(TimePoint Now);
+  TableRequest sendBatch(TimePoint Now);
+  JournalOutcome settleWrite(TimePoint Now, const TableReply &Reply);
+  JournalOutcome settleReadBack(TimePoint Now, const TableReply &Reply);
+  JournalOutcome noteConflict(const Conflicted &Conflict);
+  JournalOutcome commitBatch();
+  JournalOutcome fence();
 
   PartitionId Partition_;
   Condition Fence_;
   Epoch Epoch_ = 0;
+  bool Open_ = false;
   std::uint64_t NextSequence_ = 1;
   std::uint64_t NextTicket_ = 1;
   std::uint64_t LastSentTicket_ = 0;
   std::uint64_t CommittedTicket_ = 0;
-  std::vector<Transition> Queue_;
+  std::deque<Transition> Queue_;
+  /// Encoded batch that was sent and is not committed; empty where none.
   std::string Batch_;
-  std::uint64_t BatchTicket_ = 0;
-  bool OutcomeUnknown_ = false;
+  bool ReadBackDue_ = false;
   Pending Pending_ = Pending::None;
   std::optional<TimePoint> LastSend_;
+  TimePoint NextTry_;
 };
 
 /// Row key of a batch: "journal/<partition>/<sequence, 20 digits>".
--- a/include/oleandergauge/lease.h
+++ b/include/oleandergauge/lease.h
@@ -23,6 +23,14 @@
     std::chrono::milliseconds(2200);
 /// Challengers of later ranks wait longer, so that one takes over alone.
 inline constexpr Duration TakeoverRankDelay = std::chrono::milliseconds(150);
+/// A failed request is tried again after this time.
+inline constexpr Duration PartitionLeaseRetry = std::chrono::milliseconds(200);
+/// After a failed request a challenger waits this long, so that after an
+/// outage the holder's renewal comes first.
+inline constexpr Duration TakeoverOutageDelay = std::chrono::milliseconds(600);
+/// The owner row is released this long after the last command. A successor of
+/// an expired lease comes as late: PartitionLeaseTakeover less the time held.
+inline constexpr Duration ReleaseQuietTime = std::chrono::milliseconds(400);
 
 /// Who holds a partition, as its "owner" row says.
 struct PartitionOwner {
@@ -33,6 +41,24 @@
                          const PartitionOwner &) = default;
 };
 
+/// Row keys "owner/<partition>" and "lease/<partition>".
+std::string ownerKey(const PartitionId &Partition);
+std::string leaseKey(const PartitionId &Partition);
+
+std::string encodeOwner(const PartitionOwner &Owner);
+/// Empty where the bytes are no owner row.
+std::optional<PartitionOwner> decodeOwner(const std::string &Bytes);
+
+/// The row "lease/<partition>", which every renewal changes.
+struct LeaseRow {
+  Epoch Epoch_ = 0;
+  std::uint64_t Counter_ = 0;
+  friend bool operator==(const LeaseRow &, const LeaseRow &) = default;
+};
+
+std::string encodeLease(const LeaseRow &Row);
+std::optional<LeaseRow> decodeLease(const std::string &Bytes);
+
 /// Takes, renews and releases the right to decide for one partition. Has at
 /// most one table request in flight. See decision D1 in docs/design.md.
 class PartitionLease {
@@ -45,17 +71,24 @@
   /// drains.
   std::optional<TableRequest> poll(TimePoint Now, std::uint32_t Rank,
                                    bool MayTakeOver);
+  /// The answer to the last request of poll. Every request needs one; the
+  /// caller passes OutcomeUnknown where no answer came in time, and drops
+  /// answers to older requests.
   void answered(TimePoint Now, const TableReply &Reply);
 
   /// True while the host may act as owner.
   bool held(TimePoint Now) const;
   /// The host must not act at or after this moment.
-  TimePoint heldUntil() const { return HeldUntil_; }
+  /// The clock's zero where the lease is not held at all.
+  TimePoint heldUntil() const;
   /// The last held epoch; state of a lower one is stale.
   Epoch epoch() const { return Epoch_; }
-  /// Condition that fences the writes of earlier owners.
+  /// Condition that fences the writes of earlier owners. Means something only
+  /// while the lease is held.
   Condition fence() const;
-  /// Lets the lease go with the next poll; no work may be started after.
+  /// Lets the lease go: held() is false from now on, and the owner row is
+  /// released ReleaseQuietTime after the next poll. The object takes the
+  /// lease no more.
   void release() { Releasing_ = true; }
   bool released() const { return Released_; }
   /// Another host's journal write or row shows that the lease is lost.
@@ -66,13 +99,23 @@
   }
 
 private:
+  enum class Pending { None, Read, TakeOver, Renew, Release };
+
   std::optional<TableRequest> pollHolder(TimePoint Now);
   std::optional<TableRequest> pollChallenger(TimePoint Now, std::uint32_t Rank,
                                              bool MayTakeOver);
+  std::optional<TimePoint> takeoverDue(std::uint32_t Rank) const;
+  TableRequest sendRead(TimePoint Now);
+  TableRequest sendTakeover(TimePoint Now);
+  TableRequest sendRenewal(TimePoint Now);
+  TableRequest sendRelease(TimePoint Now);
   void noteRows(TimePoint Now, const Rows &Read);
-  void noteCommitted(TimePoint Now, const Committed &Reply);
-
-  enum class Pending { None, Read, TakeOver, Renew, Release };
+  void noteOwn(const PartitionOwner &Owner, const LeaseRow &Lease);
+  void noteCommitted(Pending Request, const Committed &Reply);
+  void noteConflict(TimePoint Now);
+  void noteFailure(TimePoint Now, bool Unknown);
+  bool isOwn(const PartitionOwner &Owner, const LeaseRow &Lease) const;
+  void stopHolding();
 
   PartitionId Partition_;
   HostId Self_;
@@ -80,14 +123,26 @@
   Pending Pending_ = Pending::None;
   TimePoint AskedAt_;
   TimePoint NextPoll_;
+  TimePoint NextTakeover_;
   TimePoint HeldUntil_;
   Epoch Epoch_ = 0;
   bool Holding_ = false;
   bool Releasing_ = false;
   bool Released_ = false;
+  /// The rows must be read before anything is written.
+  bool Unsettled_ = true;
+  std::optional<TimePoint> ReleaseSeenAt_;
+  /// The epoch that this object wrote or tried to write, and the counters
+  /// that it may have written with it. They tell its own rows from those of
+  /// an earlier process with the same host id.
+  Epoch OwnEpoch_ = 0;
+  TimePoint OwnAskedAt_;
+  std::uint64_t FirstCounter_ = 0;
+  std::uint64_t LastCounter_ = 0;
   std::uint64_t OwnerVersion_ = 0;
   std::uint64_t LeaseVersion_ = 0;
   std::optional<TimePoint> LeaseSeenAt_;
+  /// Empty where the owner row could not be read or decoded.
   std::optional<PartitionOwner> Observed_;
 };
 
