--- a/include/oleandergauge/journal.h
+++ b/include/oleandergauge/journal.h
@@ -87,7 +87,7 @@
 /// Batches between two snapshots.
 inline constexpr std::uint64_t SnapshotInterval = 200;
 /// Encoded size at which a batch is closed.
-inline constexpr std::size_t MaxBatchBytes = 256 * 1024;
+inline constexpr std::size_t MaxBatchBytes = std::size_t{256} * 1024;
 
 /// Every transition with a ticket at or below Ticket_ is committed.
 struct BatchCommitted {
