Add the platform clients

Cause: the daemon needs the table service, the object store, the live list and the workers, and must know for each request whether it may have had an effect.

Change: http_request wraps libsoup. A request counts as not sent only while nothing of it was written ("starting" was not emitted) or where the platform answers 503 with {"applied": false}; a worker's 409 is a refusal; all else without a usable answer is unknown. The end of a command's validity is checked directly before the write. All requests but reads use a fresh connection, because libsoup repeats PUT and DELETE on a reused one. A body without an announced length of the same size is no answer: libsoup 3.2 hands over cut bodies, chunked ones too, without an error.

--- /dev/null
+++ b/src/daemon/live_list_client.cc
@@ -0,0 +1,72 @@
+#include "daemon/platform_clients.h"
+#include "daemon/platform_json.h"
+
+namespace oleandergauge::daemon {
+
+using nlohmann::json;
+
+struct LiveListClient::State {
+  std::string BaseUrl_;
+  Duration Timeout_;
+  HttpSender Sender_;
+};
+
+namespace {
+
+ListedWorker parseWorker(const json &Host) {
+  ListedWorker Parsed;
+  Parsed.Info_.Id_ = WorkerId(Host.at("id").get<std::string>());
+  Parsed.Info_.Address_ = Host.at("address").get<std::string>();
+  Parsed.Info_.Region_ = Region(Host.at("region").get<std::string>());
+  Parsed.Info_.Domain_ =
+      FailureDomain(Host.at("failure_domain").get<std::string>());
+  Parsed.Info_.Rack_ = Rack(Host.at("rack").get<std::string>());
+  Parsed.Info_.Capacity_ = parseResources(Host.at("capacity"));
+  Parsed.Leaving_ = Host.at("state").get<std::string>() == "leaving";
+  return Parsed;
+}
+
+/// Hosts of other kinds are skipped.
+LiveList parseList(const json &Body) {
+  LiveList Parsed;
+  for (const json &Host : Body.at("hosts")) {
+    const auto Kind = Host.at("kind").get<std::string>();
+    if (Kind == "worker")
+      Parsed.Workers_.push_back(parseWorker(Host));
+    else if (Kind == "entry")
+      Parsed.EntryHosts_.emplace_back(Host.at("id").get<std::string>());
+  }
+  return Parsed;
+}
+
+std::optional<LiveList> parseReply(const HttpReply &Reply) {
+  const auto Body = parseAnswer(Reply, 200);
+  if (!Body)
+    return std::nullopt;
+  return parseOrNothing([&Body] { return parseList(*Body); });
+}
+
+} // namespace
+
+LiveListClient::LiveListClient(std::string BaseUrl, Duration Timeout)
+    : State_(std::make_unique<State>()) {
+  State_->BaseUrl_ = trimSlash(std::move(BaseUrl));
+  State_->Timeout_ = Timeout;
+}
+
+LiveListClient::~LiveListClient() = default;
+
+void LiveListClient::read(
+    std::function<void(const std::optional<LiveList> &)> Done) {
+  HttpRequest Sent;
+  Sent.Method_ = "GET";
+  Sent.Url_ = State_->BaseUrl_ + "/hosts";
+  Sent.Timeout_ = State_->Timeout_;
+  Sent.Repeatable_ = true;
+  State_->Sender_.send(std::move(Sent),
+                       [Done = std::move(Done)](const HttpReply &Reply) {
+                         Done(parseReply(Reply));
+                       });
+}
+
+} // namespace oleandergauge::daemon
--- /dev/null
+++ b/src/daemon/table_client.cc
@@ -0,0 +1,154 @@
+#include <glib.h>
+
+#include "daemon/platform_clients.h"
+#include "daemon/platform_json.h"
+
+namespace oleandergauge::daemon {
+
+using nlohmann::json;
+
+struct TableClient::State {
+  std::string BaseUrl_;
+  Duration Timeout_;
+  std::string IdPrefix_;
+  std::uint64_t NextId_ = 1;
+  HttpSender Sender_;
+};
+
+namespace {
+
+/// The service answered something that this client does not understand.
+TableReply unusable(const HttpReply &Reply) {
+  if (Reply.hadNoEffect())
+    return TableUnavailable{};
+  return OutcomeUnknown{};
+}
+
+std::string encode64(const std::string &Value) {
+  gchar *Text = g_base64_encode(reinterpret_cast<const guchar *>(Value.data()),
+                                Value.size());
+  std::string Encoded(Text);
+  g_free(Text);
+  return Encoded;
+}
+
+std::string decode64(const std::string &Text) {
+  gsize Size = 0;
+  guchar *Bytes = g_base64_decode(Text.c_str(), &Size);
+  std::string Value(reinterpret_cast<const char *>(Bytes), Size);
+  g_free(Bytes);
+  return Value;
+}
+
+Row parseRow(const json &Value) {
+  Row Parsed;
+  Parsed.Key_ = Value.at("key").get<std::string>();
+  Parsed.Version_ = Value.at("version").get<std::uint64_t>();
+  const auto Content = Value.find("value");
+  if (Content != Value.end() && Content->is_string())
+    Parsed.Value_ = decode64(Content->get<std::string>());
+  return Parsed;
+}
+
+std::vector<Row> parseRows(const json &Values) {
+  std::vector<Row> Parsed;
+  for (const json &Value : Values)
+    Parsed.push_back(parseRow(Value));
+  return Parsed;
+}
+
+json toJson(const std::string &Id, const Transaction &Request) {
+  json Conditions = json::array();
+  for (const Condition &Wanted : Request.Conditions_)
+    Conditions.push_back({{"key", Wanted.Key_}, {"version", Wanted.Version_}});
+  json Writes = json::array();
+  for (const Write &Wanted : Request.Writes_) {
+    const json Value =
+        Wanted.Value_ ? json(encode64(*Wanted.Value_)) : json(nullptr);
+    Writes.push_back({{"key", Wanted.Key_}, {"value", Value}});
+  }
+  return {{"id", Id}, {"conditions", Conditions}, {"writes", Writes}};
+}
+
+json toJson(const ReadKeys &Request) { return {{"keys", Request.Keys_}}; }
+
+json toJson(const Scan &Request) {
+  return {{"prefix", Request.Prefix_},
+          {"after", Request.After_},
+          {"limit", Request.Limit_}};
+}
+
+TableReply parseTransactReply(const HttpReply &Reply, std::size_t Writes) {
+  if (const auto Body = parseAnswer(Reply, 200)) {
+    const auto Versions = parseOrNothing([&Body] {
+      return Body->at("versions").get<std::vector<std::uint64_t>>();
+    });
+    if (Versions && Versions->size() == Writes)
+      return Committed{*Versions};
+  }
+  if (const auto Body = parseAnswer(Reply, 409)) {
+    const auto Rows =
+        parseOrNothing([&Body] { return parseRows(Body->at("conflicts")); });
+    if (Rows)
+      return Conflicted{*Rows};
+  }
+  return unusable(Reply);
+}
+
+TableReply parseReadReply(const HttpReply &Reply) {
+  if (const auto Body = parseAnswer(Reply, 200)) {
+    const auto Read =
+        parseOrNothing([&Body] { return parseRows(Body->at("rows")); });
+    if (Read)
+      return Rows{*Read};
+  }
+  return unusable(Reply);
+}
+
+/// The service gets a fresh identifier for each transaction, for its traces.
+std::string randomPrefix() {
+  gchar *Text = g_uuid_string_random();
+  std::string Prefix = std::string(Text) + "-";
+  g_free(Text);
+  return Prefix;
+}
+
+} // namespace
+
+TableClient::TableClient(std::string BaseUrl, Duration Timeout)
+    : State_(std::make_unique<State>()) {
+  State_->BaseUrl_ = trimSlash(std::move(BaseUrl));
+  State_->Timeout_ = Timeout;
+  State_->IdPrefix_ = randomPrefix();
+}
+
+TableClient::~TableClient() = default;
+
+void TableClient::send(const TableRequest &Request,
+                       std::function<void(const TableReply &)> Done) {
+  HttpRequest Sent;
+  Sent.Timeout_ = State_->Timeout_;
+  if (const auto *Wanted = std::get_if<Transaction>(&Request)) {
+    Sent.Url_ = State_->BaseUrl_ + "/table/transact";
+    const std::string Id =
+        State_->IdPrefix_ + std::to_string(State_->NextId_++);
+    Sent.Body_ = toJson(Id, *Wanted).dump();
+    const std::size_t Writes = Wanted->Writes_.size();
+    State_->Sender_.send(std::move(Sent), [Done = std::move(Done),
+                                           Writes](const HttpReply &Reply) {
+      Done(parseTransactReply(Reply, Writes));
+    });
+    return;
+  }
+  Sent.Url_ = State_->BaseUrl_ + "/table/read";
+  Sent.Repeatable_ = true;
+  const auto *Keys = std::get_if<ReadKeys>(&Request);
+  const json Body = Keys ? toJson(*Keys) : toJson(std::get<Scan>(Request));
+  Sent.Body_ = Body.dump();
+  State_->Sender_.send(std::move(Sent),
+                       [Done = std::move(Done)](const HttpReply &Reply) {
+                         Done(parseReadReply(Reply));
+                       });
+}
+
+} // namespace oleandergauge::daemon
--- /dev/null
+++ b/test/daemon/platform_clients_test.cc
@@ -0,0 +1,341 @@
+#include "daemon/platform_clients.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "daemon/task.h"
+#include "fake_server.h"
+
+namespace oleandergauge::daemon {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using testing::FakeServer;
+
+constexpr Duration Patience = milliseconds(300);
+
+FakeServer::Answer always(int Status, const std::string &Body) {
+  return [=](const std::string &) { return FakeServer::reply(Status, Body); };
+}
+
+json bodyOf(const std::string &Request) {
+  return json::parse(Request.substr(Request.find("\r\n\r\n") + 4));
+}
+
+TableReply send(const std::string &Url, const TableRequest &Request) {
+  TableClient Client(Url, Patience);
+  return testing::await<TableReply>(
+      [&](auto Done) { Client.send(Request, Done); });
+}
+
+const Transaction OneWrite{{{"a", 3}}, {{"a", std::string("\0x\xff", 3)}}};
+
+StartOnWorker makeStart(const std::string &Address, Duration Validity) {
+  auto Spec = std::make_shared<JobSpec>();
+  Spec->Team_ = TeamId("team");
+  Spec->Command_ = "render";
+  Spec->Body_ = "body";
+  StartOnWorker Command;
+  Command.Worker_ = WorkerId("w1");
+  Command.Address_ = Address;
+  Command.Task_ = {JobId("job:a/b"), 2};
+  Command.Attempt_ = 4;
+  Command.Spec_ = Spec;
+  Command.ValidUntil_ = monotonicNow() + Validity;
+  return Command;
+}
+
+CommandOutcome start(const StartOnWorker &Command) {
+  WorkerClient Client(Patience, Patience);
+  return testing::await<StartAnswered>(
+             [&](auto Done) { Client.start(Command, Done); })
+      .Outcome_;
+}
+
+// Guards against values that change on their way to the table.
+TEST(TableClientTest, SendsConditionsAndBinaryValues) {
+  FakeServer Server(always(200, R"({"committed": true, "versions": [7]})"));
+  EXPECT_EQ(send(Server.url(), OneWrite), TableReply(Committed{{7}}));
+  const json Body = bodyOf(Server.requests().at(0));
+  EXPECT_EQ(Body["conditions"], json::parse(R"([{"key":"a","version":3}])"));
+  EXPECT_EQ(Body["writes"], json::parse(R"([{"key":"a","value":"AHj/"}])"));
+}
+
+// Guards against a conflict that is taken for a failure of the service.
+TEST(TableClientTest, ReadsConflictsAndRows) {
+  FakeServer Conflict(
+      always(409, R"({"conflicts":[{"key":"a","version":5}]})"));
+  EXPECT_EQ(send(Conflict.url(), OneWrite),
+            TableReply(Conflicted{{{"a", "", 5}}}));
+  FakeServer Read(always(200, R"({"rows":[{"key":"k","value":"AHj/",
+      "version":2},{"key":"m","value":null,"version":0}]})"));
+  EXPECT_EQ(
+      send(Read.url(), ReadKeys{{"k", "m"}}),
+      TableReply(Rows{{{"k", std::string("\0x\xff", 3), 2}, {"m", "", 0}}}));
+}
+
+// Guards against a write that is given up as not done although it was done,
+// and against waiting for the fate of a write that certainly was not done.
+TEST(TableClientTest, ClassifiesAnswersThatAreNotUsable) {
+  const auto OutcomeOf = [](FakeServer::Answer Answer) {
+    FakeServer Server(std::move(Answer));
+    return send(Server.url(), OneWrite);
+  };
+  const TableReply Unknown = OutcomeUnknown{};
+  const TableReply Unavailable = TableUnavailable{};
+  EXPECT_EQ(OutcomeOf(always(503, R"({"applied": false})")), Unavailable);
+  EXPECT_EQ(OutcomeOf(always(503, R"({"applied": true})")), Unknown);
+  EXPECT_EQ(OutcomeOf(always(503, "try again")), Unknown);
+  EXPECT_EQ(OutcomeOf(always(500, R"({"applied": false})")), Unknown);
+  EXPECT_EQ(OutcomeOf(always(200, "no json")), Unknown);
+  EXPECT_EQ(OutcomeOf(always(200, R"({"versions": []})")), Unknown);
+  EXPECT_EQ(OutcomeOf(always(409, "no json")), Unknown);
+  EXPECT_EQ(OutcomeOf([](const std::string &) { return std::nullopt; }),
+            Unknown);
+  // Cut short: the announced length is not reached.
+  EXPECT_EQ(OutcomeOf([](const std::string &) {
+              return "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n"
+                     "Connection: close\r\n\r\n{\"versions\": [7]}";
+            }),
+            Unknown);
+  // A chunked answer without its last chunk, and one that ends with the
+  // connection.
+  EXPECT_EQ(OutcomeOf([](const std::string &) {
+              return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                     "Connection: close\r\n\r\n"
+                     "11\r\n{\"versions\": [7]}\r\n";
+            }),
+            Unknown);
+  EXPECT_EQ(OutcomeOf([](const std::string &) {
+              return "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+                     "{\"versions\": [7]}";
+            }),
+            Unknown);
+  EXPECT_EQ(send("http://" + testing::freeAddress(), OneWrite), Unavailable);
+  EXPECT_EQ(send("no url", OneWrite), Unavailable);
+}
+
+// Guards against a client that waits without end for a stalled service.
+TEST(TableClientTest, TimesOutWithUnknownOutcome) {
+  // Answers later than the client waits.
+  FakeServer Server([](const std::string &) {
+    g_usleep(3 * static_cast<gulong>(Patience.count()));
+    return std::optional<std::string>();
+  });
+  const TimePoint Before = monotonicNow();
+  EXPECT_EQ(send(Server.url(), OneWrite), TableReply(OutcomeUnknown{}));
+  EXPECT_GE(monotonicNow() - Before, Patience);
+}
+
+// Guards against libsoup sending a transaction twice: a server that closes
+// idle connections closes the reused one just when the second request comes.
+TEST(TableClientTest, NeverRepeatsATransactionOnAClosedConnection) {
+  FakeServer Server([](const std::string &Request) {
+    if (Request.starts_with("POST /table/read"))
+      return std::optional(FakeServer::reply(200, R"({"rows": []})"));
+    return std::optional<std::string>();
+  });
+  TableClient Client(Server.url(), Patience);
+  const auto SendAgain = [&Client](const TableRequest &Request) {
+    return testing::await<TableReply>(
+        [&](auto Done) { Client.send(Request, Done); });
+  };
+  for (int Round = 1; Round <= 5; ++Round) {
+    EXPECT_EQ(SendAgain(ReadKeys{}), TableReply(Rows{}));
+    EXPECT_EQ(SendAgain(OneWrite), TableReply(OutcomeUnknown{}));
+    EXPECT_EQ(Server.countOf("POST /table/transact"),
+              static_cast<std::size_t>(Round));
+  }
+}
+
+// The same for commands: a start or call sent twice could run twice.
+TEST(WorkerClientTest, NeverRepeatsACommand) {
+  FakeServer Server([](const std::string &Request) {
+    if (Request.starts_with("POST /report"))
+      return std::optional(
+          FakeServer::reply(200, R"({"running": [], "finished": []})"));
+    return std::optional<std::string>();
+  });
+  WorkerClient Client(Patience, Patience);
+  for (std::size_t Round = 1; Round <= 5; ++Round) {
+    ExchangeWithWorker Exchange;
+    Exchange.Address_ = Server.address();
+    Exchange.ValidUntil_ = monotonicNow() + Patience;
+    testing::await<PartitionEvent>(
+        [&](auto Done) { Client.exchange(Exchange, Done); });
+    const StartOnWorker Command = makeStart(Server.address(), Patience);
+    const auto Started = testing::await<StartAnswered>(
+        [&](auto Done) { Client.start(Command, Done); });
+    EXPECT_EQ(Started.Outcome_, CommandOutcome::Unknown);
+    const auto Called = testing::await<CallAnswered>(
+        [&](auto Done) { Client.call(Command, Done); });
+    EXPECT_EQ(Called.Outcome_, CommandOutcome::Unknown);
+    EXPECT_EQ(Server.countOf("POST /tasks"), Round);
+    EXPECT_EQ(Server.countOf("POST /calls"), Round);
+  }
+}
+
+// Guards against a command that a fenced owner sends after its lease.
+TEST(WorkerClientTest, WritesNothingAtOrAfterTheEndOfValidity) {
+  FakeServer Server(always(200, R"({"started": true})"));
+  EXPECT_EQ(start(makeStart(Server.address(), milliseconds(0))),
+            CommandOutcome::NotSent);
+  EXPECT_EQ(Server.bytesReceived(), 0U);
+  EXPECT_EQ(start(makeStart(Server.address(), Patience)),
+            CommandOutcome::Started);
+}
+
+// Guards against a refused start that is counted as running, and against an
+// unknown one that is started elsewhere.
+TEST(WorkerClientTest, ClassifiesStarts) {
+  const auto OutcomeOf = [](FakeServer::Answer Answer) {
+    FakeServer Server(std::move(Answer));
+    return start(makeStart(Server.address(), Patience));
+  };
+  EXPECT_EQ(OutcomeOf(always(200, R"({"started": true})")),
+            CommandOutcome::Started);
+  EXPECT_EQ(OutcomeOf(always(409, R"({"refused": true, "reason": "full"})")),
+            CommandOutcome::Refused);
+  EXPECT_EQ(OutcomeOf(always(503, R"({"applied": false})")),
+            CommandOutcome::NotSent);
+  EXPECT_EQ(OutcomeOf(always(500, "")), CommandOutcome::Unknown);
+  EXPECT_EQ(OutcomeOf(always(200, "no json")), CommandOutcome::Unknown);
+  EXPECT_EQ(start(makeStart(testing::freeAddress(), Patience)),
+            CommandOutcome::NotSent);
+}
+
+// Guards against a command that the worker reads differently.
+TEST(WorkerClientTest, SendsTheWholeCall) {
+  FakeServer Server(always(200, R"({"exit": 3, "output": "out"})"));
+  WorkerClient Client(Patience, Patience);
+  const StartOnWorker Command = makeStart(Server.address(), Patience);
+  const auto Answer = testing::await<CallAnswered>(
+      [&](auto Done) { Client.call(Command, Done); });
+  EXPECT_EQ(Answer, (CallAnswered{Command.Task_, 4, CommandOutcome::Started, 3,
+                                  "out"}));
+  const json Body = bodyOf(Server.requests().at(0));
+  EXPECT_EQ(Body["task"], "job:a/b:2");
+  EXPECT_EQ(Body["command"], "render");
+  EXPECT_EQ(Body["body"], "body");
+}
+
+// Guards against an incomplete answer that passes for the caller's own (P6).
+TEST(WorkerClientTest, RefusesAnAnswerWithoutOutput) {
+  FakeServer Server(always(200, R"({"exit": 0})"));
+  WorkerClient Client(Patience, Patience);
+  const StartOnWorker Command = makeStart(Server.address(), Patience);
+  const auto Answer = testing::await<CallAnswered>(
+      [&](auto Done) { Client.call(Command, Done); });
+  EXPECT_EQ(Answer.Outcome_, CommandOutcome::Unknown);
+}
+
+// Guards against a report that counts as asked for later than it was: a new
+// owner trusts reports by that moment.
+TEST(WorkerClientTest, StampsReportsBeforeTheyAreAskedFor) {
+  TimePoint Received;
+  FakeServer Server([&Received](const std::string &) {
+    Received = monotonicNow();
+    return FakeServer::reply(200, R"({"running": [{"task": "j:1",
+        "attempt": 2, "call": true, "usage": {"cpu_milli": 5}}],
+        "finished": [{"task": "j:0", "attempt": 1, "exit": 0,
+        "checkpointed": true, "output": "o"}]})");
+  });
+  WorkerClient Client(Patience, Patience);
+  ExchangeWithWorker Exchange;
+  Exchange.Worker_ = WorkerId("w1");
+  Exchange.Address_ = Server.address();
+  Exchange.ValidUntil_ = monotonicNow() + Patience;
+  const TimePoint Before = monotonicNow();
+  const auto Event = testing::await<PartitionEvent>(
+      [&](auto Done) { Client.exchange(Exchange, Done); });
+  const auto &Report = std::get<WorkerReported>(Event);
+  EXPECT_GE(Report.SentAt_, Before);
+  EXPECT_LE(Report.SentAt_, Received);
+  const Resources Usage{5, 0, 0, 0, 0};
+  EXPECT_EQ(Report.Running_,
+            (std::vector<RunningTask>{{{JobId("j"), 1}, 2, true, Usage}}));
+  EXPECT_EQ(Report.Finished_,
+            (std::vector<FinishedTask>{{{JobId("j"), 0}, 1, 0, true, "o"}}));
+}
+
+// Guards against a half report that hides running tasks.
+TEST(WorkerClientTest, TakesAnUnusableReportForSilence) {
+  FakeServer Server(always(200, R"({"running": [{}], "finished": []})"));
+  WorkerClient Client(Patience, Patience);
+  ExchangeWithWorker Exchange;
+  Exchange.Worker_ = WorkerId("w1");
+  Exchange.Address_ = Server.address();
+  Exchange.ValidUntil_ = monotonicNow() + Patience;
+  EXPECT_EQ(testing::await<PartitionEvent>(
+                [&](auto Done) { Client.exchange(Exchange, Done); }),
+            PartitionEvent(WorkerSilent{WorkerId("w1")}));
+}
+
+// Guards against a cut snapshot that is read as a whole one, and against an
+// outage that is read as an absent snapshot.
+TEST(ObjectClientTest, TellsAbsentFromFailedAndCut) {
+  const auto Get = [](FakeServer::Answer Answer) {
+    FakeServer Server(std::move(Answer));
+    ObjectClient Client(Server.url(), Patience);
+    return testing::await<ObjectAnswered>([&](auto Done) {
+      Client.get({9, "snapshot/p one/3"}, Done);
+    });
+  };
+  EXPECT_EQ(Get(always(200, "bytes")), (ObjectAnswered{9, true, "bytes"}));
+  EXPECT_EQ(Get(always(404, "")), (ObjectAnswered{9, true, std::nullopt}));
+  EXPECT_EQ(Get(always(503, "")), (ObjectAnswered{9, false, std::nullopt}));
+  EXPECT_EQ(Get([](const std::string &Request) -> std::optional<std::string> {
+              if (!Request.starts_with("GET /objects/snapshot/p%20one/3 "))
+                return std::nullopt;
+              return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
+                     "Connection: close\r\n\r\nbytes";
+            }),
+            (ObjectAnswered{9, false, std::nullopt}));
+}
+
+// Guards against libsoup writing an object again after a close: the late
+// second write could undo a deletion.
+TEST(ObjectClientTest, NeverRepeatsAWrite) {
+  FakeServer Server([](const std::string &Request) {
+    if (Request.starts_with("GET"))
+      return std::optional(FakeServer::reply(200, "bytes"));
+    return std::optional<std::string>();
+  });
+  ObjectClient Client(Server.url(), Patience);
+  for (std::size_t Round = 1; Round <= 5; ++Round) {
+    testing::await<ObjectAnswered>([&](auto Done) {
+      Client.get({1, "k"}, Done);
+    });
+    const auto Put = testing::await<ObjectAnswered>([&](auto Done) {
+      Client.put({2, "k", "v"}, Done);
+    });
+    EXPECT_FALSE(Put.Ok_);
+    const auto Removed = testing::await<ObjectAnswered>([&](auto Done) {
+      Client.remove({3, "k"}, Done);
+    });
+    EXPECT_FALSE(Removed.Ok_);
+    EXPECT_EQ(Server.countOf("PUT"), Round);
+    EXPECT_EQ(Server.countOf("DELETE"), Round);
+  }
+}
+
+// Guards against a leaving worker that is taken for a live one.
+TEST(LiveListClientTest, ReadsWorkersAndEntryHosts) {
+  FakeServer Server(always(200, R"({"hosts": [
+    {"id": "w1", "address": "127.0.0.1:1", "kind": "worker", "region": "r",
+     "failure_domain": "d", "rack": "k", "state": "leaving",
+     "capacity": {"cpu_milli": 1, "memory_mib": 2, "accelerators": 3,
+                  "slots": 4, "connections": 5}},
+    {"id": "h1", "address": "127.0.0.1:2", "kind": "entry",
+     "state": "live"}]})"));
+  LiveListClient Client(Server.url(), Patience);
+  const auto List = testing::await<std::optional<LiveList>>(
+      [&](auto Done) { Client.read(Done); });
+  const WorkerInfo Info{WorkerId("w1"),     "127.0.0.1:1", Region("r"),
+                        FailureDomain("d"), Rack("k"),     {1, 2, 3, 4, 5}};
+  EXPECT_EQ(List, (LiveList{{{Info, true}}, {HostId("h1")}}));
+}
+
+} // namespace
+} // namespace oleandergauge::daemon
