--- a/include/oleandergauge/base.h
+++ b/include/oleandergauge/base.h
@@ -64,6 +64,14 @@
   friend auto operator<=>(const TaskId &, const TaskId &) = default;
 };
 
+/// One attempt of a task. Attempts count from 1; a worker keeps them apart.
+struct AttemptId {
+  TaskId Task_;
+  std::uint32_t Attempt_ = 0;
+  friend bool operator==(const AttemptId &, const AttemptId &) = default;
+  friend auto operator<=>(const AttemptId &, const AttemptId &) = default;
+};
+
 /// Amounts that a worker holds and a task takes. Componentwise; no component
 /// of a task's demand may exceed what is left of a worker.
 struct Resources {
--- a/include/oleandergauge/partition.h
+++ b/include/oleandergauge/partition.h
@@ -82,16 +82,6 @@
                          const TableAnswered &) = default;
 };
 
-/// Answer of the object store. Ok_ is false where it failed or its answer was
-/// lost; Value_ is set by a successful read of an object that exists.
-struct ObjectAnswered {
-  Token Token_ = 0;
-  bool Ok_ = false;
-  std::optional<std::string> Value_;
-  friend bool operator==(const ObjectAnswered &,
-                         const ObjectAnswered &) = default;
-};
-
 /// How a start command or call ended, from the sender's view.
 enum class CommandOutcome {
   NotSent, ///< Certainly never reached the worker.
@@ -195,9 +185,9 @@
 
 using PartitionEvent =
     std::variant<Submitted, CancelRequested, JobQueried, CallerGone,
-                 TableAnswered, ObjectAnswered, StartAnswered, CallAnswered,
-                 WorkerReported, WorkerSilent, WorkersListed, ConfigApplied,
-                 EvidenceChanged, Tick, DrainRequested>;
+                 TableAnswered, StartAnswered, CallAnswered, WorkerReported,
+                 WorkerSilent, WorkersListed, ConfigApplied, EvidenceChanged,
+                 Tick, DrainRequested>;
 
 // --------------------------------------------------------------- Effects
 
@@ -207,25 +197,6 @@
   friend bool operator==(const SendTable &, const SendTable &) = default;
 };
 
-struct PutObject {
-  Token Token_ = 0;
-  std::string Key_;
-  std::string Value_;
-  friend bool operator==(const PutObject &, const PutObject &) = default;
-};
-
-struct GetObject {
-  Token Token_ = 0;
-  std::string Key_;
-  friend bool operator==(const GetObject &, const GetObject &) = default;
-};
-
-struct DeleteObject {
-  Token Token_ = 0;
-  std::string Key_;
-  friend bool operator==(const DeleteObject &, const DeleteObject &) = default;
-};
-
 /// Start a task, or make a direct call where the class is Direct. The sender
 /// looks at the clock directly before it writes and answers NotSent at or
 /// after ValidUntil_.
@@ -241,16 +212,16 @@
   TimePoint ValidUntil_;
 };
 
-/// Renews the leases of all tasks in Renew_ and asks for a report. Collected_
-/// names finished tasks whose end is committed. Not sent at or after
-/// ValidUntil_.
+/// Renews the leases of the attempts in Renew_ and asks for a report.
+/// Collected_ names finished attempts whose end is committed. Not sent at or
+/// after ValidUntil_.
 struct ExchangeWithWorker {
   WorkerId Worker_;
   std::string Address_;
   Epoch Epoch_ = 0;
   Duration Lease_{0};
-  std::vector<TaskId> Renew_;
-  std::vector<TaskId> Collected_;
+  std::vector<AttemptId> Renew_;
+  std::vector<AttemptId> Collected_;
   TimePoint ValidUntil_;
   friend bool operator==(const ExchangeWithWorker &,
                          const ExchangeWithWorker &) = default;
@@ -261,7 +232,7 @@
 struct StopOnWorker {
   WorkerId Worker_;
   std::string Address_;
-  TaskId Task_;
+  AttemptId Attempt_;
   StopMode Mode_ = StopMode::Stop;
   friend bool operator==(const StopOnWorker &, const StopOnWorker &) = default;
 };
@@ -327,9 +298,8 @@
 };
 
 using PartitionEffect =
-    std::variant<SendTable, PutObject, GetObject, DeleteObject, StartOnWorker,
-                 ExchangeWithWorker, StopOnWorker, ReplyToCaller,
-                 OwnershipChanged, Drained, Measured>;
+    std::variant<SendTable, StartOnWorker, ExchangeWithWorker, StopOnWorker,
+                 ReplyToCaller, OwnershipChanged, Drained, Measured>;
 
 // ------------------------------------------------------------- Partition
 
--- a/include/oleandergauge/scheduler.h
+++ b/include/oleandergauge/scheduler.h
@@ -99,6 +99,8 @@
   /// Chooses workers for up to \p MaxPlacements tasks, in the order of bands,
   /// shares and arrival, and reserves their capacity and headroom.
   std::vector<PlacedTask> decide(TimePoint Now, std::size_t MaxPlacements);
+  /// While set, decide() places direct work only.
+  void setDirectOnly(bool DirectOnly);
   /// Victims whose end would let waiting urgent work start. A task is named
   /// once until it is released.
   std::vector<Preemption> choosePreemptions(TimePoint Now);
