Add the scheduler, the estimator and worker health

Cause: the partition needs placement decisions by bands, shares and arrival, learned sizes and run times, and the quarantine of failing workers.

Change: Scheduler with a wait queue grouped by team, band and shape, a treap of workers ordered by free capacity with the largest free amounts of each subtree, reservations for the largest misfit of a band, gangs, service spread and preemption. Estimator with a 90th percentile by adaptive steps. WorkerHealth with probes. The scheduler's header gains openForProbe(), counters() and notes on enqueue() and decide().

--- a/include/oleandergauge/health.h
+++ b/include/oleandergauge/health.h
@@ -33,8 +33,10 @@
     Duration Backoff_{0};
   };
   double rateOfOthers(const WorkerId &Worker) const;
+  void setRate(Entry &E, double Rate);
 
   std::map<WorkerId, Entry> Entries_;
+  double SumOfRates_ = 0.0; ///< Of all entries, for the mean of the others.
 };
 
 } // namespace oleandergauge
--- a/include/oleandergauge/scheduler.h
+++ b/include/oleandergauge/scheduler.h
@@ -62,13 +62,23 @@
   /// Slots of each worker that only direct work may take: one in
   /// DirectReserveFraction, at least one where the worker has two or more.
   std::int32_t DirectReserveFraction_ = 8;
-  /// Items of a band that may fail to fit before the band is left for this
-  /// round; bounds the time of one round.
+  /// Shapes of work of a band that may fail to fit in one round; bounds the
+  /// time of one round. Divided evenly among the teams that wait in the band,
+  /// at least one each, so that no team uses up the part of another.
   std::size_t MaxMisfitsPerBand_ = 64;
   /// Preemptions asked for in one round.
   std::size_t MaxPreemptionsPerRound_ = 8;
 };
 
+/// Work done by a Scheduler since it was made; does not depend on the machine.
+struct SchedulerCounters {
+  std::uint64_t Decisions_ = 0;     ///< Attempts to place an item.
+  std::uint64_t Placements_ = 0;    ///< Tasks placed.
+  std::uint64_t WorkersLooked_ = 0; ///< Workers looked at by attempts.
+  friend bool operator==(const SchedulerCounters &,
+                         const SchedulerCounters &) = default;
+};
+
 /// Orders the waiting work of one partition and chooses workers for it. Never
 /// places above a worker's capacity, never above a team's headroom, never on
 /// a closed worker. Holds no clock and does no I/O.
@@ -85,6 +95,9 @@
   void removeWorker(const WorkerId &Worker);
   /// A closed worker receives no new work; what runs there stays counted.
   void setOpen(const WorkerId &Worker, bool Open);
+  /// Opens a worker for one placement, after which it closes, as a probe of a
+  /// quarantined worker needs.
+  void openForProbe(const WorkerId &Worker);
 
   /// \p Headroom is how many more tasks the team may start now.
   void setTeam(const TeamId &Team, double Weight, std::uint32_t Headroom);
@@ -92,12 +105,15 @@
   /// Refuses, NotRun, what no worker or no partition can ever hold:
   /// FitsNoWorker, GangExceedsPartition.
   Result<void> checkFeasible(const WorkItem &Item) const;
+  /// Has no effect where the first task waits or one of the tasks runs; a
+  /// task that is put back in line must have been released.
   void enqueue(const WorkItem &Item);
   /// Removes waiting work. False where the item does not wait.
   bool dequeue(const TaskId &First);
 
   /// Chooses workers for up to \p MaxPlacements tasks, in the order of bands,
-  /// shares and arrival, and reserves their capacity and headroom.
+  /// shares and arrival, and reserves their capacity and headroom. A gang is
+  /// placed whole, so the last one may go beyond \p MaxPlacements.
   std::vector<PlacedTask> decide(TimePoint Now, std::size_t MaxPlacements);
   /// Victims whose end would let waiting urgent work start. A task is named
   /// once until it is released.
@@ -121,6 +137,7 @@
   ClassCounts countsOf(WorkClass Class) const;
   /// Why an item waits, in a sentence for the submitter.
   std::string explain(const TaskId &First) const;
+  const SchedulerCounters &counters() const;
 
 private:
   struct State;
--- /dev/null
+++ b/src/core/estimator.cc
@@ -0,0 +1,62 @@
+#include "oleandergauge/estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oleandergauge {
+namespace {
+
+/// Ends needed before the learned values replace the declared ones.
+constexpr std::uint32_t MinEnds = 8;
+constexpr double Percentile = 0.9;
+/// Weight of a new sample's distance in the step size.
+constexpr double StepSmoothing = 0.1;
+/// A sample moves the step as if it were at most this many steps away, so
+/// that one extreme run time does not throw the estimate off.
+constexpr double MaxStepsAway = 8.0;
+
+} // namespace
+
+void Estimator::Quantile::note(double Sample) {
+  if (Value_ == 0.0 && Step_ == 0.0) {
+    Value_ = Sample;
+    Step_ = std::max(Sample / 4, 1.0);
+    return;
+  }
+  const double Distance =
+      std::min(std::abs(Sample - Value_), MaxStepsAway * Step_);
+  Step_ += StepSmoothing * (Distance - Step_);
+  Step_ = std::max(Step_, 1.0);
+  const double Up = Sample > Value_ ? Percentile : Percentile - 1.0;
+  Value_ = std::max(Value_ + Up * Step_, 0.0);
+}
+
+void Estimator::noteEnd(const TeamId &Team, const QueueId &Queue, Duration Run,
+                        const Resources &PeakUsage) {
+  Entry &E = Entries_[{Team, Queue}];
+  ++E.Ends_;
+  E.Run_.note(static_cast<double>(Run.count()));
+  E.Cpu_.note(static_cast<double>(PeakUsage.CpuMilli_));
+  E.Memory_.note(static_cast<double>(PeakUsage.MemoryMib_));
+}
+
+Duration Estimator::expectedRun(const TeamId &Team, const QueueId &Queue,
+                                Duration Declared) const {
+  const auto Found = Entries_.find({Team, Queue});
+  if (Found == Entries_.end() || Found->second.Ends_ < MinEnds)
+    return Declared;
+  return Duration(std::llround(Found->second.Run_.Value_));
+}
+
+Resources Estimator::expectedNeed(const TeamId &Team, const QueueId &Queue,
+                                  const Resources &Declared) const {
+  const auto Found = Entries_.find({Team, Queue});
+  if (Found == Entries_.end() || Found->second.Ends_ < MinEnds)
+    return Declared;
+  Resources Learned;
+  Learned.CpuMilli_ = std::llround(Found->second.Cpu_.Value_);
+  Learned.MemoryMib_ = std::llround(Found->second.Memory_.Value_);
+  return componentMax(Declared, Learned);
+}
+
+} // namespace oleandergauge
--- /dev/null
+++ b/src/core/scheduler_place.cc
@@ -0,0 +1,153 @@
+#include <algorithm>
+
+#include "scheduler_state.h"
+
+namespace oleandergauge {
+
+using namespace detail;
+
+namespace {
+
+/// Workers drawn for a direct call; the one with most free connections wins.
+constexpr std::size_t DirectSample = 4;
+/// Workers compared for the rack of a service replica.
+constexpr std::size_t RackCandidates = 16;
+
+Resources componentMin(const Resources &A, const Resources &B) {
+  return {
+      std::min(A.CpuMilli_, B.CpuMilli_), std::min(A.MemoryMib_, B.MemoryMib_),
+      std::min(A.Accelerators_, B.Accelerators_), std::min(A.Slots_, B.Slots_),
+      std::min(A.Connections_, B.Connections_)};
+}
+
+std::uint64_t nextRandom(std::uint64_t &State) {
+  State ^= State << 13U;
+  State ^= State >> 7U;
+  State ^= State << 17U;
+  return State;
+}
+
+std::uint32_t countAt(const std::unordered_map<std::size_t, std::uint32_t> &In,
+                      std::size_t Place) {
+  const auto Found = In.find(Place);
+  return Found == In.end() ? 0 : Found->second;
+}
+
+} // namespace
+
+bool Scheduler::State::chooseWorkers(const WorkItem &Item, TimePoint Now,
+                                     std::vector<WorkerIndex> &Chosen) {
+  ++Counters_.Decisions_;
+  MetReservation_ = false;
+  if (Item.Count_ > 1 ||
+      (Item.Class_ != WorkClass::Direct && Item.Class_ != WorkClass::Service))
+    return choosePacked(Item, Now, Chosen);
+  const WorkerIndex W = Item.Class_ == WorkClass::Direct
+                            ? chooseDirect(Item)
+                            : chooseSpread(Item, Now);
+  if (W == NoWorker)
+    return false;
+  Chosen.push_back(W);
+  return true;
+}
+
+Scheduler::State::WorkerIndex
+Scheduler::State::chooseDirect(const WorkItem &Item) {
+  WorkerIndex Best = NoWorker;
+  const std::size_t Draws = std::min(DirectSample, OpenWorkers_.size());
+  for (std::size_t I = 0; I < Draws; ++I) {
+    const WorkerIndex W =
+        OpenWorkers_[nextRandom(RandomState_) % OpenWorkers_.size()];
+    ++Counters_.WorkersLooked_;
+    const FreeCapacity &Free = Workers_[W].Free_;
+    if (!Free.admits(Item.Need_, true))
+      continue;
+    if (Best == NoWorker ||
+        Workers_[Best].Free_.Others_.Connections_ < Free.Others_.Connections_)
+      Best = W;
+  }
+  if (Best != NoWorker)
+    return Best;
+  All_.visit(0, Item.Need_, true, Counters_.WorkersLooked_,
+             [&Best](WorkerIndex W) {
+               Best = W;
+               return true;
+             });
+  return Best;
+}
+
+Scheduler::State::WorkerIndex
+Scheduler::State::chooseSpread(const WorkItem &Item, TimePoint Now) {
+  const auto Found = Spreads_.find(Item.First_.Job_);
+  const Spread *Replicas = Found == Spreads_.end() ? nullptr : &Found->second;
+  std::vector<std::pair<std::uint32_t, std::size_t>> Domains;
+  const std::size_t Count = DomainByName_.size();
+  const std::size_t Start = Count == 0 ? 0 : nextRandom(RandomState_) % Count;
+  for (std::size_t I = 0; I < Count; ++I) {
+    const std::size_t Domain = (Start + I) % Count;
+    Domains.emplace_back(
+        Replicas == nullptr ? 0 : countAt(Replicas->Domains_, Domain), Domain);
+  }
+  std::stable_sort(
+      Domains.begin(), Domains.end(),
+      [](const auto &A, const auto &B) { return A.first < B.first; });
+  for (const auto &[Unused, Domain] : Domains) {
+    const WorkerIndex W = chooseInDomain(Item, Domain, Replicas, Now);
+    if (W != NoWorker)
+      return W;
+  }
+  return NoWorker;
+}
+
+Scheduler::State::WorkerIndex
+Scheduler::State::chooseInDomain(const WorkItem &Item, std::size_t Domain,
+                                 const Spread *Replicas, TimePoint Now) {
+  WorkerIndex Best = NoWorker;
+  std::uint32_t BestCount = 0;
+  std::size_t Seen = 0;
+  const auto Compare = [&](WorkerIndex W) {
+    if (!Item.Need_.fitsIn(usableFor(Item, Workers_[W], Now)))
+      return false;
+    const std::uint32_t Count =
+        Replicas == nullptr ? 0 : countAt(Replicas->Racks_, Workers_[W].Rack_);
+    if (Best == NoWorker || Count < BestCount) {
+      Best = W;
+      BestCount = Count;
+    }
+    return BestCount == 0 || ++Seen >= RackCandidates;
+  };
+  ByDomain_.visit(Domain, Item.Need_, false, Counters_.WorkersLooked_, Compare);
+  return Best;
+}
+
+bool Scheduler::State::choosePacked(const WorkItem &Item, TimePoint Now,
+                                    std::vector<WorkerIndex> &Chosen) {
+  const auto Fill = [&](WorkerIndex W) {
+    if (Workers_[W].Probe_ && Item.Count_ > 1)
+      return false;
+    Resources Left = usableFor(Item, Workers_[W], Now);
+    while (Chosen.size() < Item.Count_ && Item.Need_.fitsIn(Left)) {
+      Chosen.push_back(W);
+      Left = Left - Item.Need_;
+    }
+    return Chosen.size() == Item.Count_;
+  };
+  return All_.visit(0, Item.Need_, Item.Class_ == WorkClass::Direct,
+                    Counters_.WorkersLooked_, Fill);
+}
+
+Resources Scheduler::State::usableFor(const WorkItem &Item, const Worker &W,
+                                      TimePoint Now) {
+  const Resources Free = W.Free_.usable(Item.Class_ == WorkClass::Direct);
+  if (!W.ReservedBand_ ||
+      bandOf(Item.Class_, Item.Urgent_) < *W.ReservedBand_ ||
+      Reservations_[*W.ReservedBand_]->Holder_ == Item.First_)
+    return Free;
+  if (Item.ExpectedRun_ > Duration(0) &&
+      Now + Item.ExpectedRun_ <= W.ReservedAt_)
+    return Free;
+  MetReservation_ = true;
+  return componentMin(Free, W.Spare_);
+}
+
+} // namespace oleandergauge
--- /dev/null
+++ b/src/core/scheduler_preempt.cc
@@ -0,0 +1,144 @@
+#include <algorithm>
+
+#include "scheduler_state.h"
+
+namespace oleandergauge {
+
+using namespace detail;
+
+namespace {
+
+/// Tasks of a team looked at for one urgent item.
+constexpr std::size_t MaxCandidatesPerTeam = 64;
+/// Waiting items of a shape that are considered in one call.
+constexpr std::size_t MaxItemsPerGroup = 8;
+
+std::uint32_t countFits(const Resources &Need, Resources Free,
+                        std::uint32_t Max) {
+  std::uint32_t Count = 0;
+  for (; Count < Max && Need.fitsIn(Free); ++Count)
+    Free = Free - Need;
+  return Count;
+}
+
+/// Victims on one worker, and how many more tasks of the item fit with them
+/// gone.
+struct Clearing {
+  Resources Released_;
+  std::vector<Preemption> Victims_;
+  std::uint32_t Gain_ = 0;
+};
+
+} // namespace
+
+std::vector<Preemption> Scheduler::State::choosePreemptions(TimePoint Now) {
+  std::vector<Preemption> Chosen;
+  std::set<WorkerIndex> Pledged = pledgedWorkers();
+  for (const std::size_t Band : {UrgentDirectBand, UrgentBand})
+    for (const TeamIndex T : Waiting_.teams(Band))
+      if (Teams_[T].Headroom_ > 0)
+        preemptInLine(Waiting_.line(Band, T), Now, Pledged, Chosen);
+  return Chosen;
+}
+
+std::set<Scheduler::State::WorkerIndex> Scheduler::State::pledgedWorkers() {
+  std::set<WorkerIndex> Pledged;
+  for (auto It = Pledges_.begin(); It != Pledges_.end();) {
+    bool Pending = false;
+    for (const Preemption &P : It->second)
+      if (Running_.contains(P.Task_)) {
+        Pending = true;
+        Pledged.insert(findWorker(P.Worker_));
+      }
+    It = Pending ? std::next(It) : Pledges_.erase(It);
+  }
+  return Pledged;
+}
+
+void Scheduler::State::preemptInLine(const Line &L, TimePoint Now,
+                                     std::set<WorkerIndex> &Pledged,
+                                     std::vector<Preemption> &Chosen) {
+  for (const auto &[Unused, G] : L.Heads_) {
+    std::size_t Items = 0;
+    for (const WaitingItem *I = G->First_; I != nullptr; I = I->Next_) {
+      if (Chosen.size() >= Options_.MaxPreemptionsPerRound_)
+        return;
+      if (++Items > MaxItemsPerGroup ||
+          I->Work_.Count_ > Teams_[I->Team_].Headroom_)
+        break;
+      if (Pledges_.contains(I->Work_.First_))
+        continue;
+      std::vector<WorkerIndex> Fitting;
+      if (chooseWorkers(I->Work_, Now, Fitting))
+        break;
+      std::vector<Preemption> Victims = victimsFor(I->Work_, Pledged);
+      if (Victims.empty())
+        break;
+      for (const Preemption &P : Victims) {
+        Running_.at(P.Task_).Victim_ = true;
+        Pledged.insert(findWorker(P.Worker_));
+      }
+      Chosen.insert(Chosen.end(), Victims.begin(), Victims.end());
+      Pledges_.emplace(I->Work_.First_, std::move(Victims));
+    }
+  }
+}
+
+std::vector<Scheduler::State::TeamIndex>
+Scheduler::State::teamsByShare() const {
+  std::vector<TeamIndex> Order;
+  for (TeamIndex T = 0; T < Teams_.size(); ++T)
+    if (!Teams_[T].Preemptible_.empty())
+      Order.push_back(T);
+  std::sort(Order.begin(), Order.end(), [this](TeamIndex A, TeamIndex B) {
+    return Teams_[A].weightedShare() > Teams_[B].weightedShare();
+  });
+  return Order;
+}
+
+std::vector<Preemption>
+Scheduler::State::victimsFor(const WorkItem &Item,
+                             const std::set<WorkerIndex> &Pledged) {
+  const bool Direct = Item.Class_ == WorkClass::Direct;
+  std::uint32_t Fits = 0;
+  All_.visit(0, Item.Need_, Direct, Counters_.WorkersLooked_,
+             [&](WorkerIndex W) {
+               if (!Pledged.contains(W))
+                 Fits += countFits(Item.Need_, Workers_[W].Free_.usable(Direct),
+                                   Item.Count_);
+               return Fits >= Item.Count_;
+             });
+  std::map<WorkerIndex, Clearing> Clearings;
+  const auto Add = [&](const Running &Task) {
+    const Worker &W = Workers_[Task.Worker_];
+    if (Task.Victim_ || !W.Open_ || Pledged.contains(Task.Worker_))
+      return;
+    Clearing &C = Clearings[Task.Worker_];
+    C.Victims_.push_back({Task.Id_, W.Info_.Id_});
+    C.Released_ = C.Released_ + Task.Taken_;
+    const std::uint32_t Gain =
+        countFits(Item.Need_, freeOf(W, C.Released_).usable(Direct),
+                  Item.Count_) -
+        countFits(Item.Need_, W.Free_.usable(Direct), Item.Count_);
+    Fits += Gain - C.Gain_;
+    C.Gain_ = Gain;
+  };
+  for (const TeamIndex T : teamsByShare()) {
+    std::size_t Seen = 0;
+    const auto &Tasks = Teams_[T].Preemptible_;
+    for (auto It = Tasks.rbegin(); It != Tasks.rend(); ++It) {
+      if (Fits >= Item.Count_ || ++Seen > MaxCandidatesPerTeam)
+        break;
+      Add(Running_.at(It->second));
+    }
+  }
+  std::vector<Preemption> Victims;
+  if (Fits < Item.Count_)
+    return Victims;
+  for (auto &[Unused, C] : Clearings)
+    if (C.Gain_ > 0)
+      Victims.insert(Victims.end(), C.Victims_.begin(), C.Victims_.end());
+  return Victims;
+}
+
+} // namespace oleandergauge
--- /dev/null
+++ b/src/core/scheduler_state.h
@@ -0,0 +1,220 @@
+#ifndef OLEANDERGAUGE_CORE_SCHEDULER_STATE_H
+#define OLEANDERGAUGE_CORE_SCHEDULER_STATE_H
+
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "free_index.h"
+#include "oleandergauge/scheduler.h"
+#include "wait_queue.h"
+
+namespace oleandergauge {
+
+namespace detail {
+
+/// A task that holds capacity.
+struct Running {
+  TaskId Id_;
+  WorkerIndex Worker_ = NoWorker;
+  TeamIndex Team_ = 0;
+  WorkClass Class_ = WorkClass::Batch;
+  bool Urgent_ = false;
+  bool Victim_ = false; ///< Named by choosePreemptions.
+  Resources Reserved_;
+  Resources Taken_; ///< The larger of reservation and reported usage.
+  TimePoint Since_;
+  Duration ExpectedRun_{0};
+  std::size_t Position_ = 0; ///< In the worker's list.
+};
+
+struct Worker {
+  WorkerInfo Info_;
+  bool Known_ = false;   ///< Listed; false for a place that is free for reuse.
+  bool Open_ = false;    ///< Receives new work.
+  bool Removed_ = false; ///< Forgotten as soon as it runs nothing.
+  bool Probe_ = false;   ///< Closes after one placement.
+  std::size_t Domain_ = 0; ///< Numbers given by the scheduler.
+  std::size_t Rack_ = 0;
+  Resources Used_;
+  Resources Foreign_;
+  std::int32_t OtherSlots_ = 0; ///< Slots in use by work that is not direct.
+  FreeCapacity Free_;
+  std::vector<Running *> Tasks_;
+  std::size_t OpenPosition_ = 0; ///< In the list of open workers.
+  /// The band whose reservation this worker is part of.
+  std::optional<std::size_t> ReservedBand_;
+  TimePoint ReservedAt_; ///< When the holder is expected to fit.
+  Resources Spare_;      ///< Left at that time beside the holder.
+};
+
+struct Team {
+  TeamId Id_;
+  double Weight_ = 1.0;
+  std::uint32_t Headroom_ = 0;
+  Resources Used_;
+  double Share_ = 0.0; ///< Dominant share.
+  /// Batch tasks that may be preempted, the oldest first.
+  std::set<std::pair<TimePoint, TaskId>> Preemptible_;
+
+  double weightedShare() const { return Share_ / Weight_; }
+};
+
+/// Room kept for the largest item of a band that did not fit.
+struct Reservation {
+  TaskId Holder_;
+  TimePoint PlannedAt_;
+  TimePoint ReadyAt_;
+  std::vector<WorkerIndex> Workers_;
+};
+
+/// Replicas of a service job by place.
+struct Spread {
+  std::unordered_map<std::size_t, std::uint32_t> Domains_;
+  std::unordered_map<std::size_t, std::uint32_t> Racks_;
+};
+
+/// One call of decide().
+struct Round {
+  TimePoint Now_;
+  std::size_t Max_ = 0;
+  std::vector<PlacedTask> Placed_;
+};
+
+} // namespace detail
+
+struct Scheduler::State {
+  using WorkerIndex = detail::WorkerIndex;
+  using TeamIndex = detail::TeamIndex;
+
+  explicit State(SchedulerOptions Options) : Options_(Options) {}
+
+  /// The place of workers that are known by a running task only.
+  static constexpr std::size_t UnknownPlace = 0;
+
+  // Workers (scheduler_workers.cc).
+  WorkerIndex internWorker(const WorkerId &Id);
+  WorkerIndex findWorker(const WorkerId &Id) const;
+  void upsert(const WorkerInfo &Info);
+  void remove(WorkerIndex W);
+  void setOpen(WorkerIndex W, bool Open);
+  void forgetIfIdle(WorkerIndex W);
+  /// Slots of a worker that only direct work may take.
+  std::int32_t directReserve(const detail::Worker &W) const;
+  /// Capacity of a worker for work of the kind, with nothing running.
+  Resources capacityFor(const Resources &Capacity, bool Direct) const;
+  /// \p Released is counted as free: the use of work that is not direct.
+  detail::FreeCapacity freeOf(const detail::Worker &W,
+                              const Resources &Released = {}) const;
+  /// Moves a worker with its service replicas to its domain and rack.
+  void setPlace(detail::Worker &W, const WorkerInfo &Info);
+  void noteGrowth(WorkerIndex W);
+  /// Brings the index in line with the worker's use and state.
+  void refresh(WorkerIndex W);
+  void countCapacity(const Resources &Capacity, std::int64_t Sign);
+
+  // Teams and tasks (scheduler_tasks.cc).
+  TeamIndex internTeam(const TeamId &Id);
+  void refreshShare(TeamIndex T);
+  /// False where the task runs already.
+  bool start(const WorkItem &Item, const TaskId &Id, WorkerIndex W,
+             const Resources &Reserved, TimePoint Since);
+  void release(const TaskId &Id);
+  void setTaken(detail::Running &Task, const Resources &Taken);
+  void countReplica(const detail::Running &Task, bool Started);
+
+  // Placement (scheduler_place.cc).
+  bool chooseWorkers(const WorkItem &Item, TimePoint Now,
+                     std::vector<WorkerIndex> &Chosen);
+  WorkerIndex chooseDirect(const WorkItem &Item);
+  WorkerIndex chooseSpread(const WorkItem &Item, TimePoint Now);
+  WorkerIndex chooseInDomain(const WorkItem &Item, std::size_t Domain,
+                             const detail::Spread *Replicas, TimePoint Now);
+  bool choosePacked(const WorkItem &Item, TimePoint Now,
+                    std::vector<WorkerIndex> &Chosen);
+  /// What the item may take on a worker beside what is reserved there.
+  Resources usableFor(const WorkItem &Item, const detail::Worker &W,
+                      TimePoint Now);
+
+  // Rounds (scheduler_round.cc).
+  void runBand(std::size_t Band, detail::Round &R);
+  bool tryGroup(detail::Group &G, std::size_t Band, detail::Round &R);
+  bool tryItem(const WorkItem &Item, detail::Round &R);
+  void tryHolder(std::size_t Band, detail::Round &R);
+  void place(const WorkItem &Item, const std::vector<WorkerIndex> &Chosen,
+             detail::Round &R);
+  /// Whether capacity grew since the group failed to fit, so that it might.
+  bool mayFitNow(detail::Group &G, const WorkItem &Item) const;
+
+  // Reservations (scheduler_reserve.cc).
+  void noteMisfit(const WorkItem &Item, std::size_t Band);
+  void renewReservation(std::size_t Band, TimePoint Now);
+  void plan(detail::Reservation &For, const WorkItem &Item, TimePoint Now);
+  void dropReservation(std::size_t Band);
+  void dropReservationOf(const TaskId &Holder);
+  double sizeOf(const WorkItem &Item) const;
+
+  // Preemption (scheduler_preempt.cc).
+  std::vector<Preemption> choosePreemptions(TimePoint Now);
+  /// Workers on which room is being made for waiting urgent items; forgets
+  /// pledges whose victims have all ended.
+  std::set<WorkerIndex> pledgedWorkers();
+  void preemptInLine(const detail::Line &L, TimePoint Now,
+                     std::set<WorkerIndex> &Pledged,
+                     std::vector<Preemption> &Chosen);
+  std::vector<Preemption> victimsFor(const WorkItem &Item,
+                                     const std::set<WorkerIndex> &Pledged);
+  std::vector<TeamIndex> teamsByShare() const;
+
+  std::string explain(const TaskId &First) const;
+  std::string explainMisfit(const WorkItem &Item) const;
+
+  SchedulerOptions Options_;
+  std::vector<detail::Worker> Workers_;
+  std::vector<WorkerIndex> FreePlaces_;
+  std::unordered_map<WorkerId, WorkerIndex> WorkerByName_;
+  std::unordered_map<FailureDomain, std::size_t> DomainByName_{
+      {FailureDomain(), UnknownPlace}};
+  std::unordered_map<Rack, std::size_t> RackByName_{{Rack(), UnknownPlace}};
+  std::vector<WorkerIndex> OpenWorkers_;
+  Resources Total_; ///< Capacity of all listed workers.
+  /// Workers by capacity, to see at once what can ever fit.
+  std::map<std::tuple<std::int64_t, std::int64_t, std::int32_t, std::int32_t,
+                      std::int32_t>,
+           std::int64_t>
+      Capacities_;
+
+  std::vector<detail::Team> Teams_;
+  std::unordered_map<TeamId, TeamIndex> TeamByName_;
+  std::unordered_map<TaskId, detail::Running> Running_;
+  std::array<std::size_t, 4> RunningOfClass_{};
+  std::unordered_map<JobId, detail::Spread> Spreads_;
+
+  detail::WaitQueue Waiting_;
+  detail::FreeIndex All_;      ///< One tree of the open workers.
+  detail::FreeIndex ByDomain_; ///< A tree for each failure domain.
+  /// Workers whose free capacity grew, in order; entry i has the number
+  /// GrowthBase_ + i.
+  std::vector<WorkerIndex> Growths_;
+  std::uint64_t GrowthBase_ = 0;
+
+  std::array<std::optional<detail::Reservation>, detail::BandCount>
+      Reservations_;
+  /// Whether the last attempt to place met room that is only reserved.
+  bool MetReservation_ = false;
+  /// The largest item of the round and band that did not fit.
+  std::optional<WorkItem> LargestMisfit_;
+  /// Urgent items for which room is being made, with their victims.
+  std::unordered_map<TaskId, std::vector<Preemption>> Pledges_;
+  std::uint64_t RandomState_ = 1;
+  SchedulerCounters Counters_;
+};
+
+} // namespace oleandergauge
+
+#endif // OLEANDERGAUGE_CORE_SCHEDULER_STATE_H
--- /dev/null
+++ b/src/core/wait_queue.cc
@@ -0,0 +1,88 @@
+#include "wait_queue.h"
+
+namespace oleandergauge::detail {
+namespace {
+
+Shape shapeOf(const WorkItem &Work) {
+  return {Work.Class_, Work.Count_, Work.Need_, Work.ExpectedRun_};
+}
+
+} // namespace
+
+std::size_t bandOf(WorkClass Class, bool Urgent) {
+  if (Class == WorkClass::Direct)
+    return Urgent ? UrgentDirectBand : DirectBand;
+  if (Urgent)
+    return UrgentBand;
+  return Class == WorkClass::Service ? ServiceBand : BatchBand;
+}
+
+bool WaitQueue::add(const WorkItem &Work, TeamIndex Team) {
+  const auto [Found, Added] = Items_.try_emplace(Work.First_);
+  if (!Added)
+    return false;
+  WaitingItem &Item = Found->second;
+  Item.Work_ = Work;
+  Item.Team_ = Team;
+  Item.Sequence_ = NextSequence_++;
+  const std::size_t Band = bandOf(Work.Class_, Work.Urgent_);
+  if (Lines_[Band].size() <= Team)
+    Lines_[Band].resize(Team + 1);
+  append(Item, Lines_[Band][Team]);
+  Teams_[Band].insert(Team);
+  Tasks_[static_cast<std::size_t>(Work.Class_)] += Work.Count_;
+  return true;
+}
+
+bool WaitQueue::remove(const TaskId &First) {
+  const auto Found = Items_.find(First);
+  if (Found == Items_.end())
+    return false;
+  WaitingItem &Item = Found->second;
+  const std::size_t Band = bandOf(Item.Work_.Class_, Item.Work_.Urgent_);
+  Line &From = Lines_[Band][Item.Team_];
+  unlink(Item, From);
+  if (From.Groups_.empty())
+    Teams_[Band].erase(Item.Team_);
+  Tasks_[static_cast<std::size_t>(Item.Work_.Class_)] -= Item.Work_.Count_;
+  Items_.erase(Found);
+  return true;
+}
+
+const WaitingItem *WaitQueue::find(const TaskId &First) const {
+  const auto Found = Items_.find(First);
+  return Found == Items_.end() ? nullptr : &Found->second;
+}
+
+void WaitQueue::append(WaitingItem &Item, Line &To) {
+  Group &G = To.Groups_[shapeOf(Item.Work_)];
+  Item.Group_ = &G;
+  Item.Previous_ = G.Last_;
+  if (G.Last_ != nullptr) {
+    G.Last_->Next_ = &Item;
+  } else {
+    G.First_ = &Item;
+    To.Heads_.emplace(Item.Sequence_, &G);
+  }
+  G.Last_ = &Item;
+}
+
+void WaitQueue::unlink(WaitingItem &Item, Line &From) {
+  Group &G = *Item.Group_;
+  if (Item.Next_ != nullptr)
+    Item.Next_->Previous_ = Item.Previous_;
+  else
+    G.Last_ = Item.Previous_;
+  if (Item.Previous_ != nullptr) {
+    Item.Previous_->Next_ = Item.Next_;
+    return;
+  }
+  G.First_ = Item.Next_;
+  From.Heads_.erase(Item.Sequence_);
+  if (G.First_ != nullptr)
+    From.Heads_.emplace(G.First_->Sequence_, &G);
+  else
+    From.Groups_.erase(shapeOf(Item.Work_));
+}
+
+} // namespace oleandergauge::detail
