--- a/src/core/estimator.cc
+++ b/src/core/estimator.cc
@@ -1,6 +1,7 @@
 #include "oleandergauge/estimator.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 
 namespace oleandergauge {
@@ -15,6 +16,16 @@
 /// that one extreme run time does not throw the estimate off.
 constexpr double MaxStepsAway = 8.0;
 
+/// Rounds up to a number with three significant binary digits. Items with
+/// the same need form one group in the queue, so learned needs that drift a
+/// little must not make a new group for every item.
+std::int64_t roundedUp(double Value) {
+  const auto Exact = static_cast<std::uint64_t>(std::ceil(Value));
+  const int Extra = std::max(static_cast<int>(std::bit_width(Exact)) - 3, 0);
+  const std::uint64_t Step = std::uint64_t(1) << static_cast<unsigned>(Extra);
+  return static_cast<std::int64_t>((Exact + Step - 1) / Step * Step);
+}
+
 } // namespace
 
 void Estimator::Quantile::note(double Sample) {
@@ -54,8 +65,8 @@
   if (Found == Entries_.end() || Found->second.Ends_ < MinEnds)
     return Declared;
   Resources Learned;
-  Learned.CpuMilli_ = std::llround(Found->second.Cpu_.Value_);
-  Learned.MemoryMib_ = std::llround(Found->second.Memory_.Value_);
+  Learned.CpuMilli_ = roundedUp(Found->second.Cpu_.Value_);
+  Learned.MemoryMib_ = roundedUp(Found->second.Memory_.Value_);
   return componentMax(Declared, Learned);
 }
 
--- a/src/core/free_index.cc
+++ b/src/core/free_index.cc
@@ -1,7 +1,5 @@
 #include "free_index.h"
 
-#include <algorithm>
-
 namespace oleandergauge::detail {
 namespace {
 
@@ -27,9 +25,17 @@
   return X ^ (X >> 16U);
 }
 
+template <typename T> void raiseTo(T &Value, T Other) {
+  Value = Value < Other ? Other : Value;
+}
+
 void raise(FreeCapacity &To, const FreeCapacity &From) {
-  To.Others_ = componentMax(To.Others_, From.Others_);
-  To.DirectSlots_ = std::max(To.DirectSlots_, From.DirectSlots_);
+  raiseTo(To.Others_.CpuMilli_, From.Others_.CpuMilli_);
+  raiseTo(To.Others_.MemoryMib_, From.Others_.MemoryMib_);
+  raiseTo(To.Others_.Accelerators_, From.Others_.Accelerators_);
+  raiseTo(To.Others_.Slots_, From.Others_.Slots_);
+  raiseTo(To.Others_.Connections_, From.Others_.Connections_);
+  raiseTo(To.DirectSlots_, From.DirectSlots_);
 }
 
 } // namespace
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -17,12 +17,6 @@
   return {Verdict::NotRun, Reason, std::move(Message), Duration(0)};
 }
 
-Resources resourcesOf(const std::tuple<std::int64_t, std::int64_t, std::int32_t,
-                                       std::int32_t, std::int32_t> &Key) {
-  return {std::get<0>(Key), std::get<1>(Key), std::get<2>(Key),
-          std::get<3>(Key), std::get<4>(Key)};
-}
-
 /// How many times \p Need fits in \p Capacity, at most \p Max.
 std::uint64_t fitCount(const Resources &Need, const Resources &Capacity,
                        std::uint64_t Max) {
@@ -82,10 +76,10 @@
 
 Result<void> Scheduler::checkFeasible(const WorkItem &Item) const {
   std::uint64_t Fits = 0;
-  for (const auto &[Key, Workers] : State_->Capacities_) {
+  for (const auto &[Unused, Class] : State_->Capacities_) {
     const Resources Capacity =
-        State_->capacityFor(resourcesOf(Key), Item.Class_ == WorkClass::Direct);
-    Fits += fitCount(Item.Need_, Capacity, Item.Count_) * Workers;
+        State_->capacityFor(Class.Capacity_, Item.Class_ == WorkClass::Direct);
+    Fits += fitCount(Item.Need_, Capacity, Item.Count_) * Class.Workers_.size();
     if (Fits >= Item.Count_)
       return {};
   }
--- a/src/core/scheduler_place.cc
+++ b/src/core/scheduler_place.cc
@@ -20,13 +20,6 @@
       std::min(A.Connections_, B.Connections_)};
 }
 
-std::uint64_t nextRandom(std::uint64_t &State) {
-  State ^= State << 13U;
-  State ^= State >> 7U;
-  State ^= State << 17U;
-  return State;
-}
-
 std::uint32_t countAt(const std::unordered_map<std::size_t, std::uint32_t> &In,
                       std::size_t Place) {
   const auto Found = In.find(Place);
@@ -35,6 +28,13 @@
 
 } // namespace
 
+std::uint64_t Scheduler::State::nextRandom() {
+  RandomState_ ^= RandomState_ << 13U;
+  RandomState_ ^= RandomState_ >> 7U;
+  RandomState_ ^= RandomState_ << 17U;
+  return RandomState_;
+}
+
 bool Scheduler::State::chooseWorkers(const WorkItem &Item, TimePoint Now,
                                      std::vector<WorkerIndex> &Chosen) {
   ++Counters_.Decisions_;
@@ -56,8 +56,7 @@
   WorkerIndex Best = NoWorker;
   const std::size_t Draws = std::min(DirectSample, OpenWorkers_.size());
   for (std::size_t I = 0; I < Draws; ++I) {
-    const WorkerIndex W =
-        OpenWorkers_[nextRandom(RandomState_) % OpenWorkers_.size()];
+    const WorkerIndex W = OpenWorkers_[nextRandom() % OpenWorkers_.size()];
     ++Counters_.WorkersLooked_;
     const FreeCapacity &Free = Workers_[W].Free_;
     if (!Free.admits(Item.Need_, true))
@@ -82,7 +81,7 @@
   const Spread *Replicas = Found == Spreads_.end() ? nullptr : &Found->second;
   std::vector<std::pair<std::uint32_t, std::size_t>> Domains;
   const std::size_t Count = DomainByName_.size();
-  const std::size_t Start = Count == 0 ? 0 : nextRandom(RandomState_) % Count;
+  const std::size_t Start = Count == 0 ? 0 : nextRandom() % Count;
   for (std::size_t I = 0; I < Count; ++I) {
     const std::size_t Domain = (Start + I) % Count;
     Domains.emplace_back(
--- a/src/core/scheduler_reserve.cc
+++ b/src/core/scheduler_reserve.cc
@@ -11,6 +11,10 @@
 /// Time after which a reservation is planned again with the tasks that ended
 /// and started since.
 constexpr Duration ReplanInterval = std::chrono::seconds(1);
+/// Workers compared for a reservation; bounds the time of planning one.
+constexpr std::size_t MinCandidates = 64;
+/// Workers compared for each task of a gang.
+constexpr std::size_t CandidatesPerTask = 2;
 /// Run time assumed where none is known.
 constexpr Duration UnknownRun = std::chrono::hours(1);
 /// Run time assumed of services, which do not end by themselves.
@@ -93,8 +97,9 @@
   // Direct calls are short and find room without a reservation.
   if (Band < UrgentBand || Reservations_[Band])
     return;
-  if (!LargestMisfit_ || sizeOf(Item) > sizeOf(*LargestMisfit_))
-    LargestMisfit_ = Item;
+  const double Size = sizeOf(Item);
+  if (!LargestMisfit_ || Size > LargestMisfit_->Size_)
+    LargestMisfit_ = Misfit{Item.First_, Size};
 }
 
 void Scheduler::State::tryHolder(std::size_t Band, Round &R) {
@@ -106,19 +111,20 @@
     dropReservation(Band);
     return;
   }
-  const WorkItem Item = Holder->Work_;
   if (R.Placed_.size() < R.Max_)
-    tryItem(Item, R);
+    tryItem(Holder->Work_, R);
 }
 
 void Scheduler::State::renewReservation(std::size_t Band, TimePoint Now) {
   std::optional<Reservation> &Held = Reservations_[Band];
   if (!Held) {
-    if (!LargestMisfit_ || Waiting_.find(LargestMisfit_->First_) == nullptr)
+    const WaitingItem *Largest =
+        LargestMisfit_ ? Waiting_.find(LargestMisfit_->First_) : nullptr;
+    if (Largest == nullptr)
       return;
     Held.emplace();
     Held->Holder_ = LargestMisfit_->First_;
-    plan(*Held, *LargestMisfit_, Now);
+    plan(*Held, Largest->Work_, Now);
     return;
   }
   if (Now < Held->ReadyAt_ && Now < Held->PlannedAt_ + ReplanInterval)
@@ -130,15 +136,32 @@
     plan(*Held, Holder->Work_, Now);
 }
 
+std::set<Scheduler::State::WorkerIndex>
+Scheduler::State::candidates(const Reservation &For, const WorkItem &Item) {
+  std::set<WorkerIndex> Chosen(For.Workers_.begin(), For.Workers_.end());
+  const std::size_t Wanted =
+      Chosen.size() + std::max(MinCandidates, CandidatesPerTask * Item.Count_);
+  for (const auto &[Unused, Class] : Capacities_) {
+    if (!Item.Need_.fitsIn(capacityFor(Class.Capacity_, false)))
+      continue;
+    const std::size_t Size = Class.Workers_.size();
+    const std::size_t Start = nextRandom() % Size;
+    for (std::size_t I = 0; I < Size && Chosen.size() < Wanted; ++I)
+      Chosen.insert(Class.Workers_[(Start + I) % Size]);
+  }
+  return Chosen;
+}
+
 void Scheduler::State::plan(Reservation &For, const WorkItem &Item,
                             TimePoint Now) {
   const std::size_t Band = bandOf(Item.Class_, Item.Urgent_);
+  const std::set<WorkerIndex> Candidates = candidates(For, Item);
   for (const WorkerIndex W : For.Workers_)
     Workers_[W].ReservedBand_.reset();
   For.Workers_.clear();
   std::vector<Fit> Fits;
-  for (const WorkerIndex W : OpenWorkers_)
-    if (!Workers_[W].ReservedBand_)
+  for (const WorkerIndex W : Candidates)
+    if (Workers_[W].Open_ && !Workers_[W].ReservedBand_)
       addFits(Workers_[W], W, Item, Now, Fits);
   if (Fits.size() < Item.Count_) {
     Reservations_[Band].reset();
--- a/src/core/scheduler_round.cc
+++ b/src/core/scheduler_round.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <queue>
 
 #include "scheduler_state.h"
 
@@ -15,67 +14,68 @@
 /// Growths up to which a group is checked against the grown workers alone.
 constexpr std::uint64_t MaxGrowthsToCheck = 64;
 
-/// A team's turn in a band. The lowest weighted share comes first; teams with
-/// equal shares go by the number of turns they had in this round.
-struct Turn {
-  double Share_ = 0.0;
-  std::uint64_t Turns_ = 0;
-  TeamIndex Team_ = 0;
-  std::uint64_t Cursor_ = 0; ///< Arrival number of the group tried last.
-  std::size_t Searched_ = 0;
-  std::size_t Passed_ = 0;
-
-  friend bool operator<(const Turn &A, const Turn &B) {
-    return std::tie(B.Share_, B.Turns_, B.Team_) <
-           std::tie(A.Share_, A.Turns_, A.Team_);
-  }
-};
+/// The lowest weighted share comes first; teams with equal shares go by the
+/// number of items placed in this round.
+bool comesLater(const Turn &A, const Turn &B) {
+  return std::tie(B.Share_, B.Placed_, B.Team_) <
+         std::tie(A.Share_, A.Placed_, A.Team_);
+}
 
 } // namespace
 
 void Scheduler::State::runBand(std::size_t Band, Round &R) {
   LargestMisfit_.reset();
   tryHolder(Band, R);
-  std::priority_queue<Turn> Turns;
+  std::vector<Turn> Turns;
   for (const TeamIndex T : Waiting_.teams(Band))
     if (Teams_[T].Headroom_ > 0)
-      Turns.push({Teams_[T].weightedShare(), 0, T,
-                  Waiting_.line(Band, T).startOfRound(), 0, 0});
-  if (Turns.empty())
-    return;
-  const std::size_t Searches =
-      std::max<std::size_t>(Options_.MaxMisfitsPerBand_ / Turns.size(), 1);
+      Turns.push_back({Teams_[T].weightedShare(), 0, T,
+                       Waiting_.line(Band, T).startOfRound()});
+  std::make_heap(Turns.begin(), Turns.end(), comesLater);
+  const std::size_t Searches = std::max<std::size_t>(
+      Options_.MaxMisfitsPerBand_ / std::max<std::size_t>(Turns.size(), 1), 1);
   while (!Turns.empty() && R.Placed_.size() < R.Max_) {
-    Turn Next = Turns.top();
-    Turns.pop();
-    Line &L = Waiting_.line(Band, Next.Team_);
-    const auto Head = L.Heads_.upper_bound(Next.Cursor_);
-    L.Resume_ = 0;
-    if (Head == L.Heads_.end())
-      continue;
-    Next.Cursor_ = Head->first;
+    std::pop_heap(Turns.begin(), Turns.end(), comesLater);
+    Turn &Next = Turns.back();
+    if (serveTeam(Band, Searches, Next, R)) {
+      Next.Share_ = Teams_[Next.Team_].weightedShare();
+      ++Next.Placed_;
+      std::push_heap(Turns.begin(), Turns.end(), comesLater);
+    } else {
+      Turns.pop_back();
+    }
+  }
+  renewReservation(Band, R.Now_);
+}
+
+bool Scheduler::State::serveTeam(std::size_t Band, std::size_t Searches,
+                                 Turn &T, Round &R) {
+  Line &L = Waiting_.line(Band, T.Team_);
+  L.Resume_ = 0;
+  auto Head = L.Heads_.upper_bound(T.Cursor_);
+  for (; Head != L.Heads_.end(); ++Head) {
+    T.Cursor_ = Head->first;
     Group &G = *Head->second;
     const WorkItem &Item = G.First_->Work_;
     // A gang larger than the headroom waits for it; its team's later work of
     // the band does too, or the gang would never have enough.
-    if (Item.Count_ > Teams_[Next.Team_].Headroom_)
-      continue;
+    if (Item.Count_ > Teams_[T.Team_].Headroom_)
+      return false;
     if (!mayFitNow(G, Item)) {
       noteMisfit(Item, Band);
-      ++Next.Passed_;
+      ++T.Passed_;
     } else if (tryGroup(G, Band, R)) {
-      Next.Share_ = Teams_[Next.Team_].weightedShare();
-      ++Next.Turns_;
+      return true;
     } else {
-      ++Next.Searched_;
+      ++T.Searched_;
+    }
+    if (T.Searched_ >= Searches ||
+        T.Passed_ >= Searches * KnownMisfitsForEach) {
+      L.Resume_ = T.Cursor_;
+      return false;
     }
-    if (Next.Searched_ >= Searches ||
-        Next.Passed_ >= Searches * KnownMisfitsForEach)
-      L.Resume_ = Next.Cursor_;
-    else if (Teams_[Next.Team_].Headroom_ > 0)
-      Turns.push(Next);
   }
-  renewReservation(Band, R.Now_);
+  return false;
 }
 
 bool Scheduler::State::mayFitNow(Group &G, const WorkItem &Item) const {
@@ -95,10 +95,9 @@
 }
 
 bool Scheduler::State::tryGroup(Group &G, std::size_t Band, Round &R) {
-  const WorkItem Item = G.First_->Work_;
-  if (tryItem(Item, R))
+  if (tryItem(G.First_->Work_, R))
     return true;
-  noteMisfit(Item, Band);
+  noteMisfit(G.First_->Work_, Band);
   // Room that is only reserved may become usable without growing.
   G.Misfit_ = !MetReservation_;
   G.MisfitAt_ = GrowthBase_ + Growths_.size();
@@ -106,15 +105,16 @@
 }
 
 bool Scheduler::State::tryItem(const WorkItem &Item, Round &R) {
-  std::vector<WorkerIndex> Chosen;
-  if (!chooseWorkers(Item, R.Now_, Chosen))
+  Chosen_.clear();
+  if (!chooseWorkers(Item, R.Now_, Chosen_))
     return false;
-  place(Item, Chosen, R);
+  place(Item, Chosen_, R);
   return true;
 }
 
-void Scheduler::State::place(const WorkItem &Item,
+void Scheduler::State::place(const WorkItem &Waiting,
                              const std::vector<WorkerIndex> &Chosen, Round &R) {
+  const WorkItem Item = Waiting; // The queue's own copy is removed.
   Waiting_.remove(Item.First_);
   Pledges_.erase(Item.First_);
   dropReservationOf(Item.First_);
--- a/src/core/scheduler_state.h
+++ b/src/core/scheduler_state.h
@@ -46,7 +46,8 @@
   std::int32_t OtherSlots_ = 0; ///< Slots in use by work that is not direct.
   FreeCapacity Free_;
   std::vector<Running *> Tasks_;
-  std::size_t OpenPosition_ = 0; ///< In the list of open workers.
+  std::size_t OpenPosition_ = 0;  ///< In the list of open workers.
+  std::size_t ClassPosition_ = 0; ///< In the list of its capacity class.
   /// The band whose reservation this worker is part of.
   std::optional<std::size_t> ReservedBand_;
   TimePoint ReservedAt_; ///< When the holder is expected to fit.
@@ -86,6 +87,28 @@
   std::vector<PlacedTask> Placed_;
 };
 
+/// A team's turn in a band of a round.
+struct Turn {
+  double Share_ = 0.0;
+  std::size_t Placed_ = 0;
+  TeamIndex Team_ = 0;
+  std::uint64_t Cursor_ = 0; ///< Arrival number of the group tried last.
+  std::size_t Searched_ = 0; ///< Groups that were searched for and not placed.
+  std::size_t Passed_ = 0;   ///< Groups passed over as known not to fit.
+};
+
+/// Workers with the same capacity.
+struct CapacityClass {
+  Resources Capacity_;
+  std::vector<WorkerIndex> Workers_;
+};
+
+/// An item that did not fit in a round, with its part of all capacity.
+struct Misfit {
+  TaskId First_;
+  double Size_ = 0.0;
+};
+
 } // namespace detail
 
 struct Scheduler::State {
@@ -94,6 +117,9 @@
 
   explicit State(SchedulerOptions Options) : Options_(Options) {}
 
+  using CapacityKey = std::tuple<std::int64_t, std::int64_t, std::int32_t,
+                                 std::int32_t, std::int32_t>;
+
   /// The place of workers that are known by a running task only.
   static constexpr std::size_t UnknownPlace = 0;
 
@@ -116,7 +142,10 @@
   void noteGrowth(WorkerIndex W);
   /// Brings the index in line with the worker's use and state.
   void refresh(WorkerIndex W);
-  void countCapacity(const Resources &Capacity, std::int64_t Sign);
+  /// Adds a listed worker's capacity to the totals, or takes it away.
+  void addCapacity(WorkerIndex W);
+  void removeCapacity(WorkerIndex W);
+  void refreshShares();
 
   // Teams and tasks (scheduler_tasks.cc).
   TeamIndex internTeam(const TeamId &Id);
@@ -143,6 +172,10 @@
 
   // Rounds (scheduler_round.cc).
   void runBand(std::size_t Band, detail::Round &R);
+  /// Places the team's next item that fits. False where there is none or the
+  /// team's part of the round's searches is used up.
+  bool serveTeam(std::size_t Band, std::size_t Searches, detail::Turn &T,
+                 detail::Round &R);
   bool tryGroup(detail::Group &G, std::size_t Band, detail::Round &R);
   bool tryItem(const WorkItem &Item, detail::Round &R);
   void tryHolder(std::size_t Band, detail::Round &R);
@@ -155,6 +188,11 @@
   void noteMisfit(const WorkItem &Item, std::size_t Band);
   void renewReservation(std::size_t Band, TimePoint Now);
   void plan(detail::Reservation &For, const WorkItem &Item, TimePoint Now);
+  /// Some workers that could hold a task of the item, those of the present
+  /// reservation among them.
+  std::set<WorkerIndex> candidates(const detail::Reservation &For,
+                                   const WorkItem &Item);
+  std::uint64_t nextRandom();
   void dropReservation(std::size_t Band);
   void dropReservationOf(const TaskId &Holder);
   double sizeOf(const WorkItem &Item) const;
@@ -183,11 +221,8 @@
   std::unordered_map<Rack, std::size_t> RackByName_{{Rack(), UnknownPlace}};
   std::vector<WorkerIndex> OpenWorkers_;
   Resources Total_; ///< Capacity of all listed workers.
-  /// Workers by capacity, to see at once what can ever fit.
-  std::map<std::tuple<std::int64_t, std::int64_t, std::int32_t, std::int32_t,
-                      std::int32_t>,
-           std::int64_t>
-      Capacities_;
+  /// Listed workers by capacity, to see at once what can ever fit.
+  std::map<CapacityKey, detail::CapacityClass> Capacities_;
 
   std::vector<detail::Team> Teams_;
   std::unordered_map<TeamId, TeamIndex> TeamByName_;
@@ -208,7 +243,8 @@
   /// Whether the last attempt to place met room that is only reserved.
   bool MetReservation_ = false;
   /// The largest item of the round and band that did not fit.
-  std::optional<WorkItem> LargestMisfit_;
+  std::optional<detail::Misfit> LargestMisfit_;
+  std::vector<WorkerIndex> Chosen_; ///< Reused by attempts to place.
   /// Urgent items for which room is being made, with their victims.
   std::unordered_map<TaskId, std::vector<Preemption>> Pledges_;
   std::uint64_t RandomState_ = 1;
--- a/src/core/scheduler_workers.cc
+++ b/src/core/scheduler_workers.cc
@@ -52,10 +52,10 @@
   Worker &W = Workers_[Index];
   const bool Joins = !W.Known_ || W.Removed_;
   if (!Joins)
-    countCapacity(W.Info_.Capacity_, -1);
-  countCapacity(Info.Capacity_, 1);
+    removeCapacity(Index);
   setPlace(W, Info);
   W.Info_ = Info;
+  addCapacity(Index);
   W.Known_ = true;
   W.Removed_ = false;
   if (Joins)
@@ -79,7 +79,7 @@
   Worker &W = Workers_[Index];
   if (!W.Known_ || W.Removed_)
     return;
-  countCapacity(W.Info_.Capacity_, -1);
+  removeCapacity(Index);
   W.Removed_ = true;
   setOpen(Index, false);
   forgetIfIdle(Index);
@@ -168,13 +168,30 @@
   GrowthBase_ += MaxGrowths / 2;
 }
 
-void Scheduler::State::countCapacity(const Resources &Capacity,
-                                     std::int64_t Sign) {
-  Total_ = Sign > 0 ? Total_ + Capacity : Total_ - Capacity;
-  auto &Count = Capacities_[capacityKey(Capacity)];
-  Count += Sign;
-  if (Count == 0)
-    Capacities_.erase(capacityKey(Capacity));
+void Scheduler::State::addCapacity(WorkerIndex Index) {
+  Worker &W = Workers_[Index];
+  CapacityClass &Class = Capacities_[capacityKey(W.Info_.Capacity_)];
+  Class.Capacity_ = W.Info_.Capacity_;
+  W.ClassPosition_ = Class.Workers_.size();
+  Class.Workers_.push_back(Index);
+  Total_ = Total_ + W.Info_.Capacity_;
+  refreshShares();
+}
+
+void Scheduler::State::removeCapacity(WorkerIndex Index) {
+  const Worker &W = Workers_[Index];
+  const auto Found = Capacities_.find(capacityKey(W.Info_.Capacity_));
+  auto &Members = Found->second.Workers_;
+  Members[W.ClassPosition_] = Members.back();
+  Workers_[Members.back()].ClassPosition_ = W.ClassPosition_;
+  Members.pop_back();
+  if (Members.empty())
+    Capacities_.erase(Found);
+  Total_ = Total_ - W.Info_.Capacity_;
+  refreshShares();
+}
+
+void Scheduler::State::refreshShares() {
   for (TeamIndex T = 0; T < Teams_.size(); ++T)
     refreshShare(T);
 }
--- a/src/core/wait_queue.cc
+++ b/src/core/wait_queue.cc
@@ -1,10 +1,15 @@
 #include "wait_queue.h"
 
+#include <algorithm>
+#include <bit>
+
 namespace oleandergauge::detail {
 namespace {
 
 Shape shapeOf(const WorkItem &Work) {
-  return {Work.Class_, Work.Count_, Work.Need_, Work.ExpectedRun_};
+  const auto Micros = std::max<Duration::rep>(Work.ExpectedRun_.count(), 0);
+  return {Work.Class_, Work.Count_, Work.Need_,
+          std::bit_width(static_cast<std::uint64_t>(Micros))};
 }
 
 } // namespace
--- a/src/core/wait_queue.h
+++ b/src/core/wait_queue.h
@@ -33,12 +33,15 @@
   WorkClass Class_ = WorkClass::Batch;
   std::uint32_t Count_ = 1;
   Resources Need_;
-  Duration ExpectedRun_{0};
+  /// Binary digits of the expected run time: learned run times differ a
+  /// little from item to item, and only their order of magnitude decides
+  /// whether an item ends before a reservation.
+  int RunDigits_ = 0;
 
   auto tied() const {
     return std::tie(Class_, Count_, Need_.CpuMilli_, Need_.MemoryMib_,
                     Need_.Accelerators_, Need_.Slots_, Need_.Connections_,
-                    ExpectedRun_);
+                    RunDigits_);
   }
   friend bool operator<(const Shape &A, const Shape &B) {
     return A.tied() < B.tied();
