Rename the types of the caller and operator interfaces

Cause: names of the HTTP request and reply types did not say that they belong to the API.

Change: renamed in the API's files; no other change.

--- a/src/daemon/api_reply.cc
+++ b/src/daemon/api_reply.cc
@@ -60,16 +60,16 @@
   return 500;
 }
 
-HttpResponse jsonResponse(unsigned Status, const nlohmann::json &Body) {
-  HttpResponse Out;
+ApiReply jsonResponse(unsigned Status, const nlohmann::json &Body) {
+  ApiReply Out;
   Out.Status_ = Status;
   Out.Body_ =
       Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return Out;
 }
 
-HttpResponse refusalResponse(const Refusal &Why) {
-  HttpResponse Out = jsonResponse(
+ApiReply refusalResponse(const Refusal &Why) {
+  ApiReply Out = jsonResponse(
       statusOf(Why.Reason_), {{"verdict", toString(Why.Verdict_)},
                               {"reason", toString(Why.Reason_)},
                               {"message", Why.Message_},
--- a/src/daemon/api_reply.h
+++ b/src/daemon/api_reply.h
@@ -14,11 +14,11 @@
 /// The HTTP status that goes with a refusal.
 unsigned statusOf(RefusalReason Reason);
 
-HttpResponse jsonResponse(unsigned Status, const nlohmann::json &Body);
+ApiReply jsonResponse(unsigned Status, const nlohmann::json &Body);
 
 /// `{verdict, reason, message, retry_after_ms}`; closes the connection of a
 /// host that drains, so that the caller's next request goes elsewhere.
-HttpResponse refusalResponse(const Refusal &Why);
+ApiReply refusalResponse(const Refusal &Why);
 
 /// The lower-case hexadecimal SHA-256 of a key, as key records are named.
 std::string hashKey(const std::string &Key);
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -39,7 +39,7 @@
 
 /// The answer to a call tells the one task's end; work that may have run is
 /// a refusal.
-HttpResponse writeCall(const JobStatus &Status) {
+ApiReply writeCall(const JobStatus &Status) {
   if (Status.Tasks_.empty())
     return refusalResponse({Verdict::MayHaveRun, RefusalReason::WorkerFailed,
                             "the call's outcome is not known", Duration(0)});
@@ -58,11 +58,11 @@
   return jsonResponse(200, Body);
 }
 
-HttpResponse writeJob(const JobStatus &Status) {
+ApiReply writeJob(const JobStatus &Status) {
   return jsonResponse(200, toJson(Status));
 }
 
-HttpResponse writeExplanation(const JobStatus &Status) {
+ApiReply writeExplanation(const JobStatus &Status) {
   nlohmann::json Tasks = nlohmann::json::array();
   for (const TaskStatus &Task : Status.Tasks_)
     Tasks.push_back({{"task", Task.Task_.Index_},
@@ -117,7 +117,7 @@
   return {};
 }
 
-Result<JobSpec> CallerApi::readSpec(const HttpRequest &Request,
+Result<JobSpec> CallerApi::readSpec(const ApiRequest &Request,
                                     bool IsCall) const {
   if (Result<void> Proven = checkEvidence(); !Proven)
     return tl::unexpected(Proven.error());
@@ -146,7 +146,7 @@
   return Spec;
 }
 
-void CallerApi::call(const HttpRequest &Request, HttpResponder Respond) {
+void CallerApi::call(const ApiRequest &Request, ApiResponder Respond) {
   Result<JobSpec> Spec = readSpec(Request, true);
   if (!Spec)
     Respond(refusalResponse(Spec.error()));
@@ -154,7 +154,7 @@
     sendSpec(*Spec, Options_.CallTimeout_, writeCall, std::move(Respond));
 }
 
-void CallerApi::submit(const HttpRequest &Request, HttpResponder Respond) {
+void CallerApi::submit(const ApiRequest &Request, ApiResponder Respond) {
   Result<JobSpec> Spec = readSpec(Request, false);
   if (!Spec)
     Respond(refusalResponse(Spec.error()));
@@ -163,7 +163,7 @@
 }
 
 void CallerApi::sendSpec(const JobSpec &Spec, Duration Patience,
-                         StatusWriter Write, HttpResponder Respond) {
+                         StatusWriter Write, ApiResponder Respond) {
   auto Home = Routing_->View_->homeOf(Spec.Team_, Spec.Request_);
   if (!Home) {
     Respond(refusalResponse({Verdict::NotRun, RefusalReason::OwnerUnavailable,
@@ -184,7 +184,7 @@
 }
 
 Result<std::optional<TeamId>>
-CallerApi::keyTeam(const HttpRequest &Request) const {
+CallerApi::keyTeam(const ApiRequest &Request) const {
   std::optional<std::string> Key = bearerKey(Request.Authorization_);
   if (!Key)
     return std::optional<TeamId>();
@@ -196,7 +196,7 @@
   return std::optional<TeamId>(Found->Team_);
 }
 
-Result<Dispatch> CallerApi::findJob(const HttpRequest &Request,
+Result<Dispatch> CallerApi::findJob(const ApiRequest &Request,
                                     const JobId &Job, Duration Patience) const {
   if (Result<void> Proven = checkEvidence(); !Proven)
     return tl::unexpected(aboutJob(Proven.error()));
@@ -224,8 +224,8 @@
   return Queue != nullptr && Queue->OpenToAll_;
 }
 
-void CallerApi::askJob(const HttpRequest &Request, const JobId &Job,
-                       StatusWriter Write, HttpResponder Respond) {
+void CallerApi::askJob(const ApiRequest &Request, const JobId &Job,
+                       StatusWriter Write, ApiResponder Respond) {
   auto Wait = Request.Query_.find("wait");
   bool Waits = Wait != Request.Query_.end() && Wait->second == "1";
   Result<Dispatch> Wanted =
@@ -248,18 +248,18 @@
                  });
 }
 
-void CallerApi::query(const HttpRequest &Request, const JobId &Job,
-                      HttpResponder Respond) {
+void CallerApi::query(const ApiRequest &Request, const JobId &Job,
+                      ApiResponder Respond) {
   askJob(Request, Job, writeJob, std::move(Respond));
 }
 
-void CallerApi::explain(const HttpRequest &Request, const JobId &Job,
-                        HttpResponder Respond) {
+void CallerApi::explain(const ApiRequest &Request, const JobId &Job,
+                        ApiResponder Respond) {
   askJob(Request, Job, writeExplanation, std::move(Respond));
 }
 
-void CallerApi::cancel(const HttpRequest &Request, const JobId &Job,
-                       HttpResponder Respond) {
+void CallerApi::cancel(const ApiRequest &Request, const JobId &Job,
+                       ApiResponder Respond) {
   Result<Dispatch> Wanted = findJob(Request, Job, CommitWait);
   if (!Wanted) {
     Respond(refusalResponse(Wanted.error()));
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -35,34 +35,34 @@
   }
 
   /// POST /v1/calls: answered when the call has ended.
-  void call(const HttpRequest &Request, HttpResponder Respond);
+  void call(const ApiRequest &Request, ApiResponder Respond);
   /// POST /v1/jobs: answered when the job is committed.
-  void submit(const HttpRequest &Request, HttpResponder Respond);
+  void submit(const ApiRequest &Request, ApiResponder Respond);
   /// GET /v1/jobs/<id>; the query "wait=1" holds the answer until its end.
-  void query(const HttpRequest &Request, const JobId &Job,
-             HttpResponder Respond);
+  void query(const ApiRequest &Request, const JobId &Job,
+             ApiResponder Respond);
   /// GET /v1/jobs/<id>/explain
-  void explain(const HttpRequest &Request, const JobId &Job,
-               HttpResponder Respond);
+  void explain(const ApiRequest &Request, const JobId &Job,
+               ApiResponder Respond);
   /// DELETE /v1/jobs/<id>
-  void cancel(const HttpRequest &Request, const JobId &Job,
-              HttpResponder Respond);
+  void cancel(const ApiRequest &Request, const JobId &Job,
+              ApiResponder Respond);
 
 private:
-  using StatusWriter = std::function<HttpResponse(const JobStatus &)>;
+  using StatusWriter = std::function<ApiReply(const JobStatus &)>;
 
-  Result<JobSpec> readSpec(const HttpRequest &Request, bool IsCall) const;
+  Result<JobSpec> readSpec(const ApiRequest &Request, bool IsCall) const;
   Result<void> checkClass(JobSpec &Spec, bool IsCall) const;
   Result<void> checkExpiry(JobSpec &Spec, std::int64_t ExpiresUnixMs) const;
   Result<void> checkEvidence() const;
   /// The team by whose key the request came; empty without a key.
-  Result<std::optional<TeamId>> keyTeam(const HttpRequest &Request) const;
-  Result<Dispatch> findJob(const HttpRequest &Request, const JobId &Job,
+  Result<std::optional<TeamId>> keyTeam(const ApiRequest &Request) const;
+  Result<Dispatch> findJob(const ApiRequest &Request, const JobId &Job,
                            Duration Patience) const;
   void sendSpec(const JobSpec &Spec, Duration Patience, StatusWriter Write,
-                HttpResponder Respond);
-  void askJob(const HttpRequest &Request, const JobId &Job, StatusWriter Write,
-              HttpResponder Respond);
+                ApiResponder Respond);
+  void askJob(const ApiRequest &Request, const JobId &Job, StatusWriter Write,
+              ApiResponder Respond);
   bool mayShow(bool HasKey, const JobStatus &Status) const;
 
   const Settings &Options_;
--- a/src/daemon/http_api.cc
+++ b/src/daemon/http_api.cc
@@ -69,17 +69,17 @@
 
   DispatcherOutputs dispatcherOutputs();
   void checkIdle();
-  void received(const HttpRequest &Request, HttpResponder Respond);
+  void received(const ApiRequest &Request, ApiResponder Respond);
   std::optional<Refusal> refuseNow(const std::string &Route) const;
-  void route(const HttpRequest &Request, const std::vector<std::string> &Parts,
-             HttpResponder Respond);
-  bool routeJob(const HttpRequest &Request,
-                const std::vector<std::string> &Parts, HttpResponder &Respond);
-  bool routeRecord(const HttpRequest &Request,
+  void route(const ApiRequest &Request, const std::vector<std::string> &Parts,
+             ApiResponder Respond);
+  bool routeJob(const ApiRequest &Request,
+                const std::vector<std::string> &Parts, ApiResponder &Respond);
+  bool routeRecord(const ApiRequest &Request,
                    const std::vector<std::string> &Parts,
-                   HttpResponder &Respond);
-  bool routePage(const HttpRequest &Request, const HttpResponder &Respond);
-  HttpResponse statusPage() const;
+                   ApiResponder &Respond);
+  bool routePage(const ApiRequest &Request, const ApiResponder &Respond);
+  ApiReply statusPage() const;
 
   TaskThread &Thread_;
   const Settings &Options_;
@@ -128,7 +128,7 @@
   Thread_.every(DispatchInterval, [this] { Home_.tick(); });
   Server_ = std::make_unique<HttpServer>(
       Options_.HttpListen_, Options_.MaxBodyBytes_,
-      [this](const HttpRequest &Request, HttpResponder Respond) {
+      [this](const ApiRequest &Request, ApiResponder Respond) {
         received(Request, std::move(Respond));
       });
   logLine(LogLevel::Info, "listening", {{"address", Options_.HttpListen_}});
@@ -167,21 +167,21 @@
   return std::nullopt;
 }
 
-void HttpApi::Engine::received(const HttpRequest &Request,
-                               HttpResponder Respond) {
+void HttpApi::Engine::received(const ApiRequest &Request,
+                               ApiResponder Respond) {
   std::vector<std::string> Parts = splitPath(Request.Path_);
   std::string Route = routeLabel(Parts);
-  HttpResponder Counted =
-      [this, Route, Respond = std::move(Respond)](const HttpResponse &Answer) {
+  ApiResponder Counted =
+      [this, Route, Respond = std::move(Respond)](const ApiReply &Answer) {
         Figures_.count(
             "http_requests",
             {{"route", Route}, {"status", std::to_string(Answer.Status_)}});
-        HttpResponse Sent = Answer;
+        ApiReply Sent = Answer;
         Sent.CloseConnection_ = Sent.CloseConnection_ || Draining_;
         Respond(std::move(Sent));
       };
   if (std::optional<Refusal> Why = refuseNow(Route)) {
-    HttpResponse Refused = refusalResponse(*Why);
+    ApiReply Refused = refusalResponse(*Why);
     Refused.Status_ = 503;
     Counted(std::move(Refused));
     return;
@@ -189,9 +189,9 @@
   route(Request, Parts, std::move(Counted));
 }
 
-void HttpApi::Engine::route(const HttpRequest &Request,
+void HttpApi::Engine::route(const ApiRequest &Request,
                             const std::vector<std::string> &Parts,
-                            HttpResponder Respond) {
+                            ApiResponder Respond) {
   if (Request.Method_ == "POST" && Request.Path_ == "/v1/calls") {
     Callers_.call(Request, std::move(Respond));
     return;
@@ -207,9 +207,9 @@
                            "there is no such route", Duration(0)}));
 }
 
-bool HttpApi::Engine::routeJob(const HttpRequest &Request,
+bool HttpApi::Engine::routeJob(const ApiRequest &Request,
                                const std::vector<std::string> &Parts,
-                               HttpResponder &Respond) {
+                               ApiResponder &Respond) {
   if (Parts.size() < 3 || Parts[0] != "v1" || Parts[1] != "jobs")
     return false;
   JobId Job(Parts[2]);
@@ -225,9 +225,9 @@
   return true;
 }
 
-bool HttpApi::Engine::routeRecord(const HttpRequest &Request,
+bool HttpApi::Engine::routeRecord(const ApiRequest &Request,
                                   const std::vector<std::string> &Parts,
-                                  HttpResponder &Respond) {
+                                  ApiResponder &Respond) {
   const std::string &Method = Request.Method_;
   if (Method == "GET" && Request.Path_ == "/v1/log") {
     Operators_.log(Request, Respond);
@@ -245,11 +245,11 @@
   return true;
 }
 
-bool HttpApi::Engine::routePage(const HttpRequest &Request,
-                                const HttpResponder &Respond) {
+bool HttpApi::Engine::routePage(const ApiRequest &Request,
+                                const ApiResponder &Respond) {
   if (Request.Method_ != "GET")
     return false;
-  HttpResponse Out;
+  ApiReply Out;
   if (Request.Path_ == "/metrics") {
     Out.ContentType_ = "text/plain; version=0.0.4";
     Figures_.set("http_in_flight", {},
@@ -266,7 +266,7 @@
   return true;
 }
 
-HttpResponse HttpApi::Engine::statusPage() const {
+ApiReply HttpApi::Engine::statusPage() const {
   StatusFacts Facts;
   Facts.Self_ = Options_.member();
   Facts.Now_ = monotonicNow();
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -16,7 +16,7 @@
          R"("message":")" + Message + R"(","retry_after_ms":0})";
 }
 
-void setResponse(SoupServerMessage *Message, const HttpResponse &Answer) {
+void setResponse(SoupServerMessage *Message, const ApiReply &Answer) {
   soup_server_message_set_status(Message, Answer.Status_, nullptr);
   soup_server_message_set_response(Message, Answer.ContentType_.c_str(),
                                    SOUP_MEMORY_COPY, Answer.Body_.data(),
@@ -75,7 +75,7 @@
   Exchange(const Exchange &) = delete;
   Exchange &operator=(const Exchange &) = delete;
 
-  void respond(const HttpResponse &Answer) {
+  void respond(const ApiReply &Answer) {
     if (Message_ == nullptr || std::exchange(Answered_, true))
       return;
     setResponse(Message_, Answer);
@@ -114,7 +114,7 @@
 
   SoupServer *Server_ = nullptr;
   goffset MaxBodyBytes_ = 0;
-  HttpHandler Handler_;
+  ApiHandler Handler_;
   std::size_t InFlight_ = 0;
 };
 
@@ -124,7 +124,7 @@
   const auto &Own = *static_cast<State *>(Data);
   SoupMessageHeaders *Headers =
       soup_server_message_get_request_headers(Message);
-  HttpResponse Refused;
+  ApiReply Refused;
   Refused.CloseConnection_ = true;
   if (soup_message_headers_get_encoding(Headers) == SOUP_ENCODING_CHUNKED) {
     Refused.Status_ = SOUP_STATUS_LENGTH_REQUIRED;
@@ -142,7 +142,7 @@
                                   const char *Path, GHashTable *Query,
                                   gpointer Data) {
   auto &Own = *static_cast<State *>(Data);
-  HttpRequest Request;
+  ApiRequest Request;
   Request.Method_ = soup_server_message_get_method(Message);
   Request.Path_ = Path;
   Request.Query_ = readQuery(Query);
@@ -155,11 +155,11 @@
                         static_cast<GConnectFlags>(0));
   soup_server_message_pause(Message);
   Own.Handler_(std::move(Request),
-               [Held](const HttpResponse &Answer) { Held->respond(Answer); });
+               [Held](const ApiReply &Answer) { Held->respond(Answer); });
 }
 
 HttpServer::HttpServer(const std::string &Address, std::size_t MaxBodyBytes,
-                       HttpHandler Handler)
+                       ApiHandler Handler)
     : State_(std::make_unique<State>()) {
   State_->MaxBodyBytes_ = static_cast<goffset>(MaxBodyBytes);
   State_->Handler_ = std::move(Handler);
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -12,27 +12,27 @@
 namespace oleandergauge::daemon {
 
 /// A request whose body was read whole.
-struct HttpRequest {
+struct ApiRequest {
   std::string Method_;
   std::string Path_; ///< Percent-decoded.
   std::map<std::string, std::string> Query_;
   std::string Authorization_;
   std::string Operator_; ///< Header "X-Oleandergauge-Operator".
   std::string Body_;
-  friend bool operator==(const HttpRequest &, const HttpRequest &) = default;
+  friend bool operator==(const ApiRequest &, const ApiRequest &) = default;
 };
 
-struct HttpResponse {
+struct ApiReply {
   unsigned Status_ = 200;
   std::string ContentType_ = "application/json";
   std::string Body_;
   bool CloseConnection_ = false;
-  friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
+  friend bool operator==(const ApiReply &, const ApiReply &) = default;
 };
 
 /// Answers one request; may be called later, on the server's thread, once.
-using HttpResponder = std::function<void(HttpResponse)>;
-using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
+using ApiResponder = std::function<void(ApiReply)>;
+using ApiHandler = std::function<void(ApiRequest, ApiResponder)>;
 
 /// An HTTP/1.1 server by libsoup. Made and used on one task's thread.
 class HttpServer {
@@ -41,7 +41,7 @@
   /// A body above \p MaxBodyBytes is refused with status 413, one of unknown
   /// length with 411.
   HttpServer(const std::string &Address, std::size_t MaxBodyBytes,
-             HttpHandler Handler);
+             ApiHandler Handler);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -28,7 +28,7 @@
   return Value;
 }
 
-std::uint64_t queryNumber(const HttpRequest &Request, const std::string &Name,
+std::uint64_t queryNumber(const ApiRequest &Request, const std::string &Name,
                           std::uint64_t Otherwise) {
   auto Found = Request.Query_.find(Name);
   if (Found == Request.Query_.end())
@@ -62,7 +62,7 @@
   return Out;
 }
 
-HttpResponse writeConflict(const ChangeConflict &Conflict) {
+ApiReply writeConflict(const ChangeConflict &Conflict) {
   nlohmann::json Body = {{"verdict", toString(Verdict::NotRun)},
                          {"reason", toString(RefusalReason::Conflict)},
                          {"message", "another change came first"},
@@ -78,7 +78,7 @@
 
 } // namespace
 
-Result<void> OperatorApi::authorize(const HttpRequest &Request) const {
+Result<void> OperatorApi::authorize(const ApiRequest &Request) const {
   std::optional<std::string> Key = bearerKey(Request.Authorization_);
   bool Valid = Key && !Options_.OperatorKey_.empty() &&
                equalSecrets(*Key, Options_.OperatorKey_);
@@ -88,8 +88,8 @@
                                 "the operator key is not valid", Duration(0)});
 }
 
-void OperatorApi::list(const HttpRequest &Request, const std::string &KindText,
-                       const HttpResponder &Respond) {
+void OperatorApi::list(const ApiRequest &Request, const std::string &KindText,
+                       const ApiResponder &Respond) {
   if (Result<void> Allowed = authorize(Request); !Allowed) {
     Respond(refusalResponse(Allowed.error()));
     return;
@@ -107,9 +107,9 @@
                              {"records", std::move(Found)}}));
 }
 
-void OperatorApi::record(const HttpRequest &Request,
+void OperatorApi::record(const ApiRequest &Request,
                          const std::string &KindText, const std::string &Name,
-                         const HttpResponder &Respond) {
+                         const ApiResponder &Respond) {
   if (Result<void> Allowed = authorize(Request); !Allowed) {
     Respond(refusalResponse(Allowed.error()));
     return;
@@ -133,7 +133,7 @@
   Config_(std::move(*Change));
 }
 
-Result<RecordChange> OperatorApi::readChange(const HttpRequest &Request,
+Result<RecordChange> OperatorApi::readChange(const ApiRequest &Request,
                                              RecordKind Kind,
                                              const std::string &Name) const {
   RecordChange Out;
@@ -157,8 +157,8 @@
   return Out;
 }
 
-void OperatorApi::log(const HttpRequest &Request,
-                      const HttpResponder &Respond) {
+void OperatorApi::log(const ApiRequest &Request,
+                      const ApiResponder &Respond) {
   if (Result<void> Allowed = authorize(Request); !Allowed) {
     Respond(refusalResponse(Allowed.error()));
     return;
@@ -170,7 +170,7 @@
 }
 
 void OperatorApi::handle(const ChangeAnswered &Answer) {
-  HttpResponse Out = std::visit(
+  ApiReply Out = std::visit(
       detail::Overloaded{
           [](const ChangeAccepted &Done) {
             return jsonResponse(200, {{"version", Done.RowVersion_},
@@ -204,13 +204,13 @@
   respond(Answer.Token_, jsonResponse(200, {{"changes", std::move(Changes)}}));
 }
 
-Token OperatorApi::hold(HttpResponder Respond) {
+Token OperatorApi::hold(ApiResponder Respond) {
   Token Id = NextToken_++;
   Waiters_[Id] = std::move(Respond);
   return Id;
 }
 
-void OperatorApi::respond(Token Id, HttpResponse Answer) {
+void OperatorApi::respond(Token Id, ApiReply Answer) {
   auto Found = Waiters_.extract(Id);
   if (!Found.empty())
     Found.mapped()(std::move(Answer));
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -25,30 +25,30 @@
   }
 
   /// GET /v1/records/<kind>
-  void list(const HttpRequest &Request, const std::string &Kind,
-            const HttpResponder &Respond);
+  void list(const ApiRequest &Request, const std::string &Kind,
+            const ApiResponder &Respond);
   /// GET, PUT and DELETE /v1/records/<kind>/<name>. PUT carries the record's
   /// fields and expected_version, DELETE the latter as a query.
-  void record(const HttpRequest &Request, const std::string &Kind,
-              const std::string &Name, const HttpResponder &Respond);
+  void record(const ApiRequest &Request, const std::string &Kind,
+              const std::string &Name, const ApiResponder &Respond);
   /// GET /v1/log?after=<version>&limit=<count>
-  void log(const HttpRequest &Request, const HttpResponder &Respond);
+  void log(const ApiRequest &Request, const ApiResponder &Respond);
 
   void handle(const ChangeAnswered &Answer);
   void handle(const RecordAnswered &Answer);
   void handle(const LogAnswered &Answer);
 
 private:
-  Result<void> authorize(const HttpRequest &Request) const;
-  Result<RecordChange> readChange(const HttpRequest &Request, RecordKind Kind,
+  Result<void> authorize(const ApiRequest &Request) const;
+  Result<RecordChange> readChange(const ApiRequest &Request, RecordKind Kind,
                                   const std::string &Name) const;
-  Token hold(HttpResponder Respond);
-  void respond(Token Id, HttpResponse Answer);
+  Token hold(ApiResponder Respond);
+  void respond(Token Id, ApiReply Answer);
 
   const Settings &Options_;
   Mailbox<ConfigTaskMessage> Config_;
   std::shared_ptr<const Routing> Routing_;
-  std::map<Token, HttpResponder> Waiters_;
+  std::map<Token, ApiResponder> Waiters_;
   Token NextToken_ = 1;
 };
 
