--- a/src/core/partition_engine.h
+++ b/src/core/partition_engine.h
@@ -51,7 +51,14 @@
     detail::JobEntry Job_;
   };
   enum class RecoveryStep { Pointer, Chunks, Batches };
-  enum class SnapshotStep { None, Chunks, Pointer, ListOld, DeleteOld };
+  enum class SnapshotStep {
+    None,
+    Chunks,
+    Pointer,
+    ReadPointer,
+    ListOld,
+    DeleteOld
+  };
 
   // partition.cc: ownership, table requests, time.
   void dispatch(const PartitionEvent &Event);
@@ -90,6 +97,9 @@
   void beginSnapshot();
   void noteSnapshotReply(const TableReply &Reply);
   void sendSnapshotStep();
+  void notePointer(const Row &Pointer);
+  void noteOldRows(const Rows &Listed);
+  void noteSnapshotCommitted(const Committed &Reply);
 
   // partition_jobs.cc
   void onSubmitted(const Submitted &Event);
@@ -208,6 +218,9 @@
   TimePoint RecoveryRetry_;
   std::uint64_t SnapshotAt_ = 0;
   std::uint32_t SnapshotChunks_ = 0;
+  std::string SnapshotPrefix_;
+  std::uint64_t SnapshotVersion_ = 0; ///< Of the row that names it.
+  std::uint64_t SnapshotTries_ = 0;
   std::string ReplayedKey_;
   std::uint64_t ReplayedSequence_ = 0;
 
@@ -216,6 +229,7 @@
   std::size_t SnapshotNext_ = 0;
   std::uint64_t SnapshotSequence_ = 0;
   std::uint64_t SnapshotTicket_ = 0;
+  std::string NextPrefix_;
   std::vector<std::string> OldKeys_;
   std::string OldPrefix_;
 };
--- a/src/core/partition_recovery.cc
+++ b/src/core/partition_recovery.cc
@@ -21,11 +21,12 @@
   return "snapshot/" + Id.str() + "/chunk/";
 }
 
-std::string chunkKey(const PartitionId &Id, std::uint64_t Sequence,
-                     std::size_t Chunk) {
-  std::string Digits = std::to_string(Sequence);
-  Digits.insert(0, 20 - Digits.size(), '0');
-  return chunkPrefix(Id) + Digits + "/" + std::to_string(Chunk);
+/// Each try has a prefix of its own: a write of an earlier one that takes
+/// effect late must not change the rows of a later one.
+std::string triedPrefix(const PartitionId &Id, std::uint64_t Sequence,
+                        Epoch Owner, std::uint64_t Try) {
+  return chunkPrefix(Id) + std::to_string(Sequence) + "-" +
+         std::to_string(Owner) + "-" + std::to_string(Try) + "/";
 }
 
 std::string journalPrefix(const PartitionId &Id) {
@@ -44,6 +45,7 @@
   RecoveryStep_ = RecoveryStep::Pointer;
   RecoveryRetry_ = Now_;
   SnapshotAt_ = 0;
+  SnapshotTries_ = 0;
   ReplayedSequence_ = 0;
   ReplayedKey_.clear();
   Jobs_.clear();
@@ -59,7 +61,7 @@
   case RecoveryStep::Chunks: {
     ReadKeys Chunks;
     for (std::uint32_t Chunk = 0; Chunk < SnapshotChunks_; ++Chunk)
-      Chunks.Keys_.push_back(chunkKey(Id_, SnapshotAt_, Chunk));
+      Chunks.Keys_.push_back(SnapshotPrefix_ + std::to_string(Chunk));
     sendTable(RequestKind::Recovery, std::move(Chunks));
     return;
   }
@@ -79,12 +81,7 @@
     return;
   }
   if (RecoveryStep_ == RecoveryStep::Pointer) {
-    wire::SnapshotPointer Pointer;
-    const bool Present = !Read->Rows_.empty() && Read->Rows_[0].Version_ != 0;
-    if (Present)
-      Pointer.ParseFromString(Read->Rows_[0].Value_);
-    SnapshotAt_ = Pointer.sequence();
-    SnapshotChunks_ = Pointer.chunks();
+    notePointer(Read->Rows_.empty() ? Row() : Read->Rows_[0]);
     ReplayedSequence_ = SnapshotAt_;
     ReplayedKey_ = SnapshotAt_ ? journalKey(Id_, SnapshotAt_) : std::string();
     RecoveryStep_ =
@@ -105,6 +102,16 @@
     finishRecovery();
 }
 
+void Partition::Engine::notePointer(const Row &Pointer) {
+  wire::SnapshotPointer Current;
+  if (Pointer.Version_ != 0)
+    Current.ParseFromString(Pointer.Value_);
+  SnapshotAt_ = Current.sequence();
+  SnapshotChunks_ = Current.chunks();
+  SnapshotPrefix_ = Current.chunk_prefix();
+  SnapshotVersion_ = Pointer.Version_;
+}
+
 void Partition::Engine::replay(const std::string &Bytes) {
   const auto Batch = decodeBatch(Bytes);
   if (!Batch)
@@ -208,6 +215,7 @@
                           State.begin() + static_cast<std::ptrdiff_t>(End));
     SnapshotRows_.push_back(encodeBatch(Chunk));
   }
+  NextPrefix_ = triedPrefix(Id_, SnapshotSequence_, Epoch_, ++SnapshotTries_);
   SnapshotNext_ = 0;
   SnapshotTicket_ = LastTicket_;
   SnapshotStep_ =
@@ -221,7 +229,7 @@
   case SnapshotStep::None:
     return;
   case SnapshotStep::Chunks:
-    Change.Writes_.push_back({chunkKey(Id_, SnapshotSequence_, SnapshotNext_),
+    Change.Writes_.push_back({NextPrefix_ + std::to_string(SnapshotNext_),
                               SnapshotRows_[SnapshotNext_]});
     break;
   case SnapshotStep::Pointer: {
@@ -230,9 +238,16 @@
     wire::SnapshotPointer Pointer;
     Pointer.set_sequence(SnapshotSequence_);
     Pointer.set_chunks(static_cast<std::uint32_t>(SnapshotRows_.size()));
+    Pointer.set_chunk_prefix(NextPrefix_);
+    // The version keeps an earlier write that takes effect late from naming
+    // a snapshot whose rows were deleted.
+    Change.Conditions_.push_back({pointerKey(Id_), SnapshotVersion_});
     Change.Writes_.push_back({pointerKey(Id_), Pointer.SerializeAsString()});
     break;
   }
+  case SnapshotStep::ReadPointer:
+    sendTable(RequestKind::Snapshot, ReadKeys{{pointerKey(Id_)}});
+    return;
   case SnapshotStep::ListOld:
     sendTable(RequestKind::Snapshot, Scan{OldPrefix_, "", ScanRows});
     return;
@@ -245,31 +260,45 @@
 }
 
 void Partition::Engine::noteSnapshotReply(const TableReply &Reply) {
-  if (const auto *Listed = std::get_if<Rows>(&Reply)) {
-    if (SnapshotStep_ != SnapshotStep::ListOld)
-      return;
-    OldKeys_.clear();
-    const bool Batches = OldPrefix_ == journalPrefix(Id_);
-    // Journal rows up to the snapshot, and chunks of earlier snapshots.
-    const std::string Bound = Batches ? journalKey(Id_, SnapshotSequence_ + 1)
-                                      : chunkKey(Id_, SnapshotSequence_, 0);
-    for (const Row &Old : Listed->Rows_)
-      if (Old.Key_ < Bound && OldKeys_.size() < MaxDeletes)
-        OldKeys_.push_back(Old.Key_);
-    if (!OldKeys_.empty()) {
-      SnapshotStep_ = SnapshotStep::DeleteOld;
-      return;
+  if (const auto *Read = std::get_if<Rows>(&Reply)) {
+    if (SnapshotStep_ == SnapshotStep::ListOld)
+      noteOldRows(*Read);
+    if (SnapshotStep_ == SnapshotStep::ReadPointer) {
+      notePointer(Read->Rows_.empty() ? Row() : Read->Rows_[0]);
+      SnapshotStep_ = SnapshotStep::None;
     }
-    SnapshotStep_ = Batches ? SnapshotStep::ListOld : SnapshotStep::None;
-    OldPrefix_ = chunkPrefix(Id_);
     return;
   }
-  if (std::holds_alternative<Conflicted>(Reply)) {
-    SnapshotStep_ = SnapshotStep::None;
+  if (const auto *Done = std::get_if<Committed>(&Reply)) {
+    noteSnapshotCommitted(*Done);
     return;
   }
-  if (!std::holds_alternative<Committed>(Reply))
-    return; // Every step may be sent again.
+  // An earlier send may have taken effect. Other steps are sent again.
+  if (SnapshotStep_ == SnapshotStep::Pointer ||
+      std::holds_alternative<Conflicted>(Reply))
+    SnapshotStep_ = SnapshotStep::ReadPointer;
+}
+
+/// Chooses journal rows up to the snapshot, then chunks of other snapshots.
+void Partition::Engine::noteOldRows(const Rows &Listed) {
+  OldKeys_.clear();
+  const bool Batches = OldPrefix_ == journalPrefix(Id_);
+  const std::string Bound = journalKey(Id_, SnapshotAt_ + 1);
+  for (const Row &Old : Listed.Rows_) {
+    const bool Needed =
+        Batches ? Old.Key_ >= Bound : Old.Key_.starts_with(SnapshotPrefix_);
+    if (!Needed && OldKeys_.size() < MaxDeletes)
+      OldKeys_.push_back(Old.Key_);
+  }
+  if (!OldKeys_.empty()) {
+    SnapshotStep_ = SnapshotStep::DeleteOld;
+    return;
+  }
+  SnapshotStep_ = Batches ? SnapshotStep::ListOld : SnapshotStep::None;
+  OldPrefix_ = chunkPrefix(Id_);
+}
+
+void Partition::Engine::noteSnapshotCommitted(const Committed &Reply) {
   switch (SnapshotStep_) {
   case SnapshotStep::Chunks:
     if (++SnapshotNext_ == SnapshotRows_.size())
@@ -277,6 +306,8 @@
     return;
   case SnapshotStep::Pointer:
     SnapshotAt_ = SnapshotSequence_;
+    SnapshotPrefix_ = NextPrefix_;
+    SnapshotVersion_ = Reply.Versions_.empty() ? 0 : Reply.Versions_[0];
     OldPrefix_ = journalPrefix(Id_);
     SnapshotStep_ = SnapshotStep::ListOld;
     return;
@@ -284,6 +315,7 @@
     SnapshotStep_ = SnapshotStep::ListOld;
     return;
   case SnapshotStep::None:
+  case SnapshotStep::ReadPointer:
   case SnapshotStep::ListOld:
     return;
   }
--- a/src/core/partition_workers.cc
+++ b/src/core/partition_workers.cc
@@ -80,7 +80,8 @@
     if (Found == Workers_.end())
       continue;
     Found->second.Probing_ = true;
-    updateOpen(Found->second);
+    if (mayStartOn(Found->second))
+      Scheduler_.openForProbe(Id);
   }
 }
 
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -118,12 +118,17 @@
 std::vector<PlacedTask> Scheduler::decide(TimePoint Now,
                                           std::size_t MaxPlacements) {
   Round R{Now, MaxPlacements, {}};
-  for (std::size_t Band = 0; Band < BandCount; ++Band)
+  const std::size_t Bands = State_->DirectOnly_ ? DirectBandCount : BandCount;
+  for (std::size_t Band = 0; Band < Bands; ++Band)
     if (R.Placed_.size() < R.Max_)
       State_->runBand(Band, R);
   return std::move(R.Placed_);
 }
 
+void Scheduler::setDirectOnly(bool DirectOnly) {
+  State_->DirectOnly_ = DirectOnly;
+}
+
 std::vector<Preemption> Scheduler::choosePreemptions(TimePoint Now) {
   return State_->choosePreemptions(Now);
 }
--- a/src/core/scheduler_state.h
+++ b/src/core/scheduler_state.h
@@ -175,6 +175,7 @@
   std::string explainMisfit(const WorkItem &Item) const;
 
   SchedulerOptions Options_;
+  bool DirectOnly_ = false;
   std::vector<detail::Worker> Workers_;
   std::vector<WorkerIndex> FreePlaces_;
   std::unordered_map<WorkerId, WorkerIndex> WorkerByName_;
--- a/src/core/wait_queue.h
+++ b/src/core/wait_queue.h
@@ -20,6 +20,8 @@
 /// Priority bands, the first served first.
 inline constexpr std::size_t UrgentDirectBand = 0;
 inline constexpr std::size_t DirectBand = 1;
+/// The bands of direct work.
+inline constexpr std::size_t DirectBandCount = 2;
 inline constexpr std::size_t UrgentBand = 2;
 inline constexpr std::size_t ServiceBand = 3;
 inline constexpr std::size_t BatchBand = 4;
