Read and change records through the record codec

Cause: the daemon had its own drafts of the record loader and of changes, and a client of the object store, which is not used any more.

Change: record changes and loading use the codec's types; the object store's setting and calls are removed.

--- a/src/daemon/api_reply.cc
+++ b/src/daemon/api_reply.cc
@@ -69,11 +69,11 @@
 }
 
 ApiReply refusalResponse(const Refusal &Why) {
-  ApiReply Out = jsonResponse(
-      statusOf(Why.Reason_), {{"verdict", toString(Why.Verdict_)},
-                              {"reason", toString(Why.Reason_)},
-                              {"message", Why.Message_},
-                              {"retry_after_ms", toMillis(Why.RetryAfter_)}});
+  ApiReply Out = jsonResponse(statusOf(Why.Reason_),
+                              {{"verdict", toString(Why.Verdict_)},
+                               {"reason", toString(Why.Reason_)},
+                               {"message", Why.Message_},
+                               {"retry_after_ms", toMillis(Why.RetryAfter_)}});
   Out.CloseConnection_ = Why.Reason_ == RefusalReason::Draining;
   return Out;
 }
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -196,8 +196,8 @@
   return std::optional<TeamId>(Found->Team_);
 }
 
-Result<Dispatch> CallerApi::findJob(const ApiRequest &Request,
-                                    const JobId &Job, Duration Patience) const {
+Result<Dispatch> CallerApi::findJob(const ApiRequest &Request, const JobId &Job,
+                                    Duration Patience) const {
   if (Result<void> Proven = checkEvidence(); !Proven)
     return tl::unexpected(aboutJob(Proven.error()));
   std::optional<JobIdParts> Parts = parseJobId(Job);
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -39,8 +39,7 @@
   /// POST /v1/jobs: answered when the job is committed.
   void submit(const ApiRequest &Request, ApiResponder Respond);
   /// GET /v1/jobs/<id>; the query "wait=1" holds the answer until its end.
-  void query(const ApiRequest &Request, const JobId &Job,
-             ApiResponder Respond);
+  void query(const ApiRequest &Request, const JobId &Job, ApiResponder Respond);
   /// GET /v1/jobs/<id>/explain
   void explain(const ApiRequest &Request, const JobId &Job,
                ApiResponder Respond);
--- a/src/daemon/config_task.cc
+++ b/src/daemon/config_task.cc
@@ -22,13 +22,25 @@
 constexpr Duration HeartbeatTimeout = std::chrono::milliseconds(1000);
 constexpr std::uint32_t MaxMembers = 1000;
 constexpr int MaxDeregisterTries = 3;
-constexpr const char *MemberPrefix = "member/";
-constexpr const char *OwnerPrefix = "owner/";
 
-const Row *findRow(const Rows &Read, const std::string &Key) {
+/// Empty where the row is absent.
+std::optional<Row> findRow(const Rows &Read, const std::string &Key) {
   auto Found = std::find_if(Read.Rows_.begin(), Read.Rows_.end(),
                             [&](const Row &R) { return R.Key_ == Key; });
-  return Found == Read.Rows_.end() || Found->Version_ == 0 ? nullptr : &*Found;
+  if (Found == Read.Rows_.end() || Found->Version_ == 0)
+    return std::nullopt;
+  return *Found;
+}
+
+/// The head version out of a read that names its row; empty where the table
+/// did not answer.
+std::optional<std::uint64_t> headOf(const Rows *Read) {
+  if (Read == nullptr)
+    return std::nullopt;
+  Row Absent{codec::ConfigHeadKey, "", 0};
+  Row Found = findRow(*Read, codec::ConfigHeadKey).value_or(Absent);
+  Result<codec::ConfigHead> Head = codec::decodeHead(Found);
+  return Head ? std::optional(Head->Version_) : std::nullopt;
 }
 
 TimePoint evidenceEnd(const std::optional<TimePoint> &ProvenAt) {
@@ -51,7 +63,7 @@
 private:
   void take(const OwnershipReported &Reported);
   void take(const HeartbeatReceived &Received);
-  void take(const RecordChange &Wanted) { Changes_->change(Wanted); }
+  void take(const ChangeAsked &Wanted) { Changes_->change(Wanted); }
   void take(const RecordAsked &Asked) { Changes_->read(Asked); }
   void take(const LogAsked &Asked) { Changes_->readLog(Asked); }
   void take(const DrainAnnounced &Wanted);
@@ -152,7 +164,7 @@
 
 void ConfigTask::Engine::take(const DeregisterRequested &Wanted) {
   Leaving_ = true;
-  Write Removal{MemberPrefix + Options_.Host_.str(), std::nullopt};
+  Write Removal{codec::memberKey(Options_.Host_), std::nullopt};
   sendTable(Transaction{{}, {Removal}}, [this, Wanted](const auto &Reply) {
     bool Done = std::holds_alternative<Committed>(Reply);
     if (!Done && ++DeregisterTries_ < MaxDeregisterTries) {
@@ -195,9 +207,9 @@
 void ConfigTask::Engine::readHead() {
   if (std::exchange(ReadingHead_, true))
     return;
-  ReadKeys Wants{{HeadKey}};
+  ReadKeys Wants{{codec::ConfigHeadKey}};
   for (const auto &[Id, Spec] : View_->partitions())
-    Wants.Keys_.push_back(OwnerPrefix + Id.str());
+    Wants.Keys_.push_back(ownerKey(Id));
   TimePoint BeganAt = monotonicNow();
   sendTable(Wants, [this, BeganAt](const TableReply &Reply) {
     ReadingHead_ = false;
@@ -207,16 +219,15 @@
 
 void ConfigTask::Engine::headRead(TimePoint BeganAt, const TableReply &Reply) {
   const auto *Read = std::get_if<Rows>(&Reply);
-  Figures_.count("head_reads",
-                 {{"outcome", Read == nullptr ? "failed" : "answered"}});
-  if (Read == nullptr) {
+  std::optional<std::uint64_t> Head = headOf(Read);
+  Figures_.count("head_reads", {{"outcome", Head ? "answered" : "failed"}});
+  if (Read == nullptr)
     Guard_.noteStoreFailure(BeganAt);
+  if (!Head) {
     publish();
     return;
   }
-  const Row *Head = findRow(*Read, HeadKey);
-  std::uint64_t Version =
-      Head == nullptr ? 0 : decodeHead(Head->Value_).value_or(0);
+  std::uint64_t Version = *Head;
   Guard_.noteHeadRead(Version, BeganAt);
   readOwners(*Read);
   if (Version > View_->headVersion())
@@ -226,8 +237,8 @@
 
 void ConfigTask::Engine::readOwners(const Rows &Read) {
   for (const auto &[Id, Spec] : View_->partitions()) {
-    const Row *Found = findRow(Read, OwnerPrefix + Id.str());
-    if (Found == nullptr)
+    std::optional<Row> Found = findRow(Read, ownerKey(Id));
+    if (!Found)
       continue;
     if (auto Owner = decodeOwner(Found->Value_))
       Members_.noteOwnerRow(Id, Owner->Epoch_, Owner->Host_);
@@ -251,8 +262,8 @@
 void ConfigTask::Engine::registerSelf() {
   if (Leaving_ || std::exchange(Registering_, true))
     return;
-  Write Entry{MemberPrefix + Options_.Host_.str(),
-              encodeMember(Options_.member())};
+  Write Entry{codec::memberKey(Options_.Host_),
+              codec::encodeMember(Options_.member())};
   sendTable(Transaction{{}, {Entry}}, [this](const TableReply &Reply) {
     Registering_ = false;
     if (!std::holds_alternative<Committed>(Reply)) {
@@ -271,7 +282,7 @@
   if (std::exchange(ReadingMembers_, true))
     return;
   TimePoint BeganAt = monotonicNow();
-  sendTable(Scan{MemberPrefix, "", MaxMembers},
+  sendTable(Scan{codec::MemberPrefix, "", MaxMembers},
             [this, BeganAt](const TableReply &Reply) {
               ReadingMembers_ = false;
               membersRead(BeganAt, Reply);
@@ -286,7 +297,7 @@
   std::vector<Member> Found;
   bool SelfFound = false;
   for (const Row &Each : Read->Rows_)
-    if (auto Decoded = decodeMember(Each.Value_)) {
+    if (Result<Member> Decoded = codec::decodeMember(Each)) {
       SelfFound = SelfFound || *Decoded == Options_.member();
       Found.push_back(*Decoded);
     }
--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -76,16 +76,14 @@
                          const HeartbeatReceived &) = default;
 };
 
-/// An operator's change of one record; no body deletes it.
-struct RecordChange {
+/// An operator's change of one record; answered with ChangeAnswered.
+struct ChangeAsked {
   Token Token_ = 0;
-  RecordKind Kind_ = RecordKind::Team;
-  std::string Name_;
-  std::optional<RecordBody> Body_;
-  /// Version of the row that the operator saw; 0: absent. Empty: any.
-  std::optional<std::uint64_t> Expected_;
+  codec::RecordChange Change_;
+  /// Whatever version is stored; Change_.ExpectedVersion_ means nothing.
+  bool AnyVersion_ = false;
   std::string Operator_;
-  friend bool operator==(const RecordChange &, const RecordChange &) = default;
+  friend bool operator==(const ChangeAsked &, const ChangeAsked &) = default;
 };
 
 /// Asks for a record as the store has it now.
@@ -117,8 +115,8 @@
 };
 
 using ConfigTaskMessage =
-    std::variant<OwnershipReported, HeartbeatReceived, RecordChange,
-                 RecordAsked, LogAsked, DrainAnnounced, DeregisterRequested>;
+    std::variant<OwnershipReported, HeartbeatReceived, ChangeAsked, RecordAsked,
+                 LogAsked, DrainAnnounced, DeregisterRequested>;
 
 // ---------------------------------------------------------- To the HTTP task
 
@@ -163,7 +161,7 @@
 /// at once.
 struct ChangeConflict {
   std::optional<Record> Present_;
-  std::optional<ConfigLogEntry> Last_;
+  std::optional<codec::ConfigLogEntry> Last_;
   friend bool operator==(const ChangeConflict &,
                          const ChangeConflict &) = default;
 };
@@ -186,7 +184,7 @@
 
 struct LogAnswered {
   Token Token_ = 0;
-  Result<std::vector<ConfigLogEntry>> Changes_;
+  Result<std::vector<codec::ConfigLogEntry>> Changes_;
   friend bool operator==(const LogAnswered &, const LogAnswered &) = default;
 };
 
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -107,9 +107,8 @@
                              {"records", std::move(Found)}}));
 }
 
-void OperatorApi::record(const ApiRequest &Request,
-                         const std::string &KindText, const std::string &Name,
-                         const ApiResponder &Respond) {
+void OperatorApi::record(const ApiRequest &Request, const std::string &KindText,
+                         const std::string &Name, const ApiResponder &Respond) {
   if (Result<void> Allowed = authorize(Request); !Allowed) {
     Respond(refusalResponse(Allowed.error()));
     return;
@@ -157,8 +156,7 @@
   return Out;
 }
 
-void OperatorApi::log(const ApiRequest &Request,
-                      const ApiResponder &Respond) {
+void OperatorApi::log(const ApiRequest &Request, const ApiResponder &Respond) {
   if (Result<void> Allowed = authorize(Request); !Allowed) {
     Respond(refusalResponse(Allowed.error()));
     return;
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -40,8 +40,8 @@
 
 private:
   Result<void> authorize(const ApiRequest &Request) const;
-  Result<RecordChange> readChange(const ApiRequest &Request, RecordKind Kind,
-                                  const std::string &Name) const;
+  Result<ChangeAsked> readChange(const ApiRequest &Request, RecordKind Kind,
+                                 const std::string &Name) const;
   Token hold(ApiResponder Respond);
   void respond(Token Id, ApiReply Answer);
 
--- a/src/daemon/partition_task.cc
+++ b/src/daemon/partition_task.cc
@@ -81,9 +81,6 @@
   void answer(const Waiter &To, Result<JobStatus> Answer);
 
   void execute(const PartitionId &Id, const SendTable &Effect);
-  void execute(const PartitionId &Id, const PutObject &Effect);
-  void execute(const PartitionId &Id, const GetObject &Effect);
-  void execute(const PartitionId &Id, const DeleteObject &Effect);
   void execute(const PartitionId &Id, const StartOnWorker &Effect);
   void execute(const PartitionId &Id, const ExchangeWithWorker &Effect);
   void execute(const PartitionId &Id, const StopOnWorker &Effect);
@@ -109,7 +106,6 @@
   std::deque<std::pair<PartitionId, PartitionEvent>> Events_;
   bool Feeding_ = false;
   std::unique_ptr<TableClient> Table_;
-  std::unique_ptr<ObjectClient> Objects_;
   std::unique_ptr<WorkerClient> Workers_;
 };
 
@@ -121,8 +117,6 @@
 void PartitionTask::Engine::start() {
   Table_ =
       std::make_unique<TableClient>(Options_.TableUrl_, Options_.TableTimeout_);
-  Objects_ = std::make_unique<ObjectClient>(Options_.ObjectUrl_,
-                                            Options_.ObjectTimeout_);
   Workers_ = std::make_unique<WorkerClient>(Options_.CommandTimeout_,
                                             Options_.CallTimeout_);
   Thread_.every(TickInterval, [this] { tick(); });
@@ -340,24 +334,6 @@
   });
 }
 
-void PartitionTask::Engine::execute(const PartitionId &Id,
-                                    const PutObject &Effect) {
-  Objects_->put(Effect,
-                [this, Id](const ObjectAnswered &Answer) { feed(Id, Answer); });
-}
-
-void PartitionTask::Engine::execute(const PartitionId &Id,
-                                    const GetObject &Effect) {
-  Objects_->get(Effect,
-                [this, Id](const ObjectAnswered &Answer) { feed(Id, Answer); });
-}
-
-void PartitionTask::Engine::execute(const PartitionId &Id,
-                                    const DeleteObject &Effect) {
-  Objects_->remove(
-      Effect, [this, Id](const ObjectAnswered &Answer) { feed(Id, Answer); });
-}
-
 void PartitionTask::Engine::execute(const PartitionId &Id,
                                     const StartOnWorker &Effect) {
   if (Effect.Spec_->Class_ == WorkClass::Direct)
--- a/src/daemon/record_changes.cc
+++ b/src/daemon/record_changes.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "codec/records.h"
 #include "daemon/log.h"
 
 namespace oleandergauge::daemon {
@@ -23,32 +22,43 @@
   return {Value, RefusalReason::StoreUnavailable, Message, StoreRetryHint};
 }
 
-const Row *findRow(const Rows &Read, const std::string &Key) {
+Refusal notAnswered() {
+  return storeRefusal(Verdict::NotRun, "the table service did not answer");
+}
+
+/// The row with this key, which may be an absent one.
+Row findRow(const Rows &Read, const std::string &Key) {
   auto Found = std::find_if(Read.Rows_.begin(), Read.Rows_.end(),
                             [&](const Row &R) { return R.Key_ == Key; });
-  return Found == Read.Rows_.end() || Found->Version_ == 0 ? nullptr : &*Found;
+  return Found == Read.Rows_.end() ? Row{Key, "", 0} : *Found;
 }
 
-std::optional<Record> readRecord(const Rows &Read, RecordKind Kind,
-                                 const std::string &Name) {
-  const Row *Found = findRow(Read, recordKey(Kind, Name));
-  if (Found == nullptr)
-    return std::nullopt;
-  return decodeRecord(Name, Found->Value_, Found->Version_);
+/// The entries that can be decoded; none where the table did not answer.
+std::vector<codec::ConfigLogEntry> readEntries(const TableReply &Reply) {
+  std::vector<codec::ConfigLogEntry> Out;
+  if (const auto *Read = std::get_if<Rows>(&Reply))
+    for (const Row &Each : Read->Rows_)
+      if (Result<codec::ConfigLogEntry> Entry = codec::decodeLogEntry(Each))
+        Out.push_back(std::move(*Entry));
+  return Out;
 }
 
-} // namespace
-
-std::string recordKey(RecordKind Kind, const std::string &Name) {
-  return ConfigPrefix + std::string(toString(Kind)) + "/" + Name;
+/// Empty where the row is absent or cannot be decoded.
+std::optional<Record> readRecord(const Rows &Read, const std::string &Key) {
+  Row Found = findRow(Read, Key);
+  if (Found.Version_ == 0)
+    return std::nullopt;
+  Result<Record> Decoded = codec::decodeRecord(Found);
+  return Decoded ? std::optional<Record>(*Decoded) : std::nullopt;
 }
 
-std::string logKey(std::uint64_t Version) {
-  std::string Digits = std::to_string(Version);
-  return LogPrefix + std::string(20 - Digits.size(), '0') + Digits;
+std::string keyOf(const codec::RecordChange &Change) {
+  return codec::recordKey(Change.Kind_, Change.Name_);
 }
 
-void RecordChanges::change(RecordChange Wanted) {
+} // namespace
+
+void RecordChanges::change(ChangeAsked Wanted) {
   Queue_.push_back(std::move(Wanted));
   if (!Work_)
     next();
@@ -71,68 +81,75 @@
                         "this host may not commit changes at present"));
     return;
   }
-  const RecordChange &Wanted = Work_->Wanted_;
-  ReadKeys Wants{{recordKey(Wanted.Kind_, Wanted.Name_), HeadKey}};
+  ReadKeys Wants{{keyOf(Work_->Wanted_.Change_), codec::ConfigHeadKey}};
   Outputs_.Table_(Wants, [this](const TableReply &Reply) { baseRead(Reply); });
 }
 
 void RecordChanges::baseRead(const TableReply &Reply) {
   const auto *Read = std::get_if<Rows>(&Reply);
-  if (Read == nullptr) {
-    refuse(storeRefusal(Verdict::NotRun, "the table service did not answer"));
-    return;
+  if (Read == nullptr)
+    refuse(notAnswered());
+  else if (prepare(*Read))
+    commit();
+}
+
+/// Works out the changed record; false where the change was answered.
+bool RecordChanges::prepare(const Rows &Read) {
+  codec::RecordChange &Change = Work_->Wanted_.Change_;
+  Result<codec::ConfigHead> Head =
+      codec::decodeHead(findRow(Read, codec::ConfigHeadKey));
+  if (!Head) {
+    refuse(Head.error());
+    return false;
   }
-  const RecordChange &Wanted = Work_->Wanted_;
-  const Row *Present = findRow(*Read, recordKey(Wanted.Kind_, Wanted.Name_));
-  const Row *Head = findRow(*Read, HeadKey);
-  Work_->RowVersion_ = Present == nullptr ? 0 : Present->Version_;
-  Work_->Present_ = readRecord(*Read, Wanted.Kind_, Wanted.Name_);
-  Work_->Head_ = Head == nullptr ? 0 : decodeHead(Head->Value_).value_or(0);
-  Work_->HeadRowVersion_ = Head == nullptr ? 0 : Head->Version_;
-  if (Wanted.Expected_ && *Wanted.Expected_ != Work_->RowVersion_)
+  Work_->Head_ = *Head;
+  std::uint64_t Version = findRow(Read, keyOf(Change)).Version_;
+  Work_->Present_ = readRecord(Read, keyOf(Change));
+  if (Work_->Wanted_.AnyVersion_)
+    Change.ExpectedVersion_ = Version;
+  if (Change.ExpectedVersion_ != Version) {
     conflict();
-  else if (!Wanted.Body_ && Present == nullptr)
+    return false;
+  }
+  if (!Change.Body_ && Version == 0) {
     refuse({Verdict::NotRun, RefusalReason::NotFound, "there is no such record",
             Duration(0)});
-  else
-    commit();
-}
-
-Transaction RecordChanges::transaction() const {
-  const RecordChange &Wanted = Work_->Wanted_;
-  std::string Key = recordKey(Wanted.Kind_, Wanted.Name_);
-  std::uint64_t Next = Work_->Head_ + 1;
-  std::optional<std::string> Value;
-  if (Wanted.Body_) {
-    Record Changed = Work_->Present_.value_or(Record{});
-    Changed.Name_ = Wanted.Name_;
-    Changed.SchemaVersion_ =
-        std::max(Changed.SchemaVersion_, NewestSchemaVersion);
-    Changed.Body_ = *Wanted.Body_;
-    Value = encodeRecord(Changed);
+    return false;
+  }
+  Work_->Next_.reset();
+  if (!Change.Body_)
+    return true;
+  Result<Record> Next = codec::applyChange(Work_->Present_, Change);
+  if (!Next) {
+    refuse(Next.error());
+    return false;
   }
-  return {{{Key, Work_->RowVersion_}, {HeadKey, Work_->HeadRowVersion_}},
-          {{Key, Value},
-           {HeadKey, encodeHead(Next)},
-           {logKey(Next), Work_->EntryBytes_}}};
+  Work_->Next_ = *Next;
+  return true;
 }
 
 void RecordChanges::commit() {
-  const RecordChange &Wanted = Work_->Wanted_;
-  std::string Summary = Wanted.Body_ ? "put" : "delete";
-  Work_->EntryBytes_ = encodeLogEntry(
-      {Work_->Head_ + 1, Wanted.Operator_, Outputs_.UnixMs_(),
-       std::string(toString(Wanted.Kind_)), Wanted.Name_, Summary});
+  Work_->Author_ = {Work_->Wanted_.Operator_, Outputs_.UnixMs_()};
   Outputs_.SetInFlight_(true);
   ++Work_->Tries_;
-  Outputs_.Table_(transaction(),
+  send();
+}
+
+void RecordChanges::send() {
+  Transaction Wanted = codec::changeTransaction(
+      Work_->Head_, Work_->Wanted_.Change_, Work_->Next_, Work_->Author_);
+  Outputs_.Table_(Wanted,
                   [this](const TableReply &Reply) { commitAnswered(Reply); });
 }
 
+std::string RecordChanges::nextLogKey() const {
+  return codec::configLogKey(Work_->Head_.Version_ + 1);
+}
+
 void RecordChanges::commitAnswered(const TableReply &Reply) {
   if (const auto *Done = std::get_if<Committed>(&Reply)) {
     std::uint64_t Version = Done->Versions_.empty() ? 0 : Done->Versions_[0];
-    finish(ChangeAccepted{Version, Work_->Head_ + 1});
+    finish(ChangeAccepted{Version, Work_->Head_.Version_ + 1});
     return;
   }
   if (std::holds_alternative<OutcomeUnknown>(Reply))
@@ -148,9 +165,7 @@
 /// The log entry tells whether the transaction took effect: its key is the
 /// next head version, which one change alone can have.
 void RecordChanges::readBack() {
-  const RecordChange &Wanted = Work_->Wanted_;
-  ReadKeys Wants{
-      {logKey(Work_->Head_ + 1), recordKey(Wanted.Kind_, Wanted.Name_)}};
+  ReadKeys Wants{{nextLogKey(), keyOf(Work_->Wanted_.Change_)}};
   Outputs_.Table_(Wants, [this](const TableReply &Reply) { backRead(Reply); });
 }
 
@@ -160,22 +175,21 @@
     settleLater(&RecordChanges::readBack);
     return;
   }
-  const RecordChange &Wanted = Work_->Wanted_;
-  const Row *Entry = findRow(*Read, logKey(Work_->Head_ + 1));
-  if (Entry == nullptr) {
+  Row Entry = findRow(*Read, nextLogKey());
+  if (Entry.Version_ == 0) {
     // Lost, or still on its way; sent again it can take effect once only.
-    Outputs_.Table_(transaction(),
-                    [this](const TableReply &Again) { commitAnswered(Again); });
+    send();
     return;
   }
-  if (Entry->Value_ != Work_->EntryBytes_) {
+  std::string Own = codec::encodeLogEntry(
+      codec::logEntryFor(Work_->Head_, Work_->Wanted_.Change_, Work_->Author_));
+  if (Entry.Value_ != Own) {
     Work_->Unsettled_ = false;
     startOver();
     return;
   }
-  const Row *Present = findRow(*Read, recordKey(Wanted.Kind_, Wanted.Name_));
-  finish(ChangeAccepted{Present == nullptr ? 0 : Present->Version_,
-                        Work_->Head_ + 1});
+  Row Present = findRow(*Read, keyOf(Work_->Wanted_.Change_));
+  finish(ChangeAccepted{Present.Version_, Work_->Head_.Version_ + 1});
 }
 
 void RecordChanges::settleLater(void (RecordChanges::*Step)()) {
@@ -198,18 +212,16 @@
 }
 
 void RecordChanges::conflict() {
-  std::uint64_t Head = Work_->Head_;
+  std::uint64_t Head = Work_->Head_.Version_;
   std::uint64_t First = Head > ConflictSearch ? Head - ConflictSearch : 0;
-  Scan Wants{LogPrefix, logKey(First), ConflictSearch};
+  Scan Wants{codec::ConfigLogPrefix, codec::configLogKey(First),
+             ConflictSearch};
   Outputs_.Table_(Wants, [this](const TableReply &Reply) {
+    const codec::RecordChange &Change = Work_->Wanted_.Change_;
     ChangeConflict Out{Work_->Present_, std::nullopt};
-    const auto *Read = std::get_if<Rows>(&Reply);
-    for (const Row &Each : Read == nullptr ? std::vector<Row>() : Read->Rows_) {
-      std::optional<ConfigLogEntry> Entry = decodeLogEntry(Each.Value_);
-      if (Entry && Entry->Kind_ == toString(Work_->Wanted_.Kind_) &&
-          Entry->Name_ == Work_->Wanted_.Name_)
+    for (codec::ConfigLogEntry &Entry : readEntries(Reply))
+      if (Entry.Kind_ == Change.Kind_ && Entry.Name_ == Change.Name_)
         Out.Last_ = std::move(Entry);
-    }
     finish(std::move(Out));
   });
 }
@@ -229,32 +241,23 @@
 }
 
 void RecordChanges::read(const RecordAsked &Asked) {
-  ReadKeys Wants{{recordKey(Asked.Kind_, Asked.Name_)}};
-  Outputs_.Table_(Wants, [this, Asked](const TableReply &Reply) {
+  std::string Key = codec::recordKey(Asked.Kind_, Asked.Name_);
+  Outputs_.Table_(ReadKeys{{Key}}, [this, Key, Asked](const auto &Reply) {
     const auto *Read = std::get_if<Rows>(&Reply);
-    RecordAnswered Out{Asked.Token_, tl::unexpected(storeRefusal(
-                                         Verdict::NotRun,
-                                         "the table service did not answer"))};
+    RecordAnswered Out{Asked.Token_, tl::unexpected(notAnswered())};
     if (Read != nullptr)
-      Out.Record_ = readRecord(*Read, Asked.Kind_, Asked.Name_);
+      Out.Record_ = readRecord(*Read, Key);
     Outputs_.Answers_(std::move(Out));
   });
 }
 
 void RecordChanges::readLog(const LogAsked &Asked) {
-  Scan Wants{LogPrefix, logKey(Asked.After_), Asked.Limit_};
+  Scan Wants{codec::ConfigLogPrefix, codec::configLogKey(Asked.After_),
+             Asked.Limit_};
   Outputs_.Table_(Wants, [this, Asked](const TableReply &Reply) {
-    const auto *Read = std::get_if<Rows>(&Reply);
-    LogAnswered Out{Asked.Token_,
-                    tl::unexpected(storeRefusal(
-                        Verdict::NotRun, "the table service did not answer"))};
-    if (Read != nullptr) {
-      std::vector<ConfigLogEntry> Changes;
-      for (const Row &Each : Read->Rows_)
-        if (auto Entry = decodeLogEntry(Each.Value_))
-          Changes.push_back(*Entry);
-      Out.Changes_ = std::move(Changes);
-    }
+    LogAnswered Out{Asked.Token_, tl::unexpected(notAnswered())};
+    if (std::holds_alternative<Rows>(Reply))
+      Out.Changes_ = readEntries(Reply);
     Outputs_.Answers_(std::move(Out));
   });
 }
--- a/src/daemon/record_changes.h
+++ b/src/daemon/record_changes.h
@@ -36,19 +36,18 @@
   explicit RecordChanges(RecordChangesOutputs Outputs)
       : Outputs_(std::move(Outputs)) {}
 
-  void change(RecordChange Wanted);
+  void change(ChangeAsked Wanted);
   void read(const RecordAsked &Asked);
   void readLog(const LogAsked &Asked);
 
 private:
   struct Work {
-    RecordChange Wanted_;
+    ChangeAsked Wanted_;
     TimePoint BeganAt_;
     std::optional<Record> Present_;
-    std::uint64_t RowVersion_ = 0;
-    std::uint64_t Head_ = 0;
-    std::uint64_t HeadRowVersion_ = 0;
-    std::string EntryBytes_;
+    std::optional<Record> Next_;
+    codec::ConfigHead Head_;
+    codec::ChangeAuthor Author_;
     std::uint32_t Tries_ = 0;
     bool Unsettled_ = false;
     bool Answered_ = false;
@@ -57,6 +56,7 @@
   void next();
   void readBase();
   void baseRead(const TableReply &Reply);
+  bool prepare(const Rows &Read);
   void commit();
   void commitAnswered(const TableReply &Reply);
   void readBack();
@@ -67,20 +67,14 @@
   void refuse(const Refusal &Why);
   void finish(ChangeOutcome Outcome);
   void answer(ChangeOutcome Outcome);
-  Transaction transaction() const;
+  void send();
+  std::string nextLogKey() const;
 
   RecordChangesOutputs Outputs_;
-  std::deque<RecordChange> Queue_;
+  std::deque<ChangeAsked> Queue_;
   std::optional<Work> Work_;
 };
 
-/// Row keys of records, of the head and of the log.
-inline constexpr const char *ConfigPrefix = "config/";
-inline constexpr const char *HeadKey = "config-head";
-inline constexpr const char *LogPrefix = "config-log/";
-std::string recordKey(RecordKind Kind, const std::string &Name);
-std::string logKey(std::uint64_t Version);
-
 } // namespace oleandergauge::daemon
 
 #endif // OLEANDERGAUGE_DAEMON_RECORD_CHANGES_H
--- a/src/daemon/record_loader.cc
+++ b/src/daemon/record_loader.cc
@@ -4,39 +4,21 @@
 
 #include "codec/records.h"
 #include "daemon/log.h"
-#include "daemon/record_changes.h"
 
 namespace oleandergauge::daemon {
 namespace {
 
 constexpr std::uint32_t PageRows = 1000;
 
-/// Splits "config/<kind>/<name>".
-std::optional<std::pair<RecordKind, std::string>>
-parseKey(const std::string &Key) {
-  std::size_t Begin = std::string_view(ConfigPrefix).size();
-  std::size_t Slash = Key.find('/', Begin);
-  if (Slash == std::string::npos)
-    return std::nullopt;
-  auto Kind = parseRecordKind(Key.substr(Begin, Slash - Begin));
-  if (!Kind)
-    return std::nullopt;
-  return std::pair(*Kind, Key.substr(Slash + 1));
-}
-
-/// Empty for a row that this build cannot read, which is logged: a record of
-/// a later version must not keep the others from being applied.
+/// Empty for a row that this build cannot read, which is logged: one such
+/// record must not keep the others from being applied.
 std::optional<Record> decodeRow(const Row &Each) {
-  auto Key = parseKey(Each.Key_);
-  if (!Key)
-    return std::nullopt;
-  auto Decoded = decodeRecord(Key->second, Each.Value_, Each.Version_);
-  if (!Decoded || kindOf(Decoded->Body_) != Key->first) {
-    logLine(LogLevel::Warning, "record cannot be decoded",
-            {{"record", Each.Key_}});
-    return std::nullopt;
-  }
-  return Decoded;
+  Result<Record> Decoded = codec::decodeRecord(Each);
+  if (Decoded)
+    return *Decoded;
+  logLine(LogLevel::Warning, "record cannot be decoded",
+          {{"record", Each.Key_}, {"reason", Decoded.error().Message_}});
+  return std::nullopt;
 }
 
 } // namespace
@@ -51,7 +33,7 @@
 }
 
 void RecordLoader::readPage() {
-  Table_(Scan{ConfigPrefix, After_, PageRows},
+  Table_(Scan{codec::RecordPrefix, After_, PageRows},
          [this](const TableReply &Reply) { pageRead(Reply); });
 }
 
@@ -73,7 +55,7 @@
 }
 
 void RecordLoader::confirm() {
-  Table_(ReadKeys{{HeadKey}},
+  Table_(ReadKeys{{codec::ConfigHeadKey}},
          [this](const TableReply &Reply) { confirmed(Reply); });
 }
 
@@ -82,11 +64,11 @@
   const auto *Read = std::get_if<Rows>(&Reply);
   if (Read == nullptr || Read->Rows_.empty())
     return;
-  const Row &Head = Read->Rows_.front();
-  std::uint64_t Found =
-      Head.Version_ == 0 ? 0 : decodeHead(Head.Value_).value_or(0);
-  if (Found != Head_) {
-    load(Found);
+  Result<codec::ConfigHead> Found = codec::decodeHead(Read->Rows_.front());
+  if (!Found)
+    return;
+  if (Found->Version_ != Head_) {
+    load(Found->Version_);
     return;
   }
   Done_(std::make_shared<const ConfigView>(Head_, Records_));
--- a/src/daemon/retry.h
+++ b/src/daemon/retry.h
@@ -46,7 +46,7 @@
 inline Duration jitteredDelay(Duration Base, Duration Most, std::uint32_t Next,
                               double Random) {
   std::uint32_t Doublings = std::min<std::uint32_t>(Next - 2, 16);
-  Duration Plain = std::min(Base * (1LL << Doublings), Most);
+  Duration Plain = std::min(Duration(Base * (1LL << Doublings)), Most);
   double Micros = static_cast<double>(Plain.count()) * (0.5 + Random);
   return Duration(static_cast<std::int64_t>(Micros));
 }
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -177,7 +177,6 @@
 
 void readPlatform(Resolver &Values, Settings &Out) {
   Out.TableUrl_ = Values.checked("table-url", isHttpUrl);
-  Out.ObjectUrl_ = Values.checked("object-url", isHttpUrl);
   Out.LiveListUrl_ = Values.checked("live-list-url", isHttpUrl);
   Out.OperatorKey_ = Values.checked("operator-key", isOperatorKey);
 }
@@ -185,7 +184,6 @@
 void readTimes(Resolver &Values, Settings &Out) {
   Out.DrainLimit_ = Values.millis("drain-limit-ms", 0, 600000);
   Out.TableTimeout_ = Values.millis("table-timeout-ms", 50, 1000);
-  Out.ObjectTimeout_ = Values.millis("object-timeout-ms", 50, 60000);
   Out.LiveListTimeout_ = Values.millis("live-list-timeout-ms", 50, 10000);
   Out.CommandTimeout_ =
       Values.millis("command-timeout-ms", 50, MaxCommandTimeoutMs);
@@ -226,7 +224,6 @@
        "Address registered for other entry hosts; default: peer-listen.", false,
        false},
       {"table-url", "", UrlRule, "Base URL of the table service."},
-      {"object-url", "", UrlRule, "Base URL of the object store."},
       {"live-list-url", "", UrlRule, "Base URL of the live list."},
       {"operator-key", "", "empty or 16 to 256 printable characters, no space",
        "Key of operators; empty: no operator access.", true, false},
@@ -236,8 +233,6 @@
        "Longest time that a graceful shutdown waits."},
       {"table-timeout-ms", "1000", "milliseconds, 50 to 1000",
        "Longest time for one table request."},
-      {"object-timeout-ms", "5000", "milliseconds, 50 to 60000",
-       "Longest time for one object request."},
       {"live-list-timeout-ms", "1000", "milliseconds, 50 to 10000",
        "Longest time for one read of the live list."},
       {"live-list-interval-ms", "1000", "milliseconds, 100 to 5000",
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -28,13 +28,11 @@
   std::string PeerListen_;    ///< "ip:port" for other entry hosts.
   std::string PeerAdvertise_; ///< "ip:port" that other entry hosts use.
   std::string TableUrl_;
-  std::string ObjectUrl_;
   std::string LiveListUrl_;
   std::string OperatorKey_; ///< Never logged. Empty: no operator access.
   LogLevel LogLevel_ = LogLevel::Info;
   Duration DrainLimit_{0};
   Duration TableTimeout_{0};
-  Duration ObjectTimeout_{0};
   Duration LiveListTimeout_{0};
   Duration CommandTimeout_{0};
   Duration CallTimeout_{0};
