--- /dev/null
+++ b/bench/cell_driver.h
@@ -0,0 +1,256 @@
+#ifndef OLEANDERGAUGE_BENCH_CELL_DRIVER_H
+#define OLEANDERGAUGE_BENCH_CELL_DRIVER_H
+
+/// Drives one Partition in virtual time without faults, against a table and
+/// workers in memory, and counts what it sends.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "oleandergauge/oleandergauge.h"
+
+namespace oleandergauge::bench {
+
+/// What the partition sent and what became of it.
+struct CellCounts {
+  std::uint64_t TableWrites_ = 0;
+  std::uint64_t TableReads_ = 0;
+  std::uint64_t TableBytes_ = 0;
+  std::uint64_t Exchanges_ = 0;
+  std::uint64_t RenewedLeases_ = 0;
+  std::uint64_t Starts_ = 0;
+  std::uint64_t Replies_ = 0;
+  std::uint64_t Refusals_ = 0;
+  std::uint64_t Ended_ = 0;
+  std::vector<std::int64_t> WaitsMicros_;
+};
+
+class CellDriver {
+public:
+  static constexpr Duration Step = std::chrono::milliseconds(10);
+  static constexpr Duration TableDelay = std::chrono::milliseconds(4);
+  static constexpr Duration WorkerDelay = std::chrono::milliseconds(1);
+
+  CellDriver(std::size_t WorkerCount, std::size_t TeamCount)
+      : Subject_(std::make_unique<Partition>(PartitionId("p0"), HostId("host"),
+                                             "127.0.0.1:1")) {
+    setUpWorkers(WorkerCount);
+    setUpView(TeamCount);
+    renewEvidence();
+    feed(ConfigApplied{View_});
+    feed(WorkersListed{Listed_});
+  }
+
+  TimePoint now() const { return Now_; }
+  const CellCounts &counts() const { return Counts_; }
+  void resetCounts() { Counts_ = CellCounts(); }
+  Partition &partition() { return *Subject_; }
+
+  /// Replaces the owner by a new process that has to recover.
+  void replaceOwner() {
+    Subject_ = std::make_unique<Partition>(PartitionId("p0"), HostId("next"),
+                                           "127.0.0.1:2");
+    Answers_.clear();
+    renewEvidence();
+    feed(ConfigApplied{View_});
+    feed(WorkersListed{Listed_});
+  }
+
+  void submit(const JobSpec &Spec) { feed(Submitted{++LastToken_, Spec}); }
+
+  void advance(Duration Span) {
+    const TimePoint End = Now_ + Span;
+    while (Now_ < End) {
+      const TimePoint Next = Now_ + Step;
+      deliverUntil(Next);
+      Now_ = Next;
+      renewEvidence();
+      feed(Tick{});
+    }
+  }
+
+private:
+  struct RunningOnWorker {
+    AttemptId Id_;
+    TimePoint EndsAt_;
+    Resources Usage_;
+  };
+
+  void setUpWorkers(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I) {
+      WorkerInfo Info;
+      Info.Id_ = WorkerId("w" + std::to_string(I));
+      Info.Address_ = "127.0.0.1:9000";
+      Info.Region_ = Region("r0");
+      Info.Domain_ = FailureDomain("d" + std::to_string(I % 3));
+      Info.Rack_ = Rack("k" + std::to_string(I / 8));
+      Info.Capacity_ = {64000, 131072, 1, 16, 64};
+      Listed_.push_back({Info, false});
+    }
+  }
+
+  void setUpView(std::size_t TeamCount) {
+    std::vector<Record> Records;
+    for (std::size_t I = 0; I < TeamCount; ++I) {
+      const std::string Team = "t" + std::to_string(I);
+      Records.push_back({Team, 2, LimitRecord{100000}, "", 1});
+      Records.push_back({Team, 2, ShareRecord{1.0}, "", 1});
+    }
+    Records.push_back({"p0", 2, PartitionRecord{Region("r0"), 0, 1}, "", 1});
+    View_ = std::make_shared<const ConfigView>(1, Records);
+  }
+
+  void renewEvidence() {
+    if (Now_ < NextEvidence_)
+      return;
+    NextEvidence_ = Now_ + std::chrono::milliseconds(500);
+    feed(EvidenceChanged{Now_ + EvidenceBound, TimePoint(), true, 0});
+  }
+
+  void feed(const PartitionEvent &Event) {
+    for (const PartitionEffect &Effect : Subject_->handle(Now_, Event))
+      std::visit([this](const auto &Is) { run(Is); }, Effect);
+  }
+
+  void answer(Duration Delay, PartitionEvent Event) {
+    Answers_.emplace(Now_ + Delay, std::move(Event));
+  }
+
+  void deliverUntil(TimePoint Bound) {
+    while (!Answers_.empty() && Answers_.begin()->first <= Bound) {
+      Now_ = std::max(Now_, Answers_.begin()->first);
+      const PartitionEvent Event = std::move(Answers_.begin()->second);
+      Answers_.erase(Answers_.begin());
+      feed(Event);
+    }
+  }
+
+  void run(const SendTable &Is) {
+    TableReply Reply = std::visit(
+        [this](const auto &Request) { return apply(Request); }, Is.Request_);
+    answer(TableDelay, TableAnswered{Is.Token_, std::move(Reply)});
+  }
+
+  TableReply apply(const Transaction &Change) {
+    ++Counts_.TableWrites_;
+    Conflicted Conflict;
+    bool Holds = true;
+    for (const Condition &Is : Change.Conditions_) {
+      const std::uint64_t Version = versionOf(Is.Key_);
+      Conflict.Rows_.push_back({Is.Key_, "", Version});
+      Holds = Holds && Version == Is.Version_;
+    }
+    if (!Holds)
+      return Conflict;
+    Committed Done;
+    for (const Write &Is : Change.Writes_) {
+      Done.Versions_.push_back(++LastVersion_);
+      if (!Is.Value_) {
+        Rows_.erase(Is.Key_);
+        continue;
+      }
+      Counts_.TableBytes_ += Is.Value_->size();
+      Rows_[Is.Key_] = {Is.Key_, *Is.Value_, LastVersion_};
+    }
+    return Done;
+  }
+
+  TableReply apply(const ReadKeys &Read) {
+    Rows Found;
+    for (const std::string &Key : Read.Keys_) {
+      ++Counts_.TableReads_;
+      const auto Is = Rows_.find(Key);
+      Found.Rows_.push_back(Is == Rows_.end() ? Row{Key, "", 0} : Is->second);
+    }
+    return Found;
+  }
+
+  TableReply apply(const Scan &Read) {
+    Rows Found;
+    for (auto Is = Rows_.upper_bound(Read.After_); Is != Rows_.end(); ++Is) {
+      const bool Matches = Is->first.starts_with(Read.Prefix_);
+      if (!Matches && Is->first > Read.Prefix_)
+        break;
+      if (!Matches || Found.Rows_.size() == Read.Limit_)
+        continue;
+      ++Counts_.TableReads_;
+      Found.Rows_.push_back(Is->second);
+    }
+    return Found;
+  }
+
+  std::uint64_t versionOf(const std::string &Key) const {
+    const auto Found = Rows_.find(Key);
+    return Found == Rows_.end() ? 0 : Found->second.Version_;
+  }
+
+  void run(const StartOnWorker &Is) {
+    ++Counts_.Starts_;
+    const AttemptId Id{Is.Task_, Is.Attempt_};
+    if (Is.Spec_->Class_ == WorkClass::Direct) {
+      answer(WorkerDelay + Is.Spec_->DeclaredRun_,
+             CallAnswered{Is.Task_, Is.Attempt_, CommandOutcome::Started, 0,
+                          "done"});
+      return;
+    }
+    auto &Tasks = OnWorkers_[Is.Worker_];
+    Tasks[Id] = {Id, Now_ + Is.Spec_->DeclaredRun_, Is.Reserved_};
+    answer(WorkerDelay,
+           StartAnswered{Is.Task_, Is.Attempt_, CommandOutcome::Started});
+  }
+
+  void run(const ExchangeWithWorker &Is) {
+    ++Counts_.Exchanges_;
+    Counts_.RenewedLeases_ += Is.Renew_.size();
+    WorkerReported Report{Is.Worker_, Now_, {}, {}};
+    auto &Tasks = OnWorkers_[Is.Worker_];
+    for (const AttemptId &Id : Is.Collected_)
+      Tasks.erase(Id);
+    for (const auto &[Id, Task] : Tasks) {
+      if (Task.EndsAt_ <= Now_)
+        Report.Finished_.push_back({Id.Task_, Id.Attempt_, 0, false, "done"});
+      else
+        Report.Running_.push_back({Id.Task_, Id.Attempt_, false, Task.Usage_});
+    }
+    answer(WorkerDelay, std::move(Report));
+  }
+
+  void run(const StopOnWorker &Is) {
+    OnWorkers_[Is.Worker_].erase(Is.Attempt_);
+  }
+
+  void run(const ReplyToCaller &Is) {
+    ++Counts_.Replies_;
+    Counts_.Refusals_ += Is.Answer_ ? 0 : 1;
+  }
+
+  void run(const Measured &Is) {
+    if (Is.Name_ == "wait_us")
+      Counts_.WaitsMicros_.push_back(Is.Value_);
+    if (Is.Name_ == "run_us")
+      ++Counts_.Ended_;
+  }
+
+  void run(const OwnershipChanged &) {}
+  void run(const Drained &) {}
+
+  TimePoint Now_ = TimePoint(std::chrono::seconds(1000));
+  TimePoint NextEvidence_;
+  std::unique_ptr<Partition> Subject_;
+  std::shared_ptr<const ConfigView> View_;
+  std::vector<ListedWorker> Listed_;
+  std::multimap<TimePoint, PartitionEvent> Answers_;
+  std::map<std::string, Row> Rows_;
+  std::uint64_t LastVersion_ = 0;
+  std::map<WorkerId, std::map<AttemptId, RunningOnWorker>> OnWorkers_;
+  Token LastToken_ = 0;
+  CellCounts Counts_;
+};
+
+} // namespace oleandergauge::bench
+
+#endif // OLEANDERGAUGE_BENCH_CELL_DRIVER_H
