--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -16,6 +16,8 @@
 using namespace oleandergauge;
 using bench::CellDriver;
 
+constexpr double MeasuredSeconds = 20;
+
 bool Broken = false;
 
 /// Prints one JSON line. A bound of 0 is no bound.
@@ -33,6 +35,12 @@
   return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
 }
 
+double millis(std::int64_t Micros) { return static_cast<double>(Micros) / 1e3; }
+
+double rate(std::uint64_t Count) {
+  return static_cast<double>(Count) / MeasuredSeconds;
+}
+
 /// Heap in use; the resident size would not show memory that is used again.
 double heapMib() {
   return static_cast<double>(mallinfo2().uordblks) / (1 << 20);
@@ -60,7 +68,6 @@
 
 constexpr Duration LongRun = std::chrono::hours(24);
 constexpr Duration ShortRun = std::chrono::seconds(2);
-constexpr double MeasuredSeconds = 20;
 
 /// Runs a partition at a steady load and prints its cost for each second.
 void measure(const Load &Is) {
@@ -91,20 +98,20 @@
   const auto &Counts = Cell.counts();
   figure(Name + "/cpu", 100 * Spent / MeasuredSeconds, "% of a core");
   figure(Name + "/heap", Heap, "MiB");
-  figure(Name + "/table_writes", Counts.TableWrites_ / MeasuredSeconds, "1/s");
-  figure(Name + "/table_reads", Counts.TableReads_ / MeasuredSeconds, "1/s");
-  figure(Name + "/table_bytes", Counts.TableBytes_ / MeasuredSeconds, "B/s");
-  figure(Name + "/exchanges", Counts.Exchanges_ / MeasuredSeconds, "1/s");
-  figure(Name + "/starts", Counts.Starts_ / MeasuredSeconds, "1/s");
+  figure(Name + "/table_writes", rate(Counts.TableWrites_), "1/s");
+  figure(Name + "/table_reads", rate(Counts.TableReads_), "1/s");
+  figure(Name + "/table_bytes", rate(Counts.TableBytes_), "B/s");
+  figure(Name + "/exchanges", rate(Counts.Exchanges_), "1/s");
+  figure(Name + "/starts", rate(Counts.Starts_), "1/s");
   figure(Name + "/refusals", double(Counts.Refusals_), "1");
   if (Counts.WaitsMicros_.empty())
     return;
   auto Waits = Counts.WaitsMicros_;
   std::sort(Waits.begin(), Waits.end());
-  figure(Name + "/wait_median", Waits[Waits.size() / 2] / 1e3, "ms");
+  figure(Name + "/wait_median", millis(Waits[Waits.size() / 2]), "ms");
   // Virtual time: the same on every run.
-  figure(Name + "/wait_99th", Waits[Waits.size() * 99 / 100] / 1e3, "ms", 3700,
-         "urgent work starts within 3.7 s");
+  figure(Name + "/wait_99th", millis(Waits[Waits.size() * 99 / 100]), "ms",
+         3700, "urgent work starts within 3.7 s");
 }
 
 /// The time from an owner's death until the next one has recovered, in
@@ -127,7 +134,7 @@
          Cell.now() - Died < std::chrono::seconds(30))
     Cell.advance(CellDriver::Step);
   const std::string Name = "recovery_running_" + std::to_string(Running);
-  figure(Name + "/time", double((Cell.now() - Died).count()) / 1e3, "ms", 3700,
+  figure(Name + "/time", millis((Cell.now() - Died).count()), "ms", 3700,
          "urgent work starts within 3.7 s");
   figure(Name + "/reads", double(Cell.counts().TableReads_), "rows");
   figure(Name + "/cpu", 1e3 * (processorSeconds() - Begin), "ms");
--- a/include/oleandergauge/partition.h
+++ b/include/oleandergauge/partition.h
@@ -323,7 +323,7 @@
 /// answer to an effect may come late, doubled, in any order or never.
 class Partition {
 public:
-  Partition(PartitionId Id, HostId Self, std::string Address,
+  Partition(const PartitionId &Id, const HostId &Self, std::string Address,
             SchedulerOptions Options = {});
   ~Partition();
   Partition(Partition &&) noexcept;
--- a/src/core/partition.cc
+++ b/src/core/partition.cc
@@ -30,8 +30,8 @@
   return "unknown";
 }
 
-Partition::Engine::Engine(PartitionId Id, HostId Self, std::string Address,
-                          SchedulerOptions Options)
+Partition::Engine::Engine(const PartitionId &Id, const HostId &Self,
+                          std::string Address, SchedulerOptions Options)
     : Id_(Id), Self_(Self), Options_(Options),
       Lease_(Id, Self, std::move(Address)), Journal_(Id), Allotments_(Id),
       Scheduler_(Options) {}
@@ -348,10 +348,10 @@
 
 // ------------------------------------------------------ Public interface
 
-Partition::Partition(PartitionId Id, HostId Self, std::string Address,
-                     SchedulerOptions Options)
-    : Engine_(std::make_unique<Engine>(std::move(Id), std::move(Self),
-                                       std::move(Address), Options)) {}
+Partition::Partition(const PartitionId &Id, const HostId &Self,
+                     std::string Address, SchedulerOptions Options)
+    : Engine_(std::make_unique<Engine>(Id, Self, std::move(Address), Options)) {
+}
 
 Partition::~Partition() = default;
 Partition::Partition(Partition &&) noexcept = default;
--- a/src/core/partition_engine.h
+++ b/src/core/partition_engine.h
@@ -24,7 +24,7 @@
 /// (partition_workers.cc).
 class Partition::Engine {
 public:
-  Engine(PartitionId Id, HostId Self, std::string Address,
+  Engine(const PartitionId &Id, const HostId &Self, std::string Address,
          SchedulerOptions Options);
 
   std::vector<PartitionEffect> handle(TimePoint Now,
--- a/src/core/partition_jobs.cc
+++ b/src/core/partition_jobs.cc
@@ -61,14 +61,12 @@
                   "the request_id belongs to other work", Duration(0)));
     return;
   }
-  if (Job.Ended_)
+  if (Job.Ended_ || (!Job.direct() && Job.Committed_)) {
     answer(Event.Token_, Job);
-  else if (Job.direct())
-    Job.UntilEnded_.push_back(Event.Token_);
-  else if (Job.Committed_)
-    answer(Event.Token_, Job);
-  else
-    Job.UntilAccepted_.push_back(Event.Token_);
+    return;
+  }
+  auto &Waiters = Job.direct() ? Job.UntilEnded_ : Job.UntilAccepted_;
+  Waiters.push_back(Event.Token_);
 }
 
 std::optional<Refusal>
