--- a/src/cli/admin.cc
+++ b/src/cli/admin.cc
@@ -1,8 +1,7 @@
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <cstdio>
-#include <cstdlib>
-#include <ctime>
 
 #include <sys/random.h>
 
@@ -23,7 +22,8 @@
       "admin",
       "Reads and changes records with the operator key "
       "(OLEANDERGAUGE_OPERATOR_KEY). Words: get KIND NAME; list KIND; put "
-      "KIND NAME FIELD=VALUE ...; delete KIND NAME; put key --team TEAM "
+      "KIND NAME FIELD=VALUE ... (keeps the other fields); delete KIND NAME; "
+      "put key --team TEAM "
       "(makes a key and prints it once); withdraw-key KEY-HASH; log. Kinds: "
       "team, key, share, limit, queue, failure_domain, worker, partition.",
       {{"expect", "VERSION",
@@ -72,10 +72,32 @@
   return Out;
 }
 
-std::string expectQuery(const Arguments &Given) {
-  return Given.has("expect")
-             ? "?expected_version=" + escapePath(Given.text("expect"))
-             : "";
+/// The record as it is now; an absent one has version 0 and no fields.
+/// Empty where the read failed, which is printed.
+std::optional<nlohmann::json> readPresent(const ApiClient &Client,
+                                          const std::string &Path) {
+  ApiResponse Response = Client.send("GET", Path, std::nullopt, true);
+  if (Response.ok())
+    return Response.Body_;
+  constexpr int NotFoundStatus = 404;
+  if (Response.Status_ == NotFoundStatus)
+    return nlohmann::json{{"version", 0}, {"body", nlohmann::json::object()}};
+  printFailure(Response);
+  return std::nullopt;
+}
+
+/// The version that the change expects: as given, else the present one.
+std::optional<std::uint64_t> expectedVersion(const Arguments &Given,
+                                             const nlohmann::json &Present) {
+  if (!Given.has("expect"))
+    return Present.value("version", std::uint64_t(0));
+  std::string Text = Given.text("expect");
+  std::uint64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Code] = std::from_chars(Text.data(), End, Value);
+  if (Code != std::errc() || Stop != End || Text.empty())
+    return std::nullopt;
+  return Value;
 }
 
 int printAnswer(const ApiResponse &Response) {
@@ -91,14 +113,29 @@
   return Failed;
 }
 
+ApiResponse sendPut(const ApiClient &Client, const std::string &Path,
+                    std::uint64_t Expected, const nlohmann::json &Body) {
+  nlohmann::json Message = {{"expected_version", Expected}, {"body", Body}};
+  return Client.send("PUT", Path, Message, false);
+}
+
+/// Changes the fields that are given and keeps the others.
 int put(const ApiClient &Client, const Arguments &Given) {
   const Words &All = Given.words();
-  std::optional<nlohmann::json> Body =
+  std::optional<nlohmann::json> Changed =
       All.size() < 3 ? std::nullopt : fields(Words(All.begin() + 3, All.end()));
-  if (!Body)
+  if (!Changed)
     return failUsage("admin", "put takes KIND NAME FIELD=VALUE ...");
-  std::string Path = recordPath(All[1], All[2]) + expectQuery(Given);
-  return printAnswer(Client.send("PUT", Path, Body, false));
+  std::string Path = recordPath(All[1], All[2]);
+  std::optional<nlohmann::json> Present = readPresent(Client, Path);
+  if (!Present)
+    return Failed;
+  std::optional<std::uint64_t> Expected = expectedVersion(Given, *Present);
+  if (!Expected)
+    return failUsage("admin", "--expect must be a version");
+  nlohmann::json Body = Present->value("body", nlohmann::json::object());
+  Body.update(*Changed);
+  return printAnswer(sendPut(Client, Path, *Expected, Body));
 }
 
 std::string randomKey() {
@@ -125,8 +162,7 @@
   }
   nlohmann::json Body = {{"team", Given.text("team")}, {"withdrawn", false}};
   std::string Hash = daemon::hashKey(Key);
-  ApiResponse Response = Client.send(
-      "PUT", recordPath("key", Hash) + "?expected_version=0", Body, false);
+  ApiResponse Response = sendPut(Client, recordPath("key", Hash), 0, Body);
   if (!Response.ok())
     return printAnswer(Response);
   if (Given.isSet("json"))
@@ -154,12 +190,10 @@
   ApiResponse Present = Client.send("GET", Path, std::nullopt, true);
   if (!Present.ok())
     return printAnswer(Present);
-  nlohmann::json Body = {{"team", Present.Body_.value("team", std::string())},
-                         {"withdrawn", true}};
-  std::string Version =
-      std::to_string(Present.Body_.value("version", std::uint64_t(0)));
-  return printAnswer(
-      Client.send("PUT", Path + "?expected_version=" + Version, Body, false));
+  nlohmann::json Body = Present.Body_.value("body", nlohmann::json::object());
+  Body["withdrawn"] = true;
+  return printAnswer(sendPut(
+      Client, Path, Present.Body_.value("version", std::uint64_t(0)), Body));
 }
 
 std::string timeText(std::int64_t UnixMs) {
@@ -180,7 +214,7 @@
   if (!Response.ok() || Given.isSet("json"))
     return printAnswer(Response);
   for (const auto &Entry :
-       Response.Body_.value("changes", nlohmann::json::array()))
+       Response.Body_.value("entries", nlohmann::json::array()))
     std::printf("%8llu  %s  %-16s %-7s %s/%s\n",
                 static_cast<unsigned long long>(
                     Entry.value("version", std::uint64_t(0))),
@@ -205,16 +239,28 @@
   return Done;
 }
 
-int getOrDelete(const ApiClient &Client, const Arguments &Given, bool Deletes) {
+int get(const ApiClient &Client, const Arguments &Given) {
   if (Given.words().size() != 3)
-    return failUsage("admin", Given.words()[0] + " takes KIND NAME");
+    return failUsage("admin", "get takes KIND NAME");
   std::string Path = recordPath(Given.words()[1], Given.words()[2]);
-  if (Deletes)
-    return printAnswer(
-        Client.send("DELETE", Path + expectQuery(Given), std::nullopt, false));
   return printAnswer(Client.send("GET", Path, std::nullopt, true));
 }
 
+int remove(const ApiClient &Client, const Arguments &Given) {
+  if (Given.words().size() != 3)
+    return failUsage("admin", "delete takes KIND NAME");
+  std::string Path = recordPath(Given.words()[1], Given.words()[2]);
+  ApiResponse Present = Client.send("GET", Path, std::nullopt, true);
+  if (!Present.ok())
+    return printAnswer(Present);
+  std::optional<std::uint64_t> Expected = expectedVersion(Given, Present.Body_);
+  if (!Expected)
+    return failUsage("admin", "--expect must be a version");
+  return printAnswer(Client.send(
+      "DELETE", Path + "?expected_version=" + std::to_string(*Expected),
+      std::nullopt, false));
+}
+
 } // namespace
 
 int runAdmin(const Words &Given) {
@@ -236,8 +282,10 @@
     return withdrawKey(Client, Args);
   if (Action == "list")
     return list(Client, Args);
-  if (Action == "get" || Action == "delete")
-    return getOrDelete(Client, Args, Action == "delete");
+  if (Action == "get")
+    return get(Client, Args);
+  if (Action == "delete")
+    return remove(Client, Args);
   if (Action == "log" && All.size() == 1)
     return showLog(Client, Args);
   return failUsage("admin", "say one of get, list, put, delete, withdraw-key "
--- a/src/cli/status.cc
+++ b/src/cli/status.cc
@@ -19,32 +19,37 @@
 }
 
 void printPartitions(const nlohmann::json &Body) {
-  std::printf("\n%-16s %-10s %-12s %6s %8s %8s %8s\n", "partition", "region",
-              "owner", "epoch", "workers", "waiting", "running");
-  for (const auto &Each : Body.value("partitions", nlohmann::json::array()))
-    std::printf("%-16s %-10s %-12s %6s %8s %8s %8s\n",
-                text(Each, "name").c_str(), text(Each, "region").c_str(),
-                text(Each, "owner").c_str(), text(Each, "epoch").c_str(),
-                text(Each, "workers").c_str(), text(Each, "waiting").c_str(),
-                text(Each, "running").c_str());
+  std::printf("\n%-16s %-12s %6s %8s %8s %8s\n", "partition", "owner", "epoch",
+              "workers", "waiting", "running");
+  for (const auto &Each : Body.value("partitions", nlohmann::json::array())) {
+    // Only the owner knows the figures.
+    bool Here = Each.value("owned", false);
+    auto Figure = [&](const char *Name) {
+      return Here ? text(Each, Name) : std::string("-");
+    };
+    std::printf("%-16s %-12s %6s %8s %8s %8s\n",
+                text(Each, "partition").c_str(), text(Each, "owner").c_str(),
+                Figure("epoch").c_str(), Figure("workers").c_str(),
+                Figure("waiting").c_str(), Figure("running").c_str());
+  }
 }
 
 void printCell(const nlohmann::json &Body) {
-  bool Proven = Body.value("config_proven", false);
+  nlohmann::json Config = Body.value("config", nlohmann::json::object());
   std::printf("host           %s (%s, %s)%s\n", text(Body, "host").c_str(),
               text(Body, "region").c_str(),
               text(Body, "failure_domain").c_str(),
               Body.value("draining", false) ? ", draining" : "");
-  std::printf("configuration  version %s, %s\n",
-              text(Body, "config_version").c_str(),
-              Proven ? "proven" : "NOT PROVEN: new work is refused");
-  if (Body.value("store_outage_proven", false))
+  std::printf(
+      "configuration  version %s, %s\n", text(Config, "version").c_str(),
+      Config.value("may_act", false) ? "proven"
+                                     : "NOT PROVEN: new work is refused");
+  if (Config.value("store_out", false))
     std::puts("store          OUT: only idempotent calls are served");
-  std::printf("in flight      %s\n", text(Body, "in_flight").c_str());
   std::printf("entry hosts   ");
-  for (const auto &Each : Body.value("hosts", nlohmann::json::array()))
+  for (const auto &Each : Body.value("members", nlohmann::json::array()))
     std::printf(" %s%s", text(Each, "host").c_str(),
-                Each.value("live", false) ? "" : " (silent)");
+                Each.value("live", false) ? "" : " (silent or draining)");
   std::puts("");
   printPartitions(Body);
 }
@@ -57,7 +62,7 @@
   std::printf("\n%5s %-9s %7s %-16s %-13s %5s\n", "task", "state", "attempt",
               "worker", "verdict", "exit");
   for (const auto &Each : Body.value("tasks", nlohmann::json::array()))
-    std::printf("%5s %-9s %7s %-16s %-13s %5s\n", text(Each, "task").c_str(),
+    std::printf("%5s %-9s %7s %-16s %-13s %5s\n", text(Each, "index").c_str(),
                 text(Each, "state").c_str(), text(Each, "attempt").c_str(),
                 text(Each, "worker").c_str(), text(Each, "verdict").c_str(),
                 text(Each, "exit_code").c_str());
@@ -65,7 +70,7 @@
 
 void printExplanation(const nlohmann::json &Body) {
   for (const auto &Each : Body.value("tasks", nlohmann::json::array()))
-    std::printf("task %s: %s: %s\n", text(Each, "task").c_str(),
+    std::printf("task %s: %s: %s\n", text(Each, "index").c_str(),
                 text(Each, "state").c_str(), text(Each, "explanation").c_str());
 }
 
--- a/src/cli/submit.cc
+++ b/src/cli/submit.cc
@@ -83,8 +83,8 @@
     Body["body"] = readBody(Given);
   nlohmann::json Need = nlohmann::json::object();
   const std::pair<const char *, const char *> Top[] = {
-      {"tasks", "tasks"},
-      {"run-ms", "run_ms"},
+      {"tasks", "task_count"},
+      {"run-ms", "declared_run_ms"},
       {"start-within-ms", "start_within_ms"}};
   const std::pair<const char *, const char *> Each[] = {
       {"cpu-milli", "cpu_milli"},
@@ -100,14 +100,29 @@
       Wrong = Option;
   if (!Wrong.empty())
     return std::nullopt;
-  Body["resources"] = Need;
+  if (!Need.empty())
+    Body["resources"] = Need;
   return Body;
 }
 
+std::string outputOf(const nlohmann::json &Task) {
+  if (!Task.contains("output_base64"))
+    return Task.value("output", std::string());
+  std::string Encoded = Task["output_base64"].get<std::string>();
+  gsize Size = 0;
+  guchar *Bytes = g_base64_decode(Encoded.c_str(), &Size);
+  std::string Out(reinterpret_cast<const char *>(Bytes), Size);
+  g_free(Bytes);
+  return Out;
+}
+
+/// Prints the call's output as it is; its exit code decides.
 int printCall(const ApiResponse &Response) {
-  std::string Output = Response.Body_.value("output", std::string());
+  nlohmann::json Tasks = Response.Body_.value("tasks", nlohmann::json::array());
+  nlohmann::json Task = Tasks.empty() ? nlohmann::json::object() : Tasks[0];
+  std::string Output = outputOf(Task);
   std::fwrite(Output.data(), 1, Output.size(), stdout);
-  std::int64_t Code = Response.Body_.value("exit_code", std::int64_t(0));
+  std::int64_t Code = Task.value("exit_code", std::int64_t(0));
   if (Code == 0)
     return Done;
   std::fprintf(stderr, "ran: exit code %lld\n", static_cast<long long>(Code));
--- a/src/daemon/api_reply.cc
+++ b/src/daemon/api_reply.cc
@@ -1,79 +1,23 @@
 #include "daemon/api_reply.h"
 
-#include <algorithm>
 #include <cctype>
-#include <chrono>
+#include <utility>
 
 #include <glib.h>
 
-namespace oleandergauge::daemon {
-namespace {
-
-constexpr std::size_t MaxNameLength = 128;
-constexpr char JobIdSeparator = ':';
-
-bool isVisible(const std::string &Text, std::string_view Forbidden) {
-  auto Allowed = [&](unsigned char C) {
-    return std::isgraph(C) != 0 && C < 0x80 &&
-           Forbidden.find(static_cast<char>(C)) == std::string_view::npos;
-  };
-  return !Text.empty() && Text.size() <= MaxNameLength &&
-         std::all_of(Text.begin(), Text.end(), Allowed);
-}
-
-std::int64_t toMillis(Duration Span) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
-}
-
-} // namespace
-
-unsigned statusOf(RefusalReason Reason) {
-  switch (Reason) {
-  case RefusalReason::InvalidRequest:
-    return 400;
-  case RefusalReason::UnknownKey:
-    return 401;
-  case RefusalReason::WrongTeam:
-    return 403;
-  case RefusalReason::UnknownQueue:
-  case RefusalReason::NotFound:
-    return 404;
-  case RefusalReason::Cancelled:
-  case RefusalReason::Conflict:
-    return 409;
-  case RefusalReason::FitsNoWorker:
-  case RefusalReason::GangExceedsPartition:
-    return 422;
-  case RefusalReason::LimitReached:
-  case RefusalReason::QueueFull:
-    return 429;
-  case RefusalReason::WorkerFailed:
-    return 502;
-  case RefusalReason::StaleConfiguration:
-  case RefusalReason::StoreUnavailable:
-  case RefusalReason::OwnerUnavailable:
-  case RefusalReason::Draining:
-    return 503;
-  case RefusalReason::DeadlineExceeded:
-    return 504;
-  }
-  return 500;
-}
+#include "codec/json.h"
 
-ApiReply jsonResponse(unsigned Status, const nlohmann::json &Body) {
+namespace oleandergauge::daemon {
+ApiReply jsonReply(unsigned Status, std::string Body) {
   ApiReply Out;
   Out.Status_ = Status;
-  Out.Body_ =
-      Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  Out.Body_ = std::move(Body);
   return Out;
 }
 
-ApiReply refusalResponse(const Refusal &Why) {
-  ApiReply Out = jsonResponse(statusOf(Why.Reason_),
-                              {{"verdict", toString(Why.Verdict_)},
-                               {"reason", toString(Why.Reason_)},
-                               {"message", Why.Message_},
-                               {"retry_after_ms", toMillis(Why.RetryAfter_)}});
+ApiReply refusalReply(const Refusal &Why) {
+  auto Status = static_cast<unsigned>(codec::httpStatusOf(Why.Reason_));
+  ApiReply Out = jsonReply(Status, codec::toJson(Why));
   Out.CloseConnection_ = Why.Reason_ == RefusalReason::Draining;
   return Out;
 }
@@ -107,23 +51,4 @@
   return Difference == 0;
 }
 
-JobId makeJobId(const TeamId &Team, const RequestId &Request) {
-  return JobId(Team.str() + JobIdSeparator + Request.str());
-}
-
-std::optional<JobIdParts> parseJobId(const JobId &Job) {
-  std::size_t At = Job.str().find(JobIdSeparator);
-  if (At == std::string::npos)
-    return std::nullopt;
-  std::string Team = Job.str().substr(0, At);
-  std::string Request = Job.str().substr(At + 1);
-  if (!isRecordName(Team) || !isRequestId(Request))
-    return std::nullopt;
-  return JobIdParts{TeamId(Team), RequestId(Request)};
-}
-
-bool isRecordName(const std::string &Text) { return isVisible(Text, "/:"); }
-
-bool isRequestId(const std::string &Text) { return isVisible(Text, "/"); }
-
 } // namespace oleandergauge::daemon
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -1,8 +1,9 @@
 #include "daemon/caller_api.h"
 
-#include <algorithm>
 #include <utility>
 
+#include <glib.h>
+
 #include "codec/json.h"
 #include "daemon/api_reply.h"
 
@@ -16,13 +17,11 @@
 constexpr Duration QueryWait = std::chrono::milliseconds(5000);
 constexpr Duration EvidenceRetryHint = std::chrono::milliseconds(1000);
 
-std::int64_t toMillis(Duration Span) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
-}
-
-Refusal invalid(std::string Message) {
-  return {Verdict::NotRun, RefusalReason::InvalidRequest, std::move(Message),
-          Duration(0)};
+std::string freshRequestId() {
+  char *Id = g_uuid_string_random();
+  std::string Out = Id;
+  g_free(Id);
+  return Out;
 }
 
 /// A question that is refused tells nothing about the job's work.
@@ -41,37 +40,25 @@
 /// a refusal.
 ApiReply writeCall(const JobStatus &Status) {
   if (Status.Tasks_.empty())
-    return refusalResponse({Verdict::MayHaveRun, RefusalReason::WorkerFailed,
-                            "the call's outcome is not known", Duration(0)});
+    return refusalReply({Verdict::MayHaveRun, RefusalReason::WorkerFailed,
+                         "the call's outcome is not known", Duration(0)});
   const TaskStatus &Only = Status.Tasks_.front();
   if (Only.Verdict_ != Verdict::Ran) {
     RefusalReason Reason =
         Status.CancelledFor_.value_or(RefusalReason::WorkerFailed);
-    return refusalResponse({Only.Verdict_, Reason,
-                            "the call ended without an answer of a worker",
-                            Duration(0)});
+    return refusalReply({Only.Verdict_, Reason,
+                         "the call ended without an answer of a worker",
+                         Duration(0)});
   }
-  nlohmann::json Body = toJson(Status);
-  Body["verdict"] = toString(Only.Verdict_);
-  Body["exit_code"] = Only.ExitCode_;
-  Body["output"] = Only.Output_;
-  return jsonResponse(200, Body);
+  return jsonReply(200, codec::toJson(Status));
 }
 
 ApiReply writeJob(const JobStatus &Status) {
-  return jsonResponse(200, toJson(Status));
+  return jsonReply(200, codec::toJson(Status));
 }
 
 ApiReply writeExplanation(const JobStatus &Status) {
-  nlohmann::json Tasks = nlohmann::json::array();
-  for (const TaskStatus &Task : Status.Tasks_)
-    Tasks.push_back({{"task", Task.Task_.Index_},
-                     {"state", toString(Task.State_)},
-                     {"worker", Task.Worker_.str()},
-                     {"explanation", Task.Explanation_}});
-  return jsonResponse(200, {{"job", Status.Job_.str()},
-                            {"ended", Status.Ended_},
-                            {"tasks", std::move(Tasks)}});
+  return jsonReply(200, codec::explanationToJson(Status));
 }
 
 } // namespace
@@ -85,79 +72,33 @@
               EvidenceRetryHint});
 }
 
-/// A queue's record gives the class of all its work.
-Result<void> CallerApi::checkClass(JobSpec &Spec, bool IsCall) const {
-  const QueueRecord *Queue = Routing_->View_->findQueue(Spec.Queue_);
-  if (Queue == nullptr)
-    return tl::unexpected(Refusal{Verdict::NotRun, RefusalReason::UnknownQueue,
-                                  "there is no such queue", Duration(0)});
-  Spec.Class_ = Queue->Class_;
-  if (IsCall != (Spec.Class_ == WorkClass::Direct))
-    return tl::unexpected(
-        invalid(IsCall ? "the queue takes jobs: use /v1/jobs"
-                       : "the queue takes direct calls: use /v1/calls"));
-  return {};
-}
-
-/// The answer to a request that expired is no longer kept, so a retry cannot
-/// be told from a new request.
-Result<void> CallerApi::checkExpiry(JobSpec &Spec,
-                                    std::int64_t ExpiresUnixMs) const {
-  std::int64_t Most = toMillis(RequestRetention);
-  std::int64_t Left =
-      ExpiresUnixMs == 0 ? Most : ExpiresUnixMs - Clocks_.UnixMs_();
-  if (Left <= 0)
-    return tl::unexpected(Refusal{
-        Verdict::MayHaveRun, RefusalReason::DeadlineExceeded,
-        "the request expired; its answer is no longer kept", Duration(0)});
-  if (Left > Most)
-    return tl::unexpected(
-        invalid("expires_unix_ms is more than 15 minutes ahead"));
-  Spec.ExpiresIn_ = std::chrono::milliseconds(Left);
-  return {};
-}
-
 Result<JobSpec> CallerApi::readSpec(const ApiRequest &Request,
-                                    bool IsCall) const {
+                                    codec::SubmitEndpoint Endpoint) const {
   if (Result<void> Proven = checkEvidence(); !Proven)
     return tl::unexpected(Proven.error());
-  auto Parsed = parseSubmission(Request.Body_);
-  if (!Parsed)
-    return tl::unexpected(invalid(Parsed.error()));
-  JobSpec Spec = Parsed->Spec_;
-  if (!isRequestId(Spec.Request_.str()))
-    return tl::unexpected(invalid("request_id must be 1 to 128 visible ASCII "
-                                  "characters without '/'"));
+  Result<codec::Submission> Sent =
+      codec::parseSubmission(Request.Body_, {Endpoint, Clocks_.UnixMs_(),
+                                             RequestId(freshRequestId())});
+  if (!Sent)
+    return tl::unexpected(Sent.error());
   std::optional<std::string> KeyHash;
   if (auto Key = bearerKey(Request.Authorization_))
     KeyHash = hashKey(*Key);
-  Result<TeamId> Team =
-      Routing_->View_->authorize(KeyHash, Spec.Team_, Spec.Queue_);
-  if (!Team)
-    return tl::unexpected(Team.error());
-  Spec.Team_ = *Team;
-  if (!isRecordName(Spec.Team_.str()))
-    return tl::unexpected(invalid("the team's name is not valid"));
-  Spec.Id_ = makeJobId(Spec.Team_, Spec.Request_);
-  if (Result<void> Class = checkClass(Spec, IsCall); !Class)
-    return tl::unexpected(Class.error());
-  if (Result<void> Expiry = checkExpiry(Spec, Parsed->ExpiresUnixMs_); !Expiry)
-    return tl::unexpected(Expiry.error());
-  return Spec;
+  return codec::admitSubmission(*Sent, *Routing_->View_, KeyHash);
 }
 
 void CallerApi::call(const ApiRequest &Request, ApiResponder Respond) {
-  Result<JobSpec> Spec = readSpec(Request, true);
+  Result<JobSpec> Spec = readSpec(Request, codec::SubmitEndpoint::Calls);
   if (!Spec)
-    Respond(refusalResponse(Spec.error()));
+    Respond(refusalReply(Spec.error()));
   else
     sendSpec(*Spec, Options_.CallTimeout_, writeCall, std::move(Respond));
 }
 
 void CallerApi::submit(const ApiRequest &Request, ApiResponder Respond) {
-  Result<JobSpec> Spec = readSpec(Request, false);
+  Result<JobSpec> Spec = readSpec(Request, codec::SubmitEndpoint::Jobs);
   if (!Spec)
-    Respond(refusalResponse(Spec.error()));
+    Respond(refusalReply(Spec.error()));
   else
     sendSpec(*Spec, CommitWait, writeJob, std::move(Respond));
 }
@@ -166,8 +107,8 @@
                          StatusWriter Write, ApiResponder Respond) {
   auto Home = Routing_->View_->homeOf(Spec.Team_, Spec.Request_);
   if (!Home) {
-    Respond(refusalResponse({Verdict::NotRun, RefusalReason::OwnerUnavailable,
-                             "no partition is configured", EvidenceRetryHint}));
+    Respond(refusalReply({Verdict::NotRun, RefusalReason::OwnerUnavailable,
+                          "no partition is configured", EvidenceRetryHint}));
     return;
   }
   TimePoint BeganAt = Clocks_.Now_();
@@ -179,7 +120,7 @@
                           Write = std::move(Write),
                           Respond = std::move(Respond)](const auto &Answer) {
         Figures_.observe("request", Team, Class, Clocks_.Now_() - BeganAt);
-        Respond(Answer ? Write(*Answer) : refusalResponse(Answer.error()));
+        Respond(Answer ? Write(*Answer) : refusalReply(Answer.error()));
       });
 }
 
@@ -200,19 +141,19 @@
                                     Duration Patience) const {
   if (Result<void> Proven = checkEvidence(); !Proven)
     return tl::unexpected(aboutJob(Proven.error()));
-  std::optional<JobIdParts> Parts = parseJobId(Job);
+  auto Parts = codec::parseJobId(Job.str());
   if (!Parts)
     return tl::unexpected(notFound());
   Result<std::optional<TeamId>> Team = keyTeam(Request);
   if (!Team)
     return tl::unexpected(Team.error());
   // Jobs of other teams look like absent ones.
-  if (*Team && **Team != Parts->Team_)
+  if (*Team && **Team != Parts->first)
     return tl::unexpected(notFound());
-  auto Home = Routing_->View_->homeOf(Parts->Team_, Parts->Request_);
+  auto Home = Routing_->View_->homeOf(Parts->first, Parts->second);
   if (!Home)
     return tl::unexpected(notFound());
-  return Dispatch{*Home, JobQueried{0, Parts->Team_, Job, false}, false,
+  return Dispatch{*Home, JobQueried{0, Parts->first, Job, false}, false,
                   Clocks_.Now_() + Patience};
 }
 
@@ -231,7 +172,7 @@
   Result<Dispatch> Wanted =
       findJob(Request, Job, Waits ? Options_.CallTimeout_ : QueryWait);
   if (!Wanted) {
-    Respond(refusalResponse(Wanted.error()));
+    Respond(refusalReply(Wanted.error()));
     return;
   }
   std::get<JobQueried>(Wanted->Request_).WaitForEnd_ = Waits;
@@ -240,9 +181,9 @@
                  [this, HasKey, Write = std::move(Write),
                   Respond = std::move(Respond)](const auto &Answer) {
                    if (!Answer)
-                     Respond(refusalResponse(aboutJob(Answer.error())));
+                     Respond(refusalReply(aboutJob(Answer.error())));
                    else if (!mayShow(HasKey, *Answer))
-                     Respond(refusalResponse(notFound()));
+                     Respond(refusalReply(notFound()));
                    else
                      Respond(Write(*Answer));
                  });
@@ -262,13 +203,13 @@
                        ApiResponder Respond) {
   Result<Dispatch> Wanted = findJob(Request, Job, CommitWait);
   if (!Wanted) {
-    Respond(refusalResponse(Wanted.error()));
+    Respond(refusalReply(Wanted.error()));
     return;
   }
   if (!bearerKey(Request.Authorization_)) {
-    Respond(refusalResponse({Verdict::MayHaveRun, RefusalReason::UnknownKey,
-                             "a job is cancelled with its team's key",
-                             Duration(0)}));
+    Respond(
+        refusalReply({Verdict::MayHaveRun, RefusalReason::UnknownKey,
+                      "a job is cancelled with its team's key", Duration(0)}));
     return;
   }
   TeamId Team = std::get<JobQueried>(Wanted->Request_).Team_;
@@ -276,7 +217,7 @@
   Home_.dispatch(std::move(*Wanted),
                  [Respond = std::move(Respond)](const auto &Answer) {
                    Respond(Answer ? writeJob(*Answer)
-                                  : refusalResponse(aboutJob(Answer.error())));
+                                  : refusalReply(aboutJob(Answer.error())));
                  });
 }
 
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "codec/json.h"
 #include "daemon/dispatcher.h"
 #include "daemon/http_server.h"
 #include "daemon/messages.h"
@@ -50,9 +51,8 @@
 private:
   using StatusWriter = std::function<ApiReply(const JobStatus &)>;
 
-  Result<JobSpec> readSpec(const ApiRequest &Request, bool IsCall) const;
-  Result<void> checkClass(JobSpec &Spec, bool IsCall) const;
-  Result<void> checkExpiry(JobSpec &Spec, std::int64_t ExpiresUnixMs) const;
+  Result<JobSpec> readSpec(const ApiRequest &Request,
+                           codec::SubmitEndpoint Endpoint) const;
   Result<void> checkEvidence() const;
   /// The team by whose key the request came; empty without a key.
   Result<std::optional<TeamId>> keyTeam(const ApiRequest &Request) const;
--- a/src/daemon/config_task.cc
+++ b/src/daemon/config_task.cc
@@ -63,7 +63,10 @@
 private:
   void take(const OwnershipReported &Reported);
   void take(const HeartbeatReceived &Received);
-  void take(const ChangeAsked &Wanted) { Changes_->change(Wanted); }
+  void take(ChangeAsked Wanted) {
+    Wanted.Operator_ += "@" + Options_.Host_.str();
+    Changes_->change(std::move(Wanted));
+  }
   void take(const RecordAsked &Asked) { Changes_->read(Asked); }
   void take(const LogAsked &Asked) { Changes_->readLog(Asked); }
   void take(const DrainAnnounced &Wanted);
@@ -362,7 +365,8 @@
   for (const auto &[Id, Spec] : View_->partitions())
     if (std::optional<Member> Owner = Members_.ownerOf(Id))
       Out.Owners_[Id] = *Owner;
-  Out.Members_ = Members_.countedMembers(Now);
+  Out.Members_ = Members_.peers();
+  Out.Members_.push_back(Options_.member());
   Out.Live_ = Members_.livePeers(Now);
   return std::make_shared<const Routing>(std::move(Out));
 }
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -42,7 +42,9 @@
   // Answers about a job that was submitted before never mean that it did not
   // run.
   bool Unsettled = !isSubmission(Wanted.Request_);
-  Pending Own{std::move(Wanted), std::move(Done)};
+  Pending Own;
+  Own.Wanted_ = std::move(Wanted);
+  Own.Done_ = std::move(Done);
   Own.Unsettled_ = Unsettled;
   Deadlines_.emplace(Own.Wanted_.Deadline_, Id);
   Pending_.emplace(Id, std::move(Own));
--- a/src/daemon/http_api.cc
+++ b/src/daemon/http_api.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "codec/json.h"
 #include "codec/peer.h"
 #include "daemon/api_reply.h"
 #include "daemon/caller_api.h"
@@ -10,7 +11,6 @@
 #include "daemon/log.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_link.h"
-#include "daemon/status_page.h"
 
 namespace oleandergauge::daemon {
 namespace {
@@ -80,6 +80,7 @@
                    ApiResponder &Respond);
   bool routePage(const ApiRequest &Request, const ApiResponder &Respond);
   ApiReply statusPage() const;
+  codec::PartitionPage partitionPage(const PartitionId &Id) const;
 
   TaskThread &Thread_;
   const Settings &Options_;
@@ -181,7 +182,7 @@
         Respond(std::move(Sent));
       };
   if (std::optional<Refusal> Why = refuseNow(Route)) {
-    ApiReply Refused = refusalResponse(*Why);
+    ApiReply Refused = refusalReply(*Why);
     Refused.Status_ = 503;
     Counted(std::move(Refused));
     return;
@@ -203,8 +204,8 @@
   if (routeJob(Request, Parts, Respond) ||
       routeRecord(Request, Parts, Respond) || routePage(Request, Respond))
     return;
-  Respond(refusalResponse({Verdict::NotRun, RefusalReason::NotFound,
-                           "there is no such route", Duration(0)}));
+  Respond(refusalReply({Verdict::NotRun, RefusalReason::NotFound,
+                        "there is no such route", Duration(0)}));
 }
 
 bool HttpApi::Engine::routeJob(const ApiRequest &Request,
@@ -256,7 +257,7 @@
                  static_cast<double>(Server_->inFlight()));
     Out.Body_ = Figures_.exposition();
   } else if (Request.Path_ == "/v1/histograms") {
-    Out.Body_ = Figures_.histogramsJson();
+    Out.Body_ = codec::histogramsToJson(Figures_.histograms());
   } else if (Request.Path_ == "/v1/status") {
     Out = statusPage();
   } else {
@@ -267,12 +268,34 @@
 }
 
 ApiReply HttpApi::Engine::statusPage() const {
-  StatusFacts Facts;
-  Facts.Self_ = Options_.member();
-  Facts.Now_ = monotonicNow();
-  Facts.Draining_ = Draining_;
-  Facts.InFlight_ = Server_->inFlight();
-  return jsonResponse(200, statusJson(Facts, *Routing_, Reported_.Partitions_));
+  TimePoint Now = monotonicNow();
+  codec::StatusPage Page;
+  Page.Self_ = Options_.member();
+  Page.Draining_ = Draining_;
+  Page.MayAct_ = Now < Routing_->MayActUntil_;
+  Page.OutageProven_ = Now < Routing_->OutageUntil_;
+  if (Routing_->MayActUntil_ != UnknownMoment)
+    Page.EvidenceAge_ = Now - (Routing_->MayActUntil_ - EvidenceBound);
+  Page.Members_ = Routing_->Members_;
+  Page.Live_ = Routing_->Live_;
+  if (Routing_->View_) {
+    Page.ConfigVersion_ = Routing_->View_->headVersion();
+    for (const auto &[Id, Spec] : Routing_->View_->partitions())
+      Page.Partitions_.push_back(partitionPage(Id));
+  }
+  return jsonReply(200, codec::toJson(Page));
+}
+
+codec::PartitionPage
+HttpApi::Engine::partitionPage(const PartitionId &Id) const {
+  codec::PartitionPage Out{Id, std::nullopt, {}};
+  auto Owner = Routing_->Owners_.find(Id);
+  if (Owner != Routing_->Owners_.end())
+    Out.Owner_ = Owner->second.Host_;
+  auto Stats = Reported_.Partitions_.find(Id);
+  if (Stats != Reported_.Partitions_.end())
+    Out.Stats_ = Stats->second;
+  return Out;
 }
 
 HttpApi::HttpApi(TaskThread &Thread, const Settings &Options, Metrics &Figures,
--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -80,8 +80,6 @@
 struct ChangeAsked {
   Token Token_ = 0;
   codec::RecordChange Change_;
-  /// Whatever version is stored; Change_.ExpectedVersion_ means nothing.
-  bool AnyVersion_ = false;
   std::string Operator_;
   friend bool operator==(const ChangeAsked &, const ChangeAsked &) = default;
 };
@@ -132,7 +130,7 @@
   TimePoint MayActUntil_;
   TimePoint OutageUntil_;
   std::map<PartitionId, Member> Owners_;
-  std::vector<HostId> Members_;
+  std::vector<Member> Members_;
   std::vector<HostId> Live_;
   friend bool operator==(const Routing &, const Routing &) = default;
 };
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -6,7 +6,6 @@
 #include <tuple>
 
 #include <boost/histogram.hpp>
-#include <nlohmann/json.hpp>
 
 namespace oleandergauge::daemon {
 namespace {
@@ -18,6 +17,8 @@
 constexpr int Buckets = 35;
 constexpr double LeastUs = 1e2;
 constexpr double MostUs = 1e9;
+/// Upper bound of the bucket above the axis, as codec::HistogramBucket has it.
+constexpr std::int64_t Unbounded = -1;
 constexpr double MicrosPerSecond = 1e6;
 
 using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
@@ -36,17 +37,6 @@
   double upperUs(int Index) const {
     return Index < 0 ? LeastUs : Samples_.axis(0).bin(Index).upper();
   }
-  /// Upper bound of the bucket in which the quantile lies.
-  double quantileUs(double Part) const {
-    double Wanted = Part * static_cast<double>(Count_);
-    std::uint64_t Seen = 0;
-    for (int Index = -1; Index < Buckets; ++Index) {
-      Seen += at(Index);
-      if (static_cast<double>(Seen) >= Wanted)
-        return upperUs(Index);
-    }
-    return MostUs;
-  }
 };
 
 using SeriesKey = std::tuple<std::string, TeamId, WorkClass>;
@@ -110,15 +100,14 @@
          "\n" + Name + "_count" + Suffix + std::to_string(Values.Count_) + "\n";
 }
 
-nlohmann::json bucketsJson(const Series &Values) {
-  nlohmann::json Out = nlohmann::json::array();
+std::vector<codec::HistogramBucket> filledBuckets(const Series &Values) {
+  std::vector<codec::HistogramBucket> Out;
   for (int Index = -1; Index <= Buckets; ++Index) {
     if (Values.at(Index) == 0)
       continue;
-    nlohmann::json Upper = nullptr;
-    if (Index < Buckets)
-      Upper = Values.upperUs(Index);
-    Out.push_back({{"le_us", Upper}, {"count", Values.at(Index)}});
+    std::int64_t Upper =
+        Index < Buckets ? std::llround(Values.upperUs(Index)) : Unbounded;
+    Out.push_back({Upper, Values.at(Index)});
   }
   return Out;
 }
@@ -175,23 +164,15 @@
   return Out;
 }
 
-std::string Metrics::histogramsJson() const {
+std::vector<codec::HistogramPage> Metrics::histograms() const {
   std::lock_guard<std::mutex> Guard(State_->Lock_);
-  nlohmann::json All = nlohmann::json::array();
+  std::vector<codec::HistogramPage> Out;
   for (const auto &[Key, Values] : State_->Series_) {
     const auto &[Name, Team, Class] = Key;
-    All.push_back({{"name", Name},
-                   {"team", Team.str()},
-                   {"class", toString(Class)},
-                   {"count", Values.Count_},
-                   {"sum_us", Values.SumUs_},
-                   {"p50_us", Values.quantileUs(0.5)},
-                   {"p90_us", Values.quantileUs(0.9)},
-                   {"p99_us", Values.quantileUs(0.99)},
-                   {"buckets", bucketsJson(Values)}});
+    Out.push_back({Name, Team, Class, Values.Count_,
+                   std::llround(Values.SumUs_), filledBuckets(Values)});
   }
-  return nlohmann::json{{"histograms", All}}.dump(
-      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return Out;
 }
 
 } // namespace oleandergauge::daemon
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "codec/json.h"
 #include "oleandergauge/base.h"
 
 namespace oleandergauge::daemon {
@@ -33,9 +34,9 @@
 
   /// All of it in the Prometheus text exposition format.
   std::string exposition() const;
-  /// The histograms as JSON: for each name, team and class the count, sum,
-  /// estimated p50, p90, p99 and the filled buckets, in microseconds.
-  std::string histogramsJson() const;
+  /// The histograms by name, team and class, with the buckets that hold
+  /// samples; times in microseconds.
+  std::vector<codec::HistogramPage> histograms() const;
 
 private:
   struct State;
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -27,8 +27,8 @@
   /// GET /v1/records/<kind>
   void list(const ApiRequest &Request, const std::string &Kind,
             const ApiResponder &Respond);
-  /// GET, PUT and DELETE /v1/records/<kind>/<name>. PUT carries the record's
-  /// fields and expected_version, DELETE the latter as a query.
+  /// GET, PUT and DELETE /v1/records/<kind>/<name>. PUT carries body
+  /// and expected_version (0: is absent), DELETE the latter as a query.
   void record(const ApiRequest &Request, const std::string &Kind,
               const std::string &Name, const ApiResponder &Respond);
   /// GET /v1/log?after=<version>&limit=<count>
@@ -40,8 +40,9 @@
 
 private:
   Result<void> authorize(const ApiRequest &Request) const;
-  Result<ChangeAsked> readChange(const ApiRequest &Request, RecordKind Kind,
-                                 const std::string &Name) const;
+  Result<codec::RecordChange> readChange(const ApiRequest &Request,
+                                         RecordKind Kind,
+                                         const std::string &Name) const;
   Token hold(ApiResponder Respond);
   void respond(Token Id, ApiReply Answer);
 
--- a/src/daemon/platform_clients.h
+++ b/src/daemon/platform_clients.h
@@ -32,23 +32,6 @@
   std::unique_ptr<State> State_;
 };
 
-/// Reaches the object store.
-class ObjectClient {
-public:
-  ObjectClient(std::string BaseUrl, Duration Timeout);
-  ~ObjectClient();
-  void put(const PutObject &Request,
-           std::function<void(const ObjectAnswered &)> Done);
-  void get(const GetObject &Request,
-           std::function<void(const ObjectAnswered &)> Done);
-  void remove(const DeleteObject &Request,
-              std::function<void(const ObjectAnswered &)> Done);
-
-private:
-  struct State;
-  std::unique_ptr<State> State_;
-};
-
 /// What the platform lists now.
 struct LiveList {
   std::vector<ListedWorker> Workers_;
--- a/src/daemon/record_changes.cc
+++ b/src/daemon/record_changes.cc
@@ -95,7 +95,7 @@
 
 /// Works out the changed record; false where the change was answered.
 bool RecordChanges::prepare(const Rows &Read) {
-  codec::RecordChange &Change = Work_->Wanted_.Change_;
+  const codec::RecordChange &Change = Work_->Wanted_.Change_;
   Result<codec::ConfigHead> Head =
       codec::decodeHead(findRow(Read, codec::ConfigHeadKey));
   if (!Head) {
@@ -105,8 +105,6 @@
   Work_->Head_ = *Head;
   std::uint64_t Version = findRow(Read, keyOf(Change)).Version_;
   Work_->Present_ = readRecord(Read, keyOf(Change));
-  if (Work_->Wanted_.AnyVersion_)
-    Change.ExpectedVersion_ = Version;
   if (Change.ExpectedVersion_ != Version) {
     conflict();
     return false;
@@ -129,7 +127,9 @@
 }
 
 void RecordChanges::commit() {
-  Work_->Author_ = {Work_->Wanted_.Operator_, Outputs_.UnixMs_()};
+  // Two changes of one host never have equal log entries.
+  LastUnixMs_ = std::max(Outputs_.UnixMs_(), LastUnixMs_ + 1);
+  Work_->Author_ = {Work_->Wanted_.Operator_, LastUnixMs_};
   Outputs_.SetInFlight_(true);
   ++Work_->Tries_;
   send();
--- a/src/daemon/record_changes.h
+++ b/src/daemon/record_changes.h
@@ -36,6 +36,8 @@
   explicit RecordChanges(RecordChangesOutputs Outputs)
       : Outputs_(std::move(Outputs)) {}
 
+  /// The operator's name must tell the host too: a log entry shows which
+  /// host's change took effect.
   void change(ChangeAsked Wanted);
   void read(const RecordAsked &Asked);
   void readLog(const LogAsked &Asked);
@@ -73,6 +75,7 @@
   RecordChangesOutputs Outputs_;
   std::deque<ChangeAsked> Queue_;
   std::optional<Work> Work_;
+  std::int64_t LastUnixMs_ = 0;
 };
 
 } // namespace oleandergauge::daemon
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -243,7 +243,7 @@
        "Longest time that a call or a wait for a job may take."},
       {"max-in-flight", "4096", "number, 1 to 100000",
        "Requests in flight; further ones are refused with a retry hint."},
-      {"max-body-kib", "1024", "kibibytes, 1 to 4096",
+      {"max-body-kib", "8192", "kibibytes, 1 to 8192",
        "Largest body of a request."},
   };
   return Specs;
@@ -275,7 +275,7 @@
   Out.MaxInFlight_ =
       static_cast<std::uint32_t>(Values.number("max-in-flight", 1, 100000));
   Out.MaxBodyBytes_ =
-      static_cast<std::uint32_t>(Values.number("max-body-kib", 1, 4096) * 1024);
+      static_cast<std::uint32_t>(Values.number("max-body-kib", 1, 8192) * 1024);
   if (!Values.error().empty())
     return tl::unexpected(Values.error());
   return Out;
--- a/src/daemon/worker_client.cc
+++ b/src/daemon/worker_client.cc
@@ -39,19 +39,19 @@
           {"epoch", Command.Epoch_}};
 }
 
-std::vector<std::string> wireNames(const std::vector<TaskId> &Tasks) {
-  std::vector<std::string> Names;
-  Names.reserve(Tasks.size());
-  for (const TaskId &Task : Tasks)
-    Names.push_back(toWire(Task));
-  return Names;
+json attemptsJson(const std::vector<AttemptId> &Attempts) {
+  json Listed = json::array();
+  for (const AttemptId &Each : Attempts)
+    Listed.push_back(
+        {{"task", toWire(Each.Task_)}, {"attempt", Each.Attempt_}});
+  return Listed;
 }
 
 json exchangeBody(const ExchangeWithWorker &Command) {
   return {{"epoch", Command.Epoch_},
           {"lease_ms", toMillis(Command.Lease_)},
-          {"renew", wireNames(Command.Renew_)},
-          {"collected", wireNames(Command.Collected_)}};
+          {"renew", attemptsJson(Command.Renew_)},
+          {"collected", attemptsJson(Command.Collected_)}};
 }
 
 /// What the answer to a start or call says, apart from its content. Started
@@ -144,7 +144,7 @@
 }
 
 std::string stopPath(const StopOnWorker &Command) {
-  const std::string Name = toWire(Command.Task_);
+  const std::string Name = toWire(Command.Attempt_.Task_);
   gchar *Escaped = g_uri_escape_string(Name.c_str(), nullptr, FALSE);
   std::string Path = std::string("/tasks/") + Escaped + "/";
   g_free(Escaped);
@@ -207,8 +207,8 @@
 
 void WorkerClient::stop(const StopOnWorker &Command) {
   State_->Sender_.send(makeCommand(Command.Address_, stopPath(Command),
-                                   json::object(), std::nullopt,
-                                   State_->CommandTimeout_),
+                                   {{"attempt", Command.Attempt_.Attempt_}},
+                                   std::nullopt, State_->CommandTimeout_),
                        [](const HttpReply & /*Reply*/) {});
 }
 
--- a/test/daemon/metrics_test.cc
+++ b/test/daemon/metrics_test.cc
@@ -1,7 +1,6 @@
 #include "daemon/metrics.h"
 
 #include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
 
 namespace oleandergauge::daemon {
 namespace {
@@ -48,19 +47,25 @@
   EXPECT_TRUE(contains(Own.exposition(), "{team=\"a\\\"b\\\\c\\nd\"} 1\n"));
 }
 
-TEST(MetricsTest, JsonGivesQuantilesOfEachTeamAndClass) {
+// Guards against samples of two teams or classes in one histogram.
+TEST(MetricsTest, EachTeamAndClassHasItsHistogram) {
   Metrics Own;
   for (int I = 0; I < 99; ++I)
     Own.observe("wait", TeamId("t"), WorkClass::Batch, milliseconds(1));
   Own.observe("wait", TeamId("t"), WorkClass::Batch, milliseconds(900));
-  auto Page = nlohmann::json::parse(Own.histogramsJson());
-  ASSERT_EQ(Page["histograms"].size(), 1U);
-  const auto &Only = Page["histograms"][0];
-  EXPECT_EQ(Only["count"], 100);
-  EXPECT_GE(Only["p50_us"], 1000.0);
-  EXPECT_LE(Only["p50_us"], 1600.0);
-  EXPECT_LE(Only["p99_us"], 1600.0);
-  EXPECT_EQ(Only["sum_us"], 99 * 1000 + 900 * 1000);
+  Own.observe("wait", TeamId("t"), WorkClass::Direct, milliseconds(1));
+  Own.observe("wait", TeamId("u"), WorkClass::Batch, std::chrono::hours(1));
+  std::vector<codec::HistogramPage> All = Own.histograms();
+  ASSERT_EQ(All.size(), 3U);
+  EXPECT_EQ(All[0].Count_, 1U);
+  EXPECT_EQ(All[1].Count_, 100U);
+  EXPECT_EQ(All[1].SumUs_, 99 * 1000 + 900 * 1000);
+  ASSERT_EQ(All[1].Buckets_.size(), 2U);
+  EXPECT_EQ(All[1].Buckets_[0].Count_, 99U);
+  EXPECT_GE(All[1].Buckets_[0].UpToUs_, 1000);
+  EXPECT_LE(All[1].Buckets_[0].UpToUs_, 1600);
+  // Above the axis: no bound.
+  EXPECT_EQ(All[2].Buckets_, (std::vector<codec::HistogramBucket>{{-1, 1}}));
 }
 
 } // namespace
--- /dev/null
+++ b/test/daemon/record_changes_test.cc
@@ -0,0 +1,166 @@
+#include "daemon/record_changes.h"
+
+#include <memory>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "fake_table.h"
+
+namespace oleandergauge::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Two hosts that change records of one table, and what they answered.
+class Cell {
+public:
+  explicit Cell(std::uint64_t Seed) : Table_(Time_, Seed) {
+    for (std::size_t Host = 0; Host < 2; ++Host)
+      Hosts_.push_back(std::make_unique<RecordChanges>(outputs(Host)));
+  }
+
+  /// Every change sets the limit of one team, under its own operator's name.
+  void change(std::size_t Host, std::uint64_t Expected) {
+    Token Id = NextToken_++;
+    ChangeAsked Wanted;
+    Wanted.Token_ = Id;
+    Wanted.Change_.Kind_ = RecordKind::Limit;
+    Wanted.Change_.Name_ = "t";
+    Wanted.Change_.Body_ = LimitRecord{static_cast<std::uint32_t>(Id)};
+    Wanted.Change_.ExpectedVersion_ = Expected;
+    Wanted.Operator_ = operatorOf(Id);
+    Hosts_.at(Host)->change(std::move(Wanted));
+  }
+
+  static std::string operatorOf(Token Id) { return "op" + std::to_string(Id); }
+
+  /// Head versions of the log entries that this change made.
+  std::vector<std::uint64_t> loggedBy(Token Id) const {
+    std::vector<std::uint64_t> Out;
+    for (const auto &[Key, Present] : Table_.rows())
+      if (Key.starts_with(codec::ConfigLogPrefix)) {
+        auto Entry = codec::decodeLogEntry(Present);
+        if (Entry && Entry->Operator_ == operatorOf(Id))
+          Out.push_back(Entry->Version_);
+      }
+    return Out;
+  }
+
+  std::uint32_t storedLimit() const {
+    auto Stored = codec::decodeRecord(
+        Table_.find(codec::recordKey(RecordKind::Limit, "t")));
+    return Stored ? std::get<LimitRecord>(Stored->Body_).MaxRunning_ : 0;
+  }
+
+  VirtualTime Time_;
+  FakeTable Table_;
+  std::vector<std::unique_ptr<RecordChanges>> Hosts_;
+  std::map<Token, std::vector<ChangeOutcome>> Answers_;
+  std::vector<bool> InFlight_{false, false};
+  bool MayCommit_ = true;
+  Token NextToken_ = 1;
+
+private:
+  RecordChangesOutputs outputs(std::size_t Host) {
+    RecordChangesOutputs Out;
+    Out.Table_ = [this](const TableRequest &Request, auto Done) {
+      Table_.send(Request, Done);
+    };
+    Out.After_ = [this](Duration Delay, auto Call) {
+      Time_.after(Delay, std::move(Call));
+    };
+    Out.Now_ = [this] { return Time_.now(); };
+    Out.UnixMs_ = [] { return std::int64_t(1); };
+    Out.MayCommit_ = [this] { return MayCommit_; };
+    Out.SetInFlight_ = [this, Host](bool Flies) { InFlight_[Host] = Flies; };
+    Out.Answers_ = [this](const HttpTaskMessage &Sent) {
+      if (const auto *Answer = std::get_if<ChangeAnswered>(&Sent))
+        Answers_[Answer->Token_].push_back(Answer->Outcome_);
+    };
+    return Out;
+  }
+};
+
+Verdict verdictOf(const ChangeOutcome &Outcome) {
+  return std::visit(
+      detail::Overloaded{[](const ChangeAccepted &) { return Verdict::Ran; },
+                         [](const ChangeConflict &) { return Verdict::NotRun; },
+                         [](const Refusal &Why) { return Why.Verdict_; }},
+      Outcome);
+}
+
+TEST(RecordChangesTest, AcceptedChangeTellsItsVersions) {
+  Cell Own(1);
+  Own.change(0, 0);
+  Own.Time_.advance(seconds(1));
+  ASSERT_EQ(Own.Answers_[1].size(), 1U);
+  const auto &Done = std::get<ChangeAccepted>(Own.Answers_[1][0]);
+  EXPECT_EQ(Done.HeadVersion_, 1U);
+  EXPECT_EQ(Done.RowVersion_,
+            Own.Table_.find(codec::recordKey(RecordKind::Limit, "t")).Version_);
+}
+
+// Guards against a lost update when two operators start from one version.
+TEST(RecordChangesTest, LoserOfARaceLearnsTheWinner) {
+  Cell Own(1);
+  Own.change(0, 0);
+  Own.change(1, 0);
+  Own.Time_.advance(seconds(5));
+  Token Loser = std::holds_alternative<ChangeConflict>(Own.Answers_[1].at(0))
+                    ? Token(1)
+                    : Token(2);
+  const auto &Lost = std::get<ChangeConflict>(Own.Answers_[Loser].at(0));
+  ASSERT_TRUE(Lost.Present_ && Lost.Last_);
+  EXPECT_EQ(Lost.Last_->Operator_, Cell::operatorOf(3 - Loser));
+}
+
+// Guards against a change by a host whose vouch of an outage binds it.
+TEST(RecordChangesTest, NothingIsCommittedWhileTheHostMayNot) {
+  Cell Own(1);
+  Own.MayCommit_ = false;
+  Own.change(0, 0);
+  Own.Time_.advance(seconds(5));
+  EXPECT_EQ(verdictOf(Own.Answers_[1].at(0)), Verdict::NotRun);
+  EXPECT_TRUE(Own.Table_.rows().empty());
+}
+
+// Guards against a false answer after lost answers, late effects and races:
+// accepted changes are in the log exactly once, refused ones never.
+RC_GTEST_PROP(RecordChangesTest, AnswersAreTrueUnderFaults, ()) {
+  const auto Seed = *rc::gen::arbitrary<std::uint64_t>();
+  const auto Steps = *genSteps(3, 2);
+  Cell Own(Seed);
+  Own.Table_.setFaultRate(40);
+  for (const Step &Each : Steps) {
+    if (Each.Kind_ < 2)
+      Own.change(
+          Each.Who_,
+          Own.Table_.find(codec::recordKey(RecordKind::Limit, "t")).Version_);
+    Own.Time_.advance(milliseconds(Each.Amount_ * 10));
+  }
+  Own.Table_.setFaultRate(0);
+  Own.Time_.advance(std::chrono::minutes(30));
+  std::uint64_t Newest = 0;
+  std::uint32_t NewestLimit = 0;
+  for (Token Id = 1; Id < Own.NextToken_; ++Id) {
+    RC_ASSERT(Own.Answers_[Id].size() == 1U);
+    const ChangeOutcome &Answer = Own.Answers_[Id][0];
+    const std::vector<std::uint64_t> Logged = Own.loggedBy(Id);
+    RC_ASSERT(Logged.size() <= 1U);
+    if (verdictOf(Answer) == Verdict::NotRun)
+      RC_ASSERT(Logged.empty());
+    if (const auto *Done = std::get_if<ChangeAccepted>(&Answer))
+      RC_ASSERT(Logged == std::vector<std::uint64_t>{Done->HeadVersion_});
+    if (!Logged.empty() && Logged[0] > Newest) {
+      Newest = Logged[0];
+      NewestLimit = static_cast<std::uint32_t>(Id);
+    }
+  }
+  RC_ASSERT(Own.storedLimit() == NewestLimit);
+  RC_ASSERT(!Own.InFlight_[0] && !Own.InFlight_[1]);
+}
+
+} // namespace
+} // namespace oleandergauge::daemon
--- a/test/daemon/settings_test.cc
+++ b/test/daemon/settings_test.cc
@@ -40,7 +40,7 @@
   EXPECT_EQ(Found->HttpListen_, "127.0.0.1:8080");
   EXPECT_EQ(Found->PeerAdvertise_, Found->PeerListen_);
   EXPECT_EQ(Found->TableTimeout_, std::chrono::milliseconds(1000));
-  EXPECT_EQ(Found->MaxBodyBytes_, 1024U * 1024U);
+  EXPECT_EQ(Found->MaxBodyBytes_, 8192U * 1024U);
 }
 
 // Guards against a setting that only one of the two sources can reach.
@@ -86,7 +86,7 @@
       {"command-timeout-ms", "1001"},
       {"call-timeout-ms", "99999999999999999999"},
       {"max-in-flight", "0"},
-      {"max-body-kib", "4097"}};
+      {"max-body-kib", "8193"}};
   for (const auto &[Flag, Value] : Cases)
     EXPECT_FALSE(resolveWith(Flag, Value)) << Flag << "=" << Value;
 }
