--- /dev/null
+++ b/test/daemon/peer_link_test.cc
@@ -0,0 +1,246 @@
+#include "daemon/peer_link.h"
+
+#include <gtest/gtest.h>
+
+#include "daemon/task.h"
+#include "fake_server.h"
+
+namespace oleandergauge::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::FakeServer;
+
+constexpr Duration Patience = milliseconds(400);
+constexpr Duration Long = milliseconds(20000);
+
+PeerReply send(PeerClient &Client, const std::string &Address,
+               const std::string &Body, Duration Timeout) {
+  return testing::await<PeerReply>([&](auto Done) {
+    Client.request(Address, ForwardPath, Body, Timeout, Done);
+  });
+}
+
+PeerOutcome sendOnce(const std::string &Address) {
+  PeerClient Client;
+  return send(Client, Address, "body", Patience).Outcome_;
+}
+
+void runFor(Duration Span) {
+  const TimePoint End = monotonicNow() + Span;
+  while (monotonicNow() < End) {
+    g_main_context_iteration(nullptr, FALSE);
+    g_usleep(500);
+  }
+}
+
+/// An HTTP/2 frame.
+std::string frame(char Type, char Flags, char Stream,
+                  const std::string &Payload) {
+  const char Head[] = {
+      0, 0, static_cast<char>(Payload.size()), Type, Flags, 0, 0, 0, Stream};
+  return std::string(Head, sizeof(Head)) + Payload;
+}
+
+const std::string Settings = frame(4, 0, 0, "");
+
+std::string resetStream(char ErrorCode) {
+  return frame(3, 0, 1, std::string("\0\0\0", 3) + ErrorCode);
+}
+
+/// A peer that answers the first request with these frames and closes where
+/// \p Close says so.
+FakeServer::Answer framesAfterRequest(const std::string &Frames, bool Close) {
+  // FakeServer takes the two parts of the connection preface for requests.
+  // The client's first request follows the preface without waiting.
+  return [=](const std::string &Part) -> std::optional<std::string> {
+    if (Part.starts_with("PRI"))
+      return Settings;
+    g_usleep(100000);
+    return Close ? Frames + "Connection: close" : Frames;
+  };
+}
+
+// Guards against a reply that reaches the wrong caller or is cut (P6): replies
+// come in reverse order and are larger than the flow control windows.
+TEST(PeerLinkTest, GivesEachCallerItsOwnWholeReply) {
+  const std::string Address = testing::freeAddress();
+  std::vector<std::pair<std::string, PeerResponder>> Held;
+  PeerServer Server(Address,
+                    [&](const std::string &Path, const std::string &Body,
+                        PeerResponder Respond) {
+                      EXPECT_EQ(Path, ForwardPath);
+                      Held.emplace_back(Body, std::move(Respond));
+                    });
+  PeerClient Client;
+  constexpr int Count = 50;
+  std::vector<std::string> Replies(Count);
+  int Done = 0;
+  const std::string Filler(700000, 'x');
+  for (int I = 0; I < Count; ++I)
+    Client.request(Address, ForwardPath, std::to_string(I) + Filler, Long,
+                   [&, I](const PeerReply &Reply) {
+                     EXPECT_EQ(Reply.Outcome_, PeerOutcome::Answered);
+                     Replies[I] = Reply.Body_;
+                     ++Done;
+                   });
+  while (Held.size() < Count)
+    g_main_context_iteration(nullptr, TRUE);
+  for (auto Entry = Held.rbegin(); Entry != Held.rend(); ++Entry)
+    Entry->second("re" + Entry->first);
+  while (Done < Count)
+    g_main_context_iteration(nullptr, TRUE);
+  for (int I = 0; I < Count; ++I)
+    EXPECT_EQ(Replies[I], "re" + std::to_string(I) + Filler);
+}
+
+// Guards against a request that may have been handled and is sent again
+// elsewhere, and against a false "may have run" for one that was not.
+TEST(PeerLinkTest, ClassifiesRequestsWithoutReply) {
+  const auto OutcomeOf = [](const std::string &Frames, bool Close) {
+    FakeServer Server(framesAfterRequest(Frames, Close));
+    return sendOnce(Server.address());
+  };
+  const char RefusedStream = 7;
+  const char Cancel = 8;
+  const std::string GoAway = frame(7, 0, 0, std::string("\0\0\0\0\0\0\0\0", 8));
+  const std::string Status200 = frame(1, 4, 1, "\x88");
+  EXPECT_EQ(OutcomeOf(resetStream(RefusedStream), false), PeerOutcome::NotSent);
+  EXPECT_EQ(OutcomeOf(GoAway, false), PeerOutcome::NotSent);
+  EXPECT_EQ(OutcomeOf(resetStream(Cancel), false), PeerOutcome::Unknown);
+  EXPECT_EQ(OutcomeOf("", true), PeerOutcome::Unknown);
+  EXPECT_EQ(OutcomeOf("", false), PeerOutcome::Unknown);
+  // A reply that is cut before its end.
+  EXPECT_EQ(OutcomeOf(Status200 + frame(0, 0, 1, "part"), true),
+            PeerOutcome::Unknown);
+  // A status other than 200 says nothing about the request's effect.
+  EXPECT_EQ(OutcomeOf(frame(1, 5, 1, "\x8d"), false), PeerOutcome::Unknown);
+  EXPECT_EQ(OutcomeOf(frame(1, 5, 1, "\x88"), false), PeerOutcome::Answered);
+  EXPECT_EQ(sendOnce(testing::freeAddress()), PeerOutcome::NotSent);
+}
+
+// Guards against a body above the limit that is handled in part.
+TEST(PeerLinkTest, SendsNoBodyAboveTheLimit) {
+  const std::string Address = testing::freeAddress();
+  int Handled = 0;
+  PeerServer Server(Address, [&](const std::string &, const std::string &Body,
+                                 const PeerResponder &Respond) {
+    ++Handled;
+    Respond(std::to_string(Body.size()));
+  });
+  PeerClient Client;
+  EXPECT_EQ(send(Client, Address, std::string(MaxPeerBody + 1, 'x'), Long),
+            (PeerReply{PeerOutcome::NotSent, ""}));
+  EXPECT_EQ(send(Client, Address, std::string(MaxPeerBody, 'x'), Long),
+            (PeerReply{PeerOutcome::Answered, std::to_string(MaxPeerBody)}));
+  EXPECT_EQ(Handled, 1);
+}
+
+// Guards against a client that keeps a dead connection after its peer was
+// replaced, and against a stopped peer's request that counts as not handled.
+TEST(PeerLinkTest, ConnectsAgainAfterThePeerWasReplaced) {
+  const std::string Address = testing::freeAddress();
+  PeerClient Client;
+  PeerResponder Kept;
+  auto First = std::make_unique<PeerServer>(
+      Address, [&](const std::string &, const std::string &,
+                   PeerResponder Respond) { Kept = std::move(Respond); });
+  std::optional<PeerReply> Lost;
+  Client.request(Address, ForwardPath, "a", Long,
+                 [&Lost](const PeerReply &Reply) { Lost = Reply; });
+  while (!Kept)
+    g_main_context_iteration(nullptr, TRUE);
+  First.reset();
+  Kept("after the server's end");
+  while (!Lost)
+    g_main_context_iteration(nullptr, TRUE);
+  EXPECT_EQ(Lost->Outcome_, PeerOutcome::Unknown);
+  EXPECT_EQ(send(Client, Address, "b", Patience).Outcome_,
+            PeerOutcome::NotSent);
+  PeerServer Second(Address,
+                    [](const std::string &, const std::string &Body,
+                       const PeerResponder &Respond) { Respond(Body); });
+  EXPECT_EQ(send(Client, Address, "c", Long),
+            (PeerReply{PeerOutcome::Answered, "c"}));
+}
+
+// Guards against a late or second answer that breaks the connection for the
+// other requests on it.
+TEST(PeerLinkTest, IgnoresLateAndSecondAnswers) {
+  const std::string Address = testing::freeAddress();
+  std::vector<PeerResponder> Late;
+  PeerServer Server(Address, [&](const std::string &, const std::string &Body,
+                                 PeerResponder Respond) {
+    if (Body == "hold") {
+      Late.push_back(std::move(Respond));
+      return;
+    }
+    Respond(Body);
+    Respond("second");
+  });
+  PeerClient Client;
+  int Completions = 0;
+  Client.request(Address, ForwardPath, "hold", Patience,
+                 [&Completions](const PeerReply &Reply) {
+                   EXPECT_EQ(Reply.Outcome_, PeerOutcome::Unknown);
+                   ++Completions;
+                 });
+  runFor(2 * Patience);
+  ASSERT_EQ(Late.size(), 1U);
+  Late.front()("late");
+  EXPECT_EQ(send(Client, Address, "x", Long),
+            (PeerReply{PeerOutcome::Answered, "x"}));
+  runFor(Patience);
+  EXPECT_EQ(Completions, 1);
+}
+
+// Guards against a link that stays on a connection whose peer has vanished
+// without closing it.
+TEST(PeerLinkTest, GivesUpAConnectionWithoutAnswerToPings) {
+  std::atomic<int> Connections = 0;
+  FakeServer Server([&](const std::string &Part) -> std::optional<std::string> {
+    if (!Part.starts_with("PRI"))
+      return "";
+    ++Connections;
+    return Settings;
+  });
+  PeerClient Client;
+  for (int Round = 0; Round < 6; ++Round)
+    EXPECT_EQ(send(Client, Server.address(), "x", Patience).Outcome_,
+              PeerOutcome::Unknown);
+  EXPECT_GE(Connections, 2);
+}
+
+// Guards against a server that starts although its address is taken.
+TEST(PeerLinkTest, ThrowsWhereTheAddressCannotBeBound) {
+  const std::string Address = testing::freeAddress();
+  const auto Ignore = [](const std::string &, const std::string &,
+                         const PeerResponder &) {};
+  PeerServer First(Address, Ignore);
+  EXPECT_THROW(PeerServer(Address, Ignore), std::runtime_error);
+  EXPECT_THROW(PeerServer("no address", Ignore), std::runtime_error);
+}
+
+// Guards against completions that run after their client is gone.
+TEST(PeerLinkTest, DropsCompletionsOfADestroyedClient) {
+  const std::string Address = testing::freeAddress();
+  PeerServer Server(Address,
+                    [](const std::string &, const std::string &Body,
+                       const PeerResponder &Respond) { Respond(Body); });
+  {
+    PeerClient Client;
+    Client.request(Address, ForwardPath, "x", Patience,
+                   [](const PeerReply &) { ADD_FAILURE(); });
+  }
+  auto Client = std::make_unique<PeerClient>();
+  bool Called = false;
+  Client->request(Address, ForwardPath, "x", Long, [&](const PeerReply &) {
+    Client.reset();
+    Called = true;
+  });
+  runFor(2 * Patience);
+  EXPECT_TRUE(Called);
+}
+
+} // namespace
+} // namespace oleandergauge::daemon
