Forward requests with the peer codec

Cause: the daemon had a draft encoding of forwarded requests.

Change: forwarding.cc converts between the daemon's requests and those of the peer codec; heartbeats use the codec too.

--- a/src/daemon/config_task.cc
+++ b/src/daemon/config_task.cc
@@ -150,12 +150,12 @@
 /// before the peer does.
 void ConfigTask::Engine::take(const HeartbeatReceived &Received) {
   TimePoint Now = monotonicNow();
-  if (auto Beat = decodeHeartbeat(Received.Body_))
+  if (Result<Heartbeat> Beat = codec::decodeHeartbeat(Received.Body_))
     Members_.noteHeartbeat(Now, *Beat);
   PeerVouch Vouch = RegisteredAt_ ? Guard_.vouch(Now) : PeerVouch{};
   publish();
   Outputs_.Peer_(HeartbeatAnswered{
-      Received.Token_, encodeHeartbeatReply(ownHeartbeat(Vouch), Now)});
+      Received.Token_, codec::encodeHeartbeatReply(ownHeartbeat(Vouch))});
 }
 
 void ConfigTask::Engine::take(const DrainAnnounced &) {
@@ -325,8 +325,6 @@
   });
 }
 
-/// Only replies carry a vouch: the moment at which a request was sent is not
-/// known to its receiver.
 Heartbeat ConfigTask::Engine::ownHeartbeat(const PeerVouch &Vouch) const {
   return {Options_.member(), Draining_, Vouch, Owned_};
 }
@@ -335,7 +333,7 @@
   if (!RegisteredAt_ || Leaving_)
     return;
   TimePoint Now = monotonicNow();
-  std::string Body = encodeHeartbeat(ownHeartbeat(PeerVouch{}), Now);
+  std::string Body = codec::encodeHeartbeat(ownHeartbeat(Guard_.vouch(Now)));
   for (const Member &Peer : Members_.peers())
     Peers_->request(
         Peer.Address_, HeartbeatPath, Body, HeartbeatTimeout,
@@ -348,7 +346,7 @@
   Figures_.count("heartbeats", {{"outcome", Answered ? "answered" : "failed"}});
   if (!Answered)
     return;
-  auto Beat = decodeHeartbeatReply(Reply.Body_, SentAt);
+  Result<Heartbeat> Beat = codec::decodeHeartbeatReply(Reply.Body_, SentAt);
   if (!Beat)
     return;
   Members_.noteHeartbeat(monotonicNow(), *Beat);
--- a/src/daemon/http_api.cc
+++ b/src/daemon/http_api.cc
@@ -3,10 +3,10 @@
 #include <utility>
 
 #include "codec/json.h"
-#include "codec/peer.h"
 #include "daemon/api_reply.h"
 #include "daemon/caller_api.h"
 #include "daemon/dispatcher.h"
+#include "daemon/forwarding.h"
 #include "daemon/http_server.h"
 #include "daemon/log.h"
 #include "daemon/operator_api.h"
@@ -112,11 +112,11 @@
   Out.Peer_ = [this](const Member &Owner, const PartitionId &Partition,
                      const HomeRequest &Request, Duration Timeout, auto Done) {
     Peers_->request(Owner.Address_, ForwardPath,
-                    encodeForward({Partition, Request}), Timeout,
-                    [Done = std::move(Done)](const PeerReply &Reply) {
+                    codec::encodeForward(makeForward(Partition, Request)),
+                    Timeout, [Done = std::move(Done)](const PeerReply &Reply) {
                       ForwardOutcome Out{Reply.Outcome_, std::nullopt};
                       if (Reply.Outcome_ == PeerOutcome::Answered)
-                        Out.Answer_ = decodeForwardReply(Reply.Body_);
+                        Out.Answer_ = codec::decodeForwardReply(Reply.Body_);
                       Done(Out);
                     });
   };
--- a/src/daemon/peer_task.cc
+++ b/src/daemon/peer_task.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "codec/peer.h"
+#include "daemon/forwarding.h"
 
 namespace oleandergauge::daemon {
 namespace {
@@ -11,10 +11,9 @@
 /// Longer than any request that an entry host holds (call-timeout-ms).
 constexpr Duration LongestWait = std::chrono::minutes(20);
 
-Result<JobStatus> malformed() {
-  return tl::unexpected(Refusal{Verdict::NotRun, RefusalReason::InvalidRequest,
-                                "the forwarded request cannot be decoded",
-                                Duration(0)});
+Refusal unknownPath() {
+  return {Verdict::NotRun, RefusalReason::InvalidRequest,
+          "this host knows no such message", Duration(0)};
 }
 
 } // namespace
@@ -45,21 +44,20 @@
     Outputs_.Config_(HeartbeatReceived{Id, Body});
     return;
   }
-  auto Asked = Path == ForwardPath ? decodeForward(Body) : std::nullopt;
-  if (!Asked) {
-    Respond(encodeForwardReply(malformed()));
+  Result<codec::Forward> Passed = tl::unexpected(unknownPath());
+  if (Path == ForwardPath)
+    Passed = codec::decodeForward(Body);
+  if (!Passed) {
+    Respond(codec::encodeForwardReply(tl::unexpected(Passed.error())));
     return;
   }
   Token Id = NextToken_++;
   Waiters_[Id] = {std::move(Respond), monotonicNow()};
-  HomeRequest Request = Asked->Request_;
-  std::visit([&](auto &Any) { Any.Token_ = Id; }, Request);
-  Outputs_.Partitions_(
-      HomeAsked{Requester::Peer, Asked->Partition_, std::move(Request)});
+  Outputs_.Partitions_(takeForward(*Passed, Id));
 }
 
 void PeerTask::take(const HomeAnswered &Answer) {
-  respond(Answer.Token_, encodeForwardReply(Answer.Answer_));
+  respond(Answer.Token_, codec::encodeForwardReply(Answer.Answer_));
 }
 
 void PeerTask::take(const HeartbeatAnswered &Answer) {
