--- a/src/codec/checks.cc
+++ b/src/codec/checks.cc
@@ -67,7 +67,7 @@
       Refusal{Verdict::NotRun, Reason, std::move(Message), Duration(0)});
 }
 
-std::string quoted(std::string_view Text) {
+std::string quoteForMessage(std::string_view Text) {
   std::string Out = "\"";
   for (const char C : Text.substr(0, MaxQuoted))
     Out += C >= ' ' && C <= '~' && C != '"' ? C : '?';
@@ -82,7 +82,7 @@
 Result<void> checkName(std::string_view Field, std::string_view Value) {
   if (isName(Value))
     return {};
-  return refuse(std::string(Field) + " is " + quoted(Value) +
+  return refuse(std::string(Field) + " is " + quoteForMessage(Value) +
                 "; allowed are 1 to 128 characters of [A-Za-z0-9._-]");
 }
 
--- a/src/codec/checks.h
+++ b/src/codec/checks.h
@@ -20,7 +20,7 @@
 
 /// Text for use in messages: quoted, cut after 64 characters, and without
 /// bytes that could break a log line.
-std::string quoted(std::string_view Text);
+std::string quoteForMessage(std::string_view Text);
 
 /// True where the text has 1 to MaxNameLength characters of [A-Za-z0-9._-].
 bool isName(std::string_view Text);
--- a/src/codec/records.cc
+++ b/src/codec/records.cc
@@ -193,7 +193,7 @@
 
 tl::unexpected<Refusal> refuseRow(const Row &Stored,
                                   const std::string &Problem) {
-  return refuse("row " + quoted(Stored.Key_) + ": " + Problem);
+  return refuse("row " + quoteForMessage(Stored.Key_) + ": " + Problem);
 }
 
 /// Serialises the same on every host and run.
@@ -267,7 +267,7 @@
     return refuseRow(Stored, "the value is no MemberRow message");
   if (Stored.Key_ != memberKey(HostId(Row.host())) || !isName(Row.host()))
     return refuseRow(Stored, "the key is not \"member/<host>\" of its host " +
-                                 quoted(Row.host()));
+                                 quoteForMessage(Row.host()));
   return Member{HostId(Row.host()), Row.address(), Region(Row.region()),
                 FailureDomain(Row.failure_domain())};
 }
@@ -289,7 +289,7 @@
     return refuseRow(Stored, "the value is no ConfigLogEntry message");
   const auto Kind = parseRecordKind(Row.kind());
   if (!Kind)
-    return refuseRow(Stored, "kind is " + quoted(Row.kind()) +
+    return refuseRow(Stored, "kind is " + quoteForMessage(Row.kind()) +
                                  ", which this build does not know");
   if (Stored.Key_ != configLogKey(Row.version()))
     return refuseRow(Stored, "the key is not that of version " +
@@ -306,7 +306,7 @@
   const char *End = Text.data() + Text.size();
   const auto [Rest, Error] = std::from_chars(Text.data(), End, Head.Version_);
   if (Error != std::errc() || Rest != End)
-    return refuseRow(Stored, "the value is " + quoted(Text) +
+    return refuseRow(Stored, "the value is " + quoteForMessage(Text) +
                                  "; expected are decimal digits");
   return Head;
 }
