Add the codec of the messages between entry hosts

Cause: heartbeats carry the vouches of decision D4 between hosts whose clocks cannot be compared, and requests are passed on to their home.

Change: heartbeats, forwards and their replies to and from peer.proto. Ages in a reply count from the moment before the receiver sent its request, plus 10% for clocks that run at different rates; a heartbeat that comes as a request carries no vouch, as nothing bounds its age. An answer that cannot be read is a refusal with may_have_run.

--- /dev/null
+++ b/test/daemon/peer_codec_test.cc
@@ -0,0 +1,152 @@
+#include "codec/peer.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "codec/json.h"
+#include "daemon/codec_generators.h"
+
+namespace oleandergauge::codec {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(std::int64_t Ms) { return TimePoint(milliseconds(Ms)); }
+
+Heartbeat sample() {
+  Heartbeat Beat;
+  Beat.From_ = {HostId("b"), "127.0.0.1:7000", Region("r"), FailureDomain("d")};
+  Beat.Draining_ = true;
+  Beat.Vouch_ = {9, at(400), true, at(1000)};
+  Beat.Owned_ = {{PartitionId("p"), 3, 17}};
+  return Beat;
+}
+
+JobSpec anySpec() {
+  JobSpec Spec;
+  Spec.Team_ = TeamId(*testing::names());
+  Spec.Request_ = RequestId(*testing::names());
+  Spec.Id_ = makeJobId(Spec.Team_, Spec.Request_);
+  Spec.Queue_ = QueueId(*testing::names());
+  Spec.Class_ = static_cast<WorkClass>(*rc::gen::inRange(0, 4));
+  Spec.Urgent_ = *rc::gen::arbitrary<bool>();
+  Spec.Idempotent_ = *rc::gen::arbitrary<bool>();
+  Spec.TaskCount_ = *rc::gen::inRange<std::uint32_t>(1, 4097);
+  Spec.Need_ = {*rc::gen::inRange(0, 9000), 5, 1, 2, 3};
+  Spec.DeclaredRun_ = milliseconds(*rc::gen::inRange(0, 9000));
+  Spec.StartWithin_ = milliseconds(*rc::gen::inRange(0, 9000));
+  Spec.ExpiresIn_ = milliseconds(*rc::gen::inRange(0, 900'000));
+  Spec.Command_ = *rc::gen::arbitrary<std::string>();
+  Spec.Body_ = *rc::gen::arbitrary<std::string>();
+  return Spec;
+}
+
+Forward anyForward() {
+  const JobSpec Spec = anySpec();
+  const PartitionId Home(*testing::names());
+  switch (*rc::gen::inRange(0, 3)) {
+  case 0:
+    return {Home, ForwardedSubmit{Spec}};
+  case 1:
+    return {Home, ForwardedCancel{Spec.Team_, Spec.Id_}};
+  default:
+    return {Home, ForwardedQuery{Spec.Team_, Spec.Id_, Spec.Urgent_}};
+  }
+}
+
+Result<JobStatus> anyAnswer() {
+  const auto Said = static_cast<Verdict>(*rc::gen::inRange(0, 3));
+  const auto Reason = static_cast<RefusalReason>(*rc::gen::inRange(0, 17));
+  if (*rc::gen::arbitrary<bool>())
+    return tl::unexpected(Refusal{Said, Reason, *testing::names(),
+                                  milliseconds(*rc::gen::inRange(0, 999))});
+  const JobSpec Spec = anySpec();
+  JobStatus Status{Spec.Id_,     Spec.Team_,   Spec.Queue_, Spec.Class_,
+                   Spec.Urgent_, std::nullopt, {}};
+  if (*rc::gen::arbitrary<bool>())
+    Status.CancelledFor_ = Reason;
+  Status.Tasks_.push_back({{Spec.Id_, 7},
+                           static_cast<TaskState>(*rc::gen::inRange(0, 5)),
+                           2,
+                           WorkerId("w"),
+                           Said,
+                           -1,
+                           Spec.Body_,
+                           "waits"});
+  return Status;
+}
+
+// Guards against a vouch that seems younger than it is: the receiver would
+// act beyond the evidence bound.
+TEST(PeerCodecTest, ReplyCountsItsAgesFromTheRequest) {
+  const auto Read =
+      decodeHeartbeatReply(encodeHeartbeatReply(sample()), at(50000));
+  ASSERT_TRUE(Read) << Read.error().Message_;
+  Heartbeat Expected = sample();
+  Expected.Vouch_.SentAt_ = at(50000);
+  Expected.Vouch_.HeadReadAt_ = at(50000 - 660);
+  EXPECT_EQ(*Read, Expected);
+}
+
+// Guards against a request that was under way for long counting as evidence.
+TEST(PeerCodecTest, RequestCarriesNoVouch) {
+  const auto Read = decodeHeartbeat(encodeHeartbeat(sample()));
+  ASSERT_TRUE(Read) << Read.error().Message_;
+  Heartbeat Expected = sample();
+  Expected.Vouch_ = {9, std::nullopt, false, UnknownMoment};
+  EXPECT_EQ(*Read, Expected);
+}
+
+// Guards against an age from a faulty peer moving a read into the future or
+// overflowing the clock.
+RC_GTEST_PROP(PeerCodecTest, ReadIsNeverLaterThanTheRequest, ()) {
+  Heartbeat Beat = sample();
+  Beat.Vouch_.HeadReadAt_ =
+      TimePoint(Duration(*rc::gen::arbitrary<std::int32_t>()));
+  const Duration Age = at(1000) - *Beat.Vouch_.HeadReadAt_;
+  const auto Read = decodeHeartbeatReply(encodeHeartbeatReply(Beat), at(50000));
+  RC_ASSERT(Read.has_value());
+  RC_ASSERT(Read->Vouch_.HeadReadAt_ <= at(50000));
+  RC_ASSERT(Read->Vouch_.HeadReadAt_ <= at(50000) - Age);
+}
+
+RC_GTEST_PROP(PeerCodecTest, ForwardsAndAnswersRoundTrip, ()) {
+  const Forward Passed = anyForward();
+  const auto Read = decodeForward(encodeForward(Passed));
+  RC_ASSERT(Read.has_value());
+  RC_ASSERT(*Read == Passed);
+  const Result<JobStatus> Answer = anyAnswer();
+  const bool Same = decodeForwardReply(encodeForwardReply(Answer)) == Answer;
+  RC_ASSERT(Same);
+}
+
+// Guards against a peer's bytes stopping a host.
+RC_GTEST_PROP(PeerCodecTest, DamagedMessagesAreRefusedOrRead, ()) {
+  const Forward Passed = anyForward();
+  const std::string Bytes = testing::mutated(encodeForward(Passed));
+  if (const auto Read = decodeForward(Bytes))
+    RC_ASSERT(*decodeForward(encodeForward(*Read)) == *Read);
+  else
+    RC_ASSERT(Read.error().Verdict_ == Verdict::NotRun);
+  (void)decodeForwardReply(testing::mutated(encodeForwardReply(anyAnswer())));
+  const std::string Beat = testing::mutated(encodeHeartbeatReply(sample()));
+  if (const auto Read = decodeHeartbeatReply(Beat, at(50000)))
+    RC_ASSERT(Read->Vouch_.HeadReadAt_ <= at(50000));
+  (void)decodeHeartbeat(Beat);
+}
+
+// Guards against "not_run" for an answer that cannot be read (P7).
+TEST(PeerCodecTest, UnreadableAnswerMayHaveRun) {
+  for (const std::string Bytes : {"", "\x08", "\x12\x05"})
+    EXPECT_EQ(decodeForwardReply(Bytes).error().Verdict_, Verdict::MayHaveRun);
+}
+
+// Guards against a team reaching another team's job through a forward.
+TEST(PeerCodecTest, ForwardsOfAnotherTeamsJobAreRefused) {
+  const Forward Passed{PartitionId("p"),
+                       ForwardedCancel{TeamId("red"), JobId("blue:r-1")}};
+  EXPECT_FALSE(decodeForward(encodeForward(Passed)));
+}
+
+} // namespace
+} // namespace oleandergauge::codec
