--- a/include/oleandergauge/membership.h
+++ b/include/oleandergauge/membership.h
@@ -83,7 +83,7 @@
   /// first, then by rendezvous hash.
   std::uint32_t rankFor(const PartitionId &Partition, TimePoint Now) const;
   void setDraining(bool Draining) { Draining_ = Draining; }
-  void setOwned(std::vector<OwnedPartition> Owned);
+  void setOwned(const std::vector<OwnedPartition> &Owned);
 
 private:
   struct Peer {
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -170,7 +170,7 @@
   return Rank;
 }
 
-void Membership::setOwned(std::vector<OwnedPartition> Owned) {
+void Membership::setOwned(const std::vector<OwnedPartition> &Owned) {
   for (const OwnedPartition &Each : Owned)
     noteClaim(Each.Partition_, Each.Epoch_, Self_.Host_);
   dropClaims(Self_.Host_, Owned);
