--- a/include/oleandergauge/base.h
+++ b/include/oleandergauge/base.h
@@ -64,7 +64,10 @@
   JobId Job_;
   std::uint32_t Index_ = 0;
   friend bool operator==(const TaskId &, const TaskId &) = default;
-  friend auto operator<=>(const TaskId &, const TaskId &) = default;
+  friend std::strong_ordering operator<=>(const TaskId &A, const TaskId &B) {
+    const auto Jobs = A.Job_ <=> B.Job_;
+    return std::is_neq(Jobs) ? Jobs : A.Index_ <=> B.Index_;
+  }
 };
 
 /// One attempt of a task. Attempts count from 1; a worker keeps them apart.
@@ -72,7 +75,11 @@
   TaskId Task_;
   std::uint32_t Attempt_ = 0;
   friend bool operator==(const AttemptId &, const AttemptId &) = default;
-  friend auto operator<=>(const AttemptId &, const AttemptId &) = default;
+  friend std::strong_ordering operator<=>(const AttemptId &A,
+                                          const AttemptId &B) {
+    const auto Tasks = A.Task_ <=> B.Task_;
+    return std::is_neq(Tasks) ? Tasks : A.Attempt_ <=> B.Attempt_;
+  }
 };
 
 /// Amounts that a worker holds and a task takes. Componentwise; no component
