--- /dev/null
+++ b/test/core/journal_test.cc
@@ -0,0 +1,304 @@
+#include "oleandergauge/journal.h"
+
+#include <memory>
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "fake_table.h"
+
+namespace oleandergauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+const PartitionId Self("p0");
+const std::string FenceKey = "owner/p0";
+
+/// The name of a transition made by this test: writer and ticket.
+Transition numbered(Epoch Writer, std::uint64_t Ticket) {
+  return JobForgotten{
+      JobId(std::to_string(Writer) + "." + std::to_string(Ticket))};
+}
+
+std::string nameOf(const Transition &Change) {
+  return std::get<JobForgotten>(Change).Job_.str();
+}
+
+/// All transitions in the table, in order. Fails where the rows have a gap.
+std::vector<std::string> replay(const FakeTable &Table) {
+  std::vector<std::string> Names;
+  std::uint64_t Sequence = 0;
+  for (const auto &[Key, Present] : Table.rows()) {
+    if (!Key.starts_with("journal/"))
+      continue;
+    RC_ASSERT(Key == journalKey(Self, ++Sequence));
+    const auto Batch = decodeBatch(Present.Value_);
+    RC_ASSERT(Batch.has_value());
+    RC_ASSERT(Batch->Sequence_ == Sequence);
+    for (const Transition &Change : Batch->Changes_)
+      Names.push_back(nameOf(Change));
+  }
+  return Names;
+}
+
+/// A journal with the requests that it has in flight, and what it was told.
+struct Writer {
+  Writer(FakeTable &Table, Epoch Held, std::uint64_t NextSequence)
+      : Table_(Table), Epoch_(Held) {
+    Journal_.open({FenceKey, Table.find(FenceKey).Version_}, Held,
+                  NextSequence);
+  }
+
+  void append() {
+    const std::uint64_t Ticket = Journal_.append(numbered(Epoch_, Next_));
+    RC_ASSERT(Ticket == Next_++);
+  }
+
+  void tick(TimePoint Now) {
+    if (Reply_ && *Reply_)
+      note(Journal_.answered(Now, **Reply_));
+    if (Reply_ && !*Reply_)
+      return;
+    Reply_.reset();
+    const auto Request = Journal_.poll(Now, ValidUntil_);
+    if (!Request)
+      return;
+    RC_ASSERT(!Fenced_);
+    RC_ASSERT(Now < ValidUntil_);
+    Reply_ = std::make_shared<std::optional<TableReply>>();
+    Table_.send(*Request,
+                [Slot = Reply_](const TableReply &Reply) { *Slot = Reply; });
+  }
+
+  void note(const JournalOutcome &Outcome) {
+    Fenced_ = Fenced_ || std::holds_alternative<JournalFenced>(Outcome);
+    if (const auto *Commit = std::get_if<BatchCommitted>(&Outcome)) {
+      RC_ASSERT(Commit->Ticket_ <= Journal_.lastSentTicket());
+      RC_ASSERT(Commit->Ticket_ == Journal_.committedTicket());
+    }
+  }
+
+  void takeUnsent() {
+    for (const Transition &Change : Journal_.takeUnsent())
+      Taken_.insert(nameOf(Change));
+  }
+
+  /// What the table must hold of this writer: committed transitions once, in
+  /// order, and no more than was sent.
+  void check(const std::vector<std::string> &Stored) const {
+    std::vector<std::string> Mine;
+    for (const std::string &Name : Stored)
+      if (Name.starts_with(std::to_string(Epoch_) + "."))
+        Mine.push_back(Name);
+    std::vector<std::string> Expected;
+    for (std::uint64_t Ticket = 1; Ticket < Next_; ++Ticket) {
+      const std::string Name = nameOf(numbered(Epoch_, Ticket));
+      if (!Taken_.contains(Name))
+        Expected.push_back(Name);
+      if (Ticket == Journal_.committedTicket())
+        RC_ASSERT(Mine.size() >= Expected.size());
+    }
+    RC_ASSERT(Mine.size() <= Expected.size());
+    Expected.resize(Mine.size());
+    RC_ASSERT(Mine == Expected);
+  }
+
+  FakeTable &Table_;
+  Epoch Epoch_;
+  Journal Journal_{Self};
+  std::uint64_t Next_ = 1;
+  TimePoint ValidUntil_ = TimePoint::max();
+  bool Fenced_ = false;
+  std::shared_ptr<std::optional<TableReply>> Reply_;
+  std::set<std::string> Taken_;
+};
+
+/// Owners that follow one another; earlier ones go on as if unaware.
+struct JournalWorld {
+  explicit JournalWorld(std::uint64_t Seed) : Table_(Time_, Seed) {
+    takeOver();
+  }
+
+  void takeOver() {
+    Table_.apply(Transaction{{}, {{FenceKey, "owner"}}});
+    Writers_.push_back(std::make_unique<Writer>(Table_, Writers_.size() + 1,
+                                                lastSequence() + 1));
+  }
+
+  std::uint64_t lastSequence() const {
+    std::uint64_t Count = 0;
+    for (const auto &[Key, Present] : Table_.rows())
+      Count += Key.starts_with("journal/") ? 1 : 0;
+    return Count;
+  }
+
+  void run(Duration Span) {
+    for (const TimePoint End = Time_.now() + Span; Time_.now() < End;) {
+      Time_.advance(milliseconds(2));
+      for (const auto &Each : Writers_)
+        Each->tick(Time_.now());
+    }
+  }
+
+  void apply(const Step &Value) {
+    Writer &Chosen = *Writers_[Value.Who_ % Writers_.size()];
+    switch (Value.Kind_) {
+    case 0:
+    case 1:
+      return run(milliseconds(10) * Value.Amount_);
+    case 2:
+      for (unsigned Count = 0; Count < Value.Amount_ % 20; ++Count)
+        Writers_.back()->append();
+      return Chosen.append();
+    case 3:
+      return Table_.setFaultRate(Value.Amount_);
+    case 4:
+      return Chosen.takeUnsent();
+    case 5:
+      Chosen.ValidUntil_ = Value.Amount_ < 50
+                               ? TimePoint::max()
+                               : Time_.now() + milliseconds(Value.Amount_);
+      return;
+    case 6:
+      return Table_.setOut(Value.Amount_ % 2 == 1);
+    default:
+      return takeOver();
+    }
+  }
+
+  VirtualTime Time_;
+  FakeTable Table_;
+  std::vector<std::unique_ptr<Writer>> Writers_;
+};
+
+// Guards against transitions that are lost, doubled or reordered by lost
+// answers, late effects and owners that do not know of their successor; and
+// against a journal that never commits once the faults stop.
+RC_GTEST_PROP(JournalTest, KeepsEveryCommittedTransitionOnceInOrder, ()) {
+  JournalWorld World(*rc::gen::arbitrary<std::uint64_t>());
+  for (const Step &Value : *genSteps(8, 4)) {
+    World.apply(Value);
+    const std::vector<std::string> Stored = replay(World.Table_);
+    for (const auto &Each : World.Writers_)
+      Each->check(Stored);
+  }
+  World.Table_.setOut(false);
+  World.Table_.setFaultRate(0);
+  Writer &Last = *World.Writers_.back();
+  Last.ValidUntil_ = TimePoint::max();
+  Last.append();
+  World.run(milliseconds(8000));
+  Last.check(replay(World.Table_));
+  RC_ASSERT(Last.Journal_.committedTicket() == Last.Next_ - 1);
+}
+
+/// One journal that is answered by hand.
+class JournalAnswerTest : public ::testing::Test {
+protected:
+  JournalAnswerTest() { Journal_.open({FenceKey, 7}, 3, 1); }
+  TimePoint at(int Millis) { return TimePoint(milliseconds(10000 + Millis)); }
+  std::optional<TableRequest> poll(int Millis) {
+    return Journal_.poll(at(Millis), at(100000));
+  }
+
+  Journal Journal_{Self};
+};
+
+// Guards against a submission that waits for the spacing at an idle journal,
+// and against more than 20 writes a second at a busy one.
+TEST_F(JournalAnswerTest, FlushesAtOnceWhenIdleAndSpacesUnderLoad) {
+  Journal_.append(numbered(3, 1));
+  EXPECT_TRUE(poll(0).has_value());
+  Journal_.append(numbered(3, 2));
+  EXPECT_FALSE(poll(5).has_value());
+  EXPECT_EQ(Journal_.answered(at(5), Committed{{1}}),
+            JournalOutcome(BatchCommitted{1}));
+  EXPECT_FALSE(poll(49).has_value());
+  EXPECT_TRUE(poll(50).has_value());
+}
+
+// Guards against sending another batch, or none, after an absent read-back,
+// and against overwriting a row.
+TEST_F(JournalAnswerTest, SendsTheSameBytesAgainWhereAbsent) {
+  Journal_.append(numbered(3, 1));
+  const auto First = poll(0);
+  EXPECT_EQ(std::get<Transaction>(First.value()).Conditions_,
+            (std::vector<Condition>{{FenceKey, 7}, {journalKey(Self, 1), 0}}));
+  Journal_.append(numbered(3, 2));
+  EXPECT_EQ(Journal_.answered(at(9), OutcomeUnknown()),
+            JournalOutcome(JournalStalled()));
+  EXPECT_EQ(poll(9), TableRequest(ReadKeys{{journalKey(Self, 1)}}));
+  Journal_.answered(at(9), Rows{{{journalKey(Self, 1), "", 0}}});
+  EXPECT_EQ(poll(9), First);
+}
+
+// Guards against writing on beside another owner's batch.
+TEST_F(JournalAnswerTest, AnotherBatchAtTheSequenceFences) {
+  Journal_.append(numbered(3, 1));
+  poll(0);
+  Journal_.answered(
+      at(9), Conflicted{{{FenceKey, "", 7}, {journalKey(Self, 1), "", 9}}});
+  EXPECT_TRUE(poll(9).has_value());
+  const std::string Other = encodeBatch({4, 1, {numbered(4, 1)}});
+  EXPECT_EQ(Journal_.answered(at(9), Rows{{{journalKey(Self, 1), Other, 9}}}),
+            JournalOutcome(JournalFenced()));
+  EXPECT_FALSE(poll(1000).has_value());
+}
+
+// Guards against a row that grows without bound under a wave of work.
+TEST_F(JournalAnswerTest, ClosesABatchAtItsSizeBound) {
+  TaskEnded Large{{JobId("j"), 0}, 1, Verdict::Ran, 0, ""};
+  Large.Output_.resize(MaxBatchBytes / 2);
+  for (int Count = 0; Count < 5; ++Count)
+    Journal_.append(Large);
+  poll(0);
+  EXPECT_EQ(Journal_.lastSentTicket(), 2U);
+  EXPECT_EQ(Journal_.waiting(), 3U);
+}
+
+// Guards against a field that is lost on the way through a journal row, and
+// against names that are not UTF-8, which a string field cannot hold.
+TEST(JournalCodecTest, RestoresEveryKindOfTransition) {
+  const TaskId Task{JobId("j"), 4};
+  const Resources Need{1, 2, 3, 4, 5};
+  const JobSpec Spec{JobId("j"),
+                     RequestId("\xff"),
+                     TeamId("t"),
+                     QueueId("q"),
+                     WorkClass::Gang,
+                     true,
+                     false,
+                     9,
+                     Need,
+                     milliseconds(1),
+                     milliseconds(2),
+                     milliseconds(3),
+                     std::string("\xff"),
+                     "body"};
+  const JournalBatch Batch{
+      5,
+      6,
+      {JobAccepted{Spec}, TaskAssigned{Task, 2, WorkerId("w"), Need},
+       TaskReturned{Task, 3},
+       TaskEnded{Task, 4, Verdict::MayHaveRun, -1, "\xfe"},
+       JobCancelled{JobId("j"), RefusalReason::WorkerFailed},
+       JobForgotten{JobId("j")}}};
+  EXPECT_EQ(decodeBatch(encodeBatch(Batch)), Batch);
+}
+
+// Guards against a crash on bytes that no build wrote, whole or cut.
+RC_GTEST_PROP(JournalCodecTest, DecodesArbitraryBytesWithoutCrash,
+              (const std::string &Bytes, unsigned Cut, char Flip)) {
+  decodeBatch(Bytes);
+  std::string Known = encodeBatch(
+      {1, 2, {numbered(1, 2), TaskEnded{}, TaskAssigned{}, JobAccepted{}}});
+  Known[Cut % Known.size()] = Flip;
+  if (const auto Decoded = decodeBatch(Known))
+    RC_ASSERT(decodeBatch(encodeBatch(*Decoded)) == Decoded);
+  decodeBatch(Known.substr(0, Cut % Known.size()));
+}
+
+} // namespace
+} // namespace oleandergauge
