Serve the holder of a reservation in its team's turn

Cause: the holder was tried before all teams, and the next largest item became the holder at once, so most ended slots went to the teams with the largest items, whatever their share.

Change: the holder is tried first in its own team's turn, and only teams at or below the mean weighted share of the band may hold a reservation.

--- a/src/core/scheduler_reserve.cc
+++ b/src/core/scheduler_reserve.cc
@@ -93,26 +93,37 @@
                    Part(Item.Need_.Connections_, Total_.Connections_)});
 }
 
-void Scheduler::State::noteMisfit(const WorkItem &Item, std::size_t Band) {
+void Scheduler::State::noteMisfit(const WaitingItem &Item, std::size_t Band) {
   // Direct calls are short and find room without a reservation.
   if (Band < UrgentBand || Reservations_[Band])
     return;
-  const double Size = sizeOf(Item);
+  // A team above its share would keep others from room by large items.
+  if (Teams_[Item.Team_].weightedShare() > FairShare_)
+    return;
+  const double Size = sizeOf(Item.Work_);
   if (!LargestMisfit_ || Size > LargestMisfit_->Size_)
-    LargestMisfit_ = Misfit{Item.First_, Size};
+    LargestMisfit_ = Misfit{Item.Work_.First_, Size};
 }
 
-void Scheduler::State::tryHolder(std::size_t Band, Round &R) {
+void Scheduler::State::checkHolder(std::size_t Band) {
   if (!Reservations_[Band])
     return;
   const WaitingItem *Holder = Waiting_.find(Reservations_[Band]->Holder_);
   if (Holder == nullptr ||
-      Teams_[Holder->Team_].Headroom_ < Holder->Work_.Count_) {
+      Teams_[Holder->Team_].Headroom_ < Holder->Work_.Count_)
     dropReservation(Band);
-    return;
-  }
-  if (R.Placed_.size() < R.Max_)
-    tryItem(Holder->Work_, R);
+}
+
+bool Scheduler::State::tryHolder(std::size_t Band, Turn &T, Round &R) {
+  if (T.Started_)
+    return false;
+  T.Started_ = true;
+  if (!Reservations_[Band])
+    return false;
+  const WaitingItem *Holder = Waiting_.find(Reservations_[Band]->Holder_);
+  return Holder != nullptr && Holder->Team_ == T.Team_ &&
+         Holder->Work_.Count_ <= Teams_[T.Team_].Headroom_ &&
+         tryItem(Holder->Work_, R);
 }
 
 void Scheduler::State::renewReservation(std::size_t Band, TimePoint Now) {
--- a/src/core/scheduler_round.cc
+++ b/src/core/scheduler_round.cc
@@ -25,12 +25,15 @@
 
 void Scheduler::State::runBand(std::size_t Band, Round &R) {
   LargestMisfit_.reset();
-  tryHolder(Band, R);
+  checkHolder(Band);
   std::vector<Turn> Turns;
   for (const TeamIndex T : Waiting_.teams(Band))
     if (Teams_[T].Headroom_ > 0)
       Turns.push_back({Teams_[T].weightedShare(), 0, T,
                        Waiting_.line(Band, T).startOfRound()});
+  FairShare_ = 0.0;
+  for (const Turn &T : Turns)
+    FairShare_ += T.Share_ / static_cast<double>(Turns.size());
   std::make_heap(Turns.begin(), Turns.end(), comesLater);
   const std::size_t Searches = std::max<std::size_t>(
       Options_.MaxMisfitsPerBand_ / std::max<std::size_t>(Turns.size(), 1), 1);
@@ -50,6 +53,8 @@
 
 bool Scheduler::State::serveTeam(std::size_t Band, std::size_t Searches,
                                  Turn &T, Round &R) {
+  if (tryHolder(Band, T, R))
+    return true;
   Line &L = Waiting_.line(Band, T.Team_);
   L.Resume_ = 0;
   auto Head = L.Heads_.upper_bound(T.Cursor_);
@@ -62,7 +67,7 @@
     if (Item.Count_ > Teams_[T.Team_].Headroom_)
       return false;
     if (!mayFitNow(G, Item)) {
-      noteMisfit(Item, Band);
+      noteMisfit(*G.First_, Band);
       ++T.Passed_;
     } else if (tryGroup(G, Band, R)) {
       return true;
@@ -97,7 +102,7 @@
 bool Scheduler::State::tryGroup(Group &G, std::size_t Band, Round &R) {
   if (tryItem(G.First_->Work_, R))
     return true;
-  noteMisfit(G.First_->Work_, Band);
+  noteMisfit(*G.First_, Band);
   // Room that is only reserved may become usable without growing.
   G.Misfit_ = !MetReservation_;
   G.MisfitAt_ = GrowthBase_ + Growths_.size();
--- a/src/core/scheduler_state.h
+++ b/src/core/scheduler_state.h
@@ -94,6 +94,7 @@
   TeamIndex Team_ = 0;
   std::uint64_t Cursor_ = 0; ///< Arrival number of the group tried last.
   std::size_t Searched_ = 0; ///< Groups that were searched for and not placed.
+  bool Started_ = false;     ///< Whether the turn was used at all.
   std::size_t Passed_ = 0;   ///< Groups passed over as known not to fit.
 };
 
@@ -178,14 +179,18 @@
                  detail::Round &R);
   bool tryGroup(detail::Group &G, std::size_t Band, detail::Round &R);
   bool tryItem(const WorkItem &Item, detail::Round &R);
-  void tryHolder(std::size_t Band, detail::Round &R);
   void place(const WorkItem &Item, const std::vector<WorkerIndex> &Chosen,
              detail::Round &R);
   /// Whether capacity grew since the group failed to fit, so that it might.
   bool mayFitNow(detail::Group &G, const WorkItem &Item) const;
 
   // Reservations (scheduler_reserve.cc).
-  void noteMisfit(const WorkItem &Item, std::size_t Band);
+  void noteMisfit(const detail::WaitingItem &Item, std::size_t Band);
+  /// Ends the reservation of a band whose holder cannot start.
+  void checkHolder(std::size_t Band);
+  /// Places the holder of the band's reservation in its team's first turn of
+  /// a round.
+  bool tryHolder(std::size_t Band, detail::Turn &T, detail::Round &R);
   void renewReservation(std::size_t Band, TimePoint Now);
   void plan(detail::Reservation &For, const WorkItem &Item, TimePoint Now);
   /// Some workers that could hold a task of the item, those of the present
@@ -242,6 +247,8 @@
       Reservations_;
   /// Whether the last attempt to place met room that is only reserved.
   bool MetReservation_ = false;
+  /// Mean weighted share of the teams of the round and band.
+  double FairShare_ = 0.0;
   /// The largest item of the round and band that did not fit.
   std::optional<detail::Misfit> LargestMisfit_;
   std::vector<WorkerIndex> Chosen_; ///< Reused by attempts to place.
