Keep the room that preemption makes for the urgent item

Cause: while a victim was checkpointing, other batch work took what was free beside it, so the room was too small when the victim had ended and other victims were chosen. A victim that was put back in line and ran again at once also counted as still to be stopped, so its urgent item waited for its end.

Change: workers on which room is being made receive urgent and direct work only, and a restarted victim no longer counts. A test covers the second fault; it fails without the change.

--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -104,7 +104,7 @@
 bool Scheduler::dequeue(const TaskId &First) {
   if (!State_->Waiting_.remove(First))
     return false;
-  State_->Pledges_.erase(First);
+  State_->dropPledge(First);
   State_->dropReservationOf(First);
   return true;
 }
--- a/src/core/scheduler_place.cc
+++ b/src/core/scheduler_place.cc
@@ -10,6 +10,8 @@
 
 /// Workers drawn for a direct call; the one with most free connections wins.
 constexpr std::size_t DirectSample = 4;
+/// Less than any task needs.
+constexpr Resources Nothing{-1, -1, -1, -1, -1};
 /// Workers compared for the rack of a service replica.
 constexpr std::size_t RackCandidates = 16;
 
@@ -138,8 +140,12 @@
 Resources Scheduler::State::usableFor(const WorkItem &Item, const Worker &W,
                                       TimePoint Now) {
   const Resources Free = W.Free_.usable(Item.Class_ == WorkClass::Direct);
-  if (!W.ReservedBand_ ||
-      bandOf(Item.Class_, Item.Urgent_) < *W.ReservedBand_ ||
+  const std::size_t Band = bandOf(Item.Class_, Item.Urgent_);
+  if (W.Pledges_ > 0 && Band > UrgentBand) {
+    MetReservation_ = true;
+    return Nothing;
+  }
+  if (!W.ReservedBand_ || Band < *W.ReservedBand_ ||
       Reservations_[*W.ReservedBand_]->Holder_ == Item.First_)
     return Free;
   if (Item.ExpectedRun_ > Duration(0) &&
--- a/src/core/scheduler_preempt.cc
+++ b/src/core/scheduler_preempt.cc
@@ -33,30 +33,56 @@
 
 std::vector<Preemption> Scheduler::State::choosePreemptions(TimePoint Now) {
   std::vector<Preemption> Chosen;
-  std::set<WorkerIndex> Pledged = pledgedWorkers();
+  dropFulfilledPledges();
   for (const std::size_t Band : {UrgentDirectBand, UrgentBand})
     for (const TeamIndex T : Waiting_.teams(Band))
       if (Teams_[T].Headroom_ > 0)
-        preemptInLine(Waiting_.line(Band, T), Now, Pledged, Chosen);
+        preemptInLine(Waiting_.line(Band, T), Now, Chosen);
   return Chosen;
 }
 
-std::set<Scheduler::State::WorkerIndex> Scheduler::State::pledgedWorkers() {
-  std::set<WorkerIndex> Pledged;
-  for (auto It = Pledges_.begin(); It != Pledges_.end();) {
-    bool Pending = false;
-    for (const Preemption &P : It->second)
-      if (Running_.contains(P.Task_)) {
-        Pending = true;
-        Pledged.insert(findWorker(P.Worker_));
-      }
-    It = Pending ? std::next(It) : Pledges_.erase(It);
+void Scheduler::State::addPledge(const TaskId &Item,
+                                 std::vector<Preemption> Victims) {
+  std::set<WorkerIndex> On;
+  for (const Preemption &P : Victims) {
+    Running &Victim = Running_.at(P.Task_);
+    Victim.Victim_ = true;
+    On.insert(Victim.Worker_);
   }
-  return Pledged;
+  for (const WorkerIndex W : On)
+    ++Workers_[W].Pledges_;
+  Pledges_[Item] = {std::move(Victims), {On.begin(), On.end()}};
+}
+
+void Scheduler::State::dropPledge(const TaskId &Item) {
+  const auto Found = Pledges_.find(Item);
+  if (Found == Pledges_.end())
+    return;
+  for (const WorkerIndex W : Found->second.Workers_)
+    if (Workers_[W].Pledges_ > 0)
+      --Workers_[W].Pledges_;
+  Pledges_.erase(Found);
+}
+
+void Scheduler::State::dropFulfilledPledges() {
+  std::vector<TaskId> Fulfilled;
+  for (const auto &[Item, P] : Pledges_)
+    if (!pending(P))
+      Fulfilled.push_back(Item);
+  for (const TaskId &Item : Fulfilled)
+    dropPledge(Item);
+}
+
+bool Scheduler::State::pending(const Pledge &P) const {
+  // A victim that was put back in line may run again already.
+  return std::any_of(
+      P.Victims_.begin(), P.Victims_.end(), [this](const Preemption &V) {
+        const auto Victim = Running_.find(V.Task_);
+        return Victim != Running_.end() && Victim->second.Victim_;
+      });
 }
 
 void Scheduler::State::preemptInLine(const Line &L, TimePoint Now,
-                                     std::set<WorkerIndex> &Pledged,
                                      std::vector<Preemption> &Chosen) {
   for (const auto &[Unused, G] : L.Heads_) {
     std::size_t Items = 0;
@@ -71,15 +97,11 @@
       std::vector<WorkerIndex> Fitting;
       if (chooseWorkers(I->Work_, Now, Fitting))
         break;
-      std::vector<Preemption> Victims = victimsFor(I->Work_, Pledged);
+      std::vector<Preemption> Victims = victimsFor(I->Work_);
       if (Victims.empty())
         break;
-      for (const Preemption &P : Victims) {
-        Running_.at(P.Task_).Victim_ = true;
-        Pledged.insert(findWorker(P.Worker_));
-      }
       Chosen.insert(Chosen.end(), Victims.begin(), Victims.end());
-      Pledges_.emplace(I->Work_.First_, std::move(Victims));
+      addPledge(I->Work_.First_, std::move(Victims));
     }
   }
 }
@@ -96,14 +118,12 @@
   return Order;
 }
 
-std::vector<Preemption>
-Scheduler::State::victimsFor(const WorkItem &Item,
-                             const std::set<WorkerIndex> &Pledged) {
+std::vector<Preemption> Scheduler::State::victimsFor(const WorkItem &Item) {
   const bool Direct = Item.Class_ == WorkClass::Direct;
   std::uint32_t Fits = 0;
   All_.visit(0, Item.Need_, Direct, Counters_.WorkersLooked_,
              [&](WorkerIndex W) {
-               if (!Pledged.contains(W))
+               if (Workers_[W].Pledges_ == 0)
                  Fits += countFits(Item.Need_, Workers_[W].Free_.usable(Direct),
                                    Item.Count_);
                return Fits >= Item.Count_;
@@ -111,7 +131,7 @@
   std::map<WorkerIndex, Clearing> Clearings;
   const auto Add = [&](const Running &Task) {
     const Worker &W = Workers_[Task.Worker_];
-    if (Task.Victim_ || !W.Open_ || Pledged.contains(Task.Worker_))
+    if (Task.Victim_ || !W.Open_ || W.Pledges_ > 0)
       return;
     Clearing &C = Clearings[Task.Worker_];
     C.Victims_.push_back({Task.Id_, W.Info_.Id_});
--- a/src/core/scheduler_round.cc
+++ b/src/core/scheduler_round.cc
@@ -121,7 +121,7 @@
                              const std::vector<WorkerIndex> &Chosen, Round &R) {
   const WorkItem Item = Waiting; // The queue's own copy is removed.
   Waiting_.remove(Item.First_);
-  Pledges_.erase(Item.First_);
+  dropPledge(Item.First_);
   dropReservationOf(Item.First_);
   TaskId Id = Item.First_;
   for (const WorkerIndex W : Chosen) {
--- a/src/core/scheduler_state.h
+++ b/src/core/scheduler_state.h
@@ -48,6 +48,9 @@
   std::vector<Running *> Tasks_;
   std::size_t OpenPosition_ = 0;  ///< In the list of open workers.
   std::size_t ClassPosition_ = 0; ///< In the list of its capacity class.
+  /// Urgent items for which room is being made here; others than urgent and
+  /// direct work receive nothing of it meanwhile.
+  std::uint32_t Pledges_ = 0;
   /// The band whose reservation this worker is part of.
   std::optional<std::size_t> ReservedBand_;
   TimePoint ReservedAt_; ///< When the holder is expected to fit.
@@ -66,6 +69,12 @@
   double weightedShare() const { return Share_ / Weight_; }
 };
 
+/// Room that is being made for an urgent item.
+struct Pledge {
+  std::vector<Preemption> Victims_;
+  std::vector<WorkerIndex> Workers_;
+};
+
 /// Room kept for the largest item of a band that did not fit.
 struct Reservation {
   TaskId Holder_;
@@ -204,14 +213,14 @@
 
   // Preemption (scheduler_preempt.cc).
   std::vector<Preemption> choosePreemptions(TimePoint Now);
-  /// Workers on which room is being made for waiting urgent items; forgets
-  /// pledges whose victims have all ended.
-  std::set<WorkerIndex> pledgedWorkers();
+  void addPledge(const TaskId &Item, std::vector<Preemption> Victims);
+  void dropPledge(const TaskId &Item);
+  /// Ends pledges whose victims have all ended.
+  void dropFulfilledPledges();
+  bool pending(const detail::Pledge &P) const;
   void preemptInLine(const detail::Line &L, TimePoint Now,
-                     std::set<WorkerIndex> &Pledged,
                      std::vector<Preemption> &Chosen);
-  std::vector<Preemption> victimsFor(const WorkItem &Item,
-                                     const std::set<WorkerIndex> &Pledged);
+  std::vector<Preemption> victimsFor(const WorkItem &Item);
   std::vector<TeamIndex> teamsByShare() const;
 
   std::string explain(const TaskId &First) const;
@@ -252,8 +261,8 @@
   /// The largest item of the round and band that did not fit.
   std::optional<detail::Misfit> LargestMisfit_;
   std::vector<WorkerIndex> Chosen_; ///< Reused by attempts to place.
-  /// Urgent items for which room is being made, with their victims.
-  std::unordered_map<TaskId, std::vector<Preemption>> Pledges_;
+  /// Urgent items for which room is being made.
+  std::unordered_map<TaskId, detail::Pledge> Pledges_;
   std::uint64_t RandomState_ = 1;
   SchedulerCounters Counters_;
 };
--- a/src/core/scheduler_workers.cc
+++ b/src/core/scheduler_workers.cc
@@ -110,6 +110,8 @@
   Worker &W = Workers_[Index];
   if (!W.Tasks_.empty() || (W.Known_ && !W.Removed_))
     return;
+  for (auto &[Unused, P] : Pledges_)
+    std::erase(P.Workers_, Index);
   WorkerByName_.erase(W.Info_.Id_);
   W = Worker{};
   FreePlaces_.push_back(Index);
--- a/test/core/scheduler_test.cc
+++ b/test/core/scheduler_test.cc
@@ -197,6 +197,23 @@
   EXPECT_EQ(placedJobs(Start + seconds(12)), Names{"urgent"});
 }
 
+// Guards against urgent work that waits for a victim which was stopped and
+// already runs again elsewhere.
+TEST_F(SchedulerTest, ChoosesAgainWhenTheRoomWasTakenByOtherWork) {
+  addWorkers(1);
+  S_.setTeam(TeamId("a"), 1.0, 100);
+  const WorkItem Batch = item("batch", "a", WorkClass::Batch, Whole_);
+  S_.enqueue(Batch);
+  ASSERT_EQ(placedJobs(), Names{"batch"});
+  WorkItem Urgent = item("urgent", "a", WorkClass::Batch, Small_);
+  Urgent.Urgent_ = true;
+  S_.enqueue(Urgent);
+  ASSERT_EQ(S_.choosePreemptions(Start).size(), 1U);
+  S_.release(Batch.First_);
+  S_.adopt(Batch, {Batch.First_, WorkerId("w0"), Whole_}, Start);
+  EXPECT_EQ(S_.choosePreemptions(Start).size(), 1U);
+}
+
 // Guards against work that waits for ever because it can never fit.
 TEST_F(SchedulerTest, RefusesWhatCanNeverFit) {
   addWorkers(2);
