--- a/src/core/scheduler_state.h
+++ b/src/core/scheduler_state.h
@@ -48,6 +48,9 @@
   std::vector<Running *> Tasks_;
   std::size_t OpenPosition_ = 0;  ///< In the list of open workers.
   std::size_t ClassPosition_ = 0; ///< In the list of its capacity class.
+  /// Urgent items for which room is being made here; others than urgent and
+  /// direct work receive nothing of it meanwhile.
+  std::uint32_t Pledges_ = 0;
   /// The band whose reservation this worker is part of.
   std::optional<std::size_t> ReservedBand_;
   TimePoint ReservedAt_; ///< When the holder is expected to fit.
@@ -66,6 +69,12 @@
   double weightedShare() const { return Share_ / Weight_; }
 };
 
+/// Room that is being made for an urgent item.
+struct Pledge {
+  std::vector<Preemption> Victims_;
+  std::vector<WorkerIndex> Workers_;
+};
+
 /// Room kept for the largest item of a band that did not fit.
 struct Reservation {
   TaskId Holder_;
@@ -94,6 +103,7 @@
   TeamIndex Team_ = 0;
   std::uint64_t Cursor_ = 0; ///< Arrival number of the group tried last.
   std::size_t Searched_ = 0; ///< Groups that were searched for and not placed.
+  bool Started_ = false;     ///< Whether the turn was used at all.
   std::size_t Passed_ = 0;   ///< Groups passed over as known not to fit.
 };
 
@@ -178,14 +188,18 @@
                  detail::Round &R);
   bool tryGroup(detail::Group &G, std::size_t Band, detail::Round &R);
   bool tryItem(const WorkItem &Item, detail::Round &R);
-  void tryHolder(std::size_t Band, detail::Round &R);
   void place(const WorkItem &Item, const std::vector<WorkerIndex> &Chosen,
              detail::Round &R);
   /// Whether capacity grew since the group failed to fit, so that it might.
   bool mayFitNow(detail::Group &G, const WorkItem &Item) const;
 
   // Reservations (scheduler_reserve.cc).
-  void noteMisfit(const WorkItem &Item, std::size_t Band);
+  void noteMisfit(const detail::WaitingItem &Item, std::size_t Band);
+  /// Ends the reservation of a band whose holder cannot start.
+  void checkHolder(std::size_t Band);
+  /// Places the holder of the band's reservation in its team's first turn of
+  /// a round.
+  bool tryHolder(std::size_t Band, detail::Turn &T, detail::Round &R);
   void renewReservation(std::size_t Band, TimePoint Now);
   void plan(detail::Reservation &For, const WorkItem &Item, TimePoint Now);
   /// Some workers that could hold a task of the item, those of the present
@@ -199,14 +213,14 @@
 
   // Preemption (scheduler_preempt.cc).
   std::vector<Preemption> choosePreemptions(TimePoint Now);
-  /// Workers on which room is being made for waiting urgent items; forgets
-  /// pledges whose victims have all ended.
-  std::set<WorkerIndex> pledgedWorkers();
+  void addPledge(const TaskId &Item, std::vector<Preemption> Victims);
+  void dropPledge(const TaskId &Item);
+  /// Ends pledges whose victims have all ended.
+  void dropFulfilledPledges();
+  bool pending(const detail::Pledge &P) const;
   void preemptInLine(const detail::Line &L, TimePoint Now,
-                     std::set<WorkerIndex> &Pledged,
                      std::vector<Preemption> &Chosen);
-  std::vector<Preemption> victimsFor(const WorkItem &Item,
-                                     const std::set<WorkerIndex> &Pledged);
+  std::vector<Preemption> victimsFor(const WorkItem &Item);
   std::vector<TeamIndex> teamsByShare() const;
 
   std::string explain(const TaskId &First) const;
@@ -243,11 +257,13 @@
       Reservations_;
   /// Whether the last attempt to place met room that is only reserved.
   bool MetReservation_ = false;
+  /// Mean weighted share of the teams of the round and band.
+  double FairShare_ = 0.0;
   /// The largest item of the round and band that did not fit.
   std::optional<detail::Misfit> LargestMisfit_;
   std::vector<WorkerIndex> Chosen_; ///< Reused by attempts to place.
-  /// Urgent items for which room is being made, with their victims.
-  std::unordered_map<TaskId, std::vector<Preemption>> Pledges_;
+  /// Urgent items for which room is being made.
+  std::unordered_map<TaskId, detail::Pledge> Pledges_;
   std::uint64_t RandomState_ = 1;
   SchedulerCounters Counters_;
 };
