--- a/src/codec/json_answers.cc
+++ b/src/codec/json_answers.cc
@@ -23,22 +23,6 @@
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-std::string_view nameOf(TaskState State) {
-  switch (State) {
-  case TaskState::Waiting:
-    return "waiting";
-  case TaskState::Starting:
-    return "starting";
-  case TaskState::Running:
-    return "running";
-  case TaskState::Unknown:
-    return "unknown";
-  case TaskState::Ended:
-    return "ended";
-  }
-  return "unknown";
-}
-
 /// "output", or "output_base64" where the bytes are no text.
 void addOutput(json &Object, const std::string &Output) {
   const auto Size = static_cast<gssize>(Output.size());
@@ -54,7 +38,7 @@
 
 json asJson(const TaskStatus &Status) {
   json Object = {{"index", Status.Task_.Index_},
-                 {"state", nameOf(Status.State_)},
+                 {"state", toString(Status.State_)},
                  {"attempt", Status.Attempt_}};
   if (!Status.Worker_.empty())
     Object["worker"] = Status.Worker_.str();
@@ -218,7 +202,7 @@
   json Tasks = json::array();
   for (const TaskStatus &Each : Status.Tasks_)
     Tasks.push_back({{"index", Each.Task_.Index_},
-                     {"state", nameOf(Each.State_)},
+                     {"state", toString(Each.State_)},
                      {"explanation", Each.Explanation_}});
   return dumped({{"job", Status.Job_.str()}, {"tasks", std::move(Tasks)}});
 }
