Give each team's largest misfit a reservation, and gangs the room as it ends

Cause: one reservation a band was held for minutes by items that need a whole worker, so gangs of a team below its share never got one; a gang also waited for the workers planned at first although room ended elsewhere.

Change: up to 4 reservations a band, one for each 10 open workers, each for the largest misfit of another team at or below its share, the least share first. A gang that holds one takes over room that comes up on other workers. Room reserved for urgent work is closed to lower bands only.

--- a/src/core/scheduler_place.cc
+++ b/src/core/scheduler_place.cc
@@ -145,8 +145,11 @@
     MetReservation_ = true;
     return Nothing;
   }
-  if (!W.ReservedBand_ || Band < *W.ReservedBand_ ||
-      Reservations_[*W.ReservedBand_]->Holder_ == Item.First_)
+  // Room kept for urgent work is kept from lower bands only, as preemption
+  // makes room for each urgent item.
+  if (!W.Reservation_ || Band <= UrgentBand ||
+      Band < *W.Reservation_ / ReservationsPerBand ||
+      Reservations_[*W.Reservation_]->Holder_ == Item.First_)
     return Free;
   if (Item.ExpectedRun_ > Duration(0) &&
       Now + Item.ExpectedRun_ <= W.ReservedAt_)
--- a/src/core/scheduler_reserve.cc
+++ b/src/core/scheduler_reserve.cc
@@ -11,6 +11,8 @@
 /// Time after which a reservation is planned again with the tasks that ended
 /// and started since.
 constexpr Duration ReplanInterval = std::chrono::seconds(1);
+/// At least this many open workers for each reservation of a band.
+constexpr std::size_t WorkersPerReservation = 10;
 /// Workers compared for a reservation; bounds the time of planning one.
 constexpr std::size_t MinCandidates = 64;
 /// Workers compared for each task of a gang.
@@ -93,63 +95,123 @@
                    Part(Item.Need_.Connections_, Total_.Connections_)});
 }
 
+std::size_t Scheduler::State::reservationLimit() const {
+  return std::clamp<std::size_t>(OpenWorkers_.size() / WorkersPerReservation, 1,
+                                 ReservationsPerBand);
+}
+
+std::optional<std::size_t> Scheduler::State::reservationOf(std::size_t Band,
+                                                           TeamIndex T) const {
+  const std::size_t First = Band * ReservationsPerBand;
+  for (std::size_t I = First; I < First + ReservationsPerBand; ++I)
+    if (Reservations_[I] && Reservations_[I]->Team_ == T)
+      return I;
+  return std::nullopt;
+}
+
 void Scheduler::State::noteMisfit(const WaitingItem &Item, std::size_t Band) {
   // Direct calls are short and find room without a reservation.
-  if (Band < UrgentBand || Reservations_[Band])
+  if (Band < UrgentBand)
     return;
   // A team above its share would keep others from room by large items.
   if (Teams_[Item.Team_].weightedShare() > FairShare_)
     return;
   const double Size = sizeOf(Item.Work_);
-  if (!LargestMisfit_ || Size > LargestMisfit_->Size_)
-    LargestMisfit_ = Misfit{Item.Work_.First_, Size};
+  Misfit &Largest = Misfits_[Item.Team_];
+  if (Size > Largest.Size_)
+    Largest = Misfit{Item.Work_.First_, Size};
 }
 
-void Scheduler::State::checkHolder(std::size_t Band) {
-  if (!Reservations_[Band])
-    return;
-  const WaitingItem *Holder = Waiting_.find(Reservations_[Band]->Holder_);
-  if (Holder == nullptr ||
-      Teams_[Holder->Team_].Headroom_ < Holder->Work_.Count_)
-    dropReservation(Band);
+void Scheduler::State::checkHolders(std::size_t Band) {
+  const std::size_t First = Band * ReservationsPerBand;
+  for (std::size_t I = First; I < First + ReservationsPerBand; ++I) {
+    if (!Reservations_[I])
+      continue;
+    const WaitingItem *Holder = Waiting_.find(Reservations_[I]->Holder_);
+    if (Holder == nullptr ||
+        Teams_[Holder->Team_].Headroom_ < Holder->Work_.Count_)
+      dropReservation(I);
+  }
 }
 
 bool Scheduler::State::tryHolder(std::size_t Band, Turn &T, Round &R) {
   if (T.Started_)
     return false;
   T.Started_ = true;
-  if (!Reservations_[Band])
+  const std::optional<std::size_t> Index = reservationOf(Band, T.Team_);
+  if (!Index)
     return false;
-  const WaitingItem *Holder = Waiting_.find(Reservations_[Band]->Holder_);
-  return Holder != nullptr && Holder->Team_ == T.Team_ &&
-         Holder->Work_.Count_ <= Teams_[T.Team_].Headroom_ &&
-         tryItem(Holder->Work_, R);
-}
-
-void Scheduler::State::renewReservation(std::size_t Band, TimePoint Now) {
-  std::optional<Reservation> &Held = Reservations_[Band];
-  if (!Held) {
-    const WaitingItem *Largest =
-        LargestMisfit_ ? Waiting_.find(LargestMisfit_->First_) : nullptr;
-    if (Largest == nullptr)
-      return;
-    Held.emplace();
-    Held->Holder_ = LargestMisfit_->First_;
-    plan(*Held, Largest->Work_, Now);
+  const WaitingItem *Holder = Waiting_.find(Reservations_[*Index]->Holder_);
+  if (Holder == nullptr || Holder->Work_.Count_ > Teams_[T.Team_].Headroom_)
+    return false;
+  if (tryItem(Holder->Work_, R))
+    return true;
+  collectRoom(*Index, Holder->Work_, R.Now_);
+  return false;
+}
+
+void Scheduler::State::collectRoom(std::size_t Index, const WorkItem &Item,
+                                   TimePoint Now) {
+  // The room for a single task is there at once or not at all.
+  if (Item.Count_ == 1)
     return;
+  Reservation &For = *Reservations_[Index];
+  std::set<WorkerIndex> Grown;
+  for (std::uint64_t I = std::max(For.GrowthsSeen_, GrowthBase_);
+       I < GrowthBase_ + Growths_.size(); ++I) {
+    const WorkerIndex W = Growths_[I - GrowthBase_];
+    if (Workers_[W].Open_ && !Workers_[W].Reservation_ &&
+        Workers_[W].Free_.admits(Item.Need_, false))
+      Grown.insert(W);
   }
-  if (Now < Held->ReadyAt_ && Now < Held->PlannedAt_ + ReplanInterval)
+  For.GrowthsSeen_ = GrowthBase_ + Growths_.size();
+  if (!Grown.empty())
+    plan(Index, Item, Now, std::move(Grown));
+}
+
+void Scheduler::State::renewReservations(std::size_t Band, TimePoint Now) {
+  const std::size_t First = Band * ReservationsPerBand;
+  for (std::size_t I = First; I < First + ReservationsPerBand; ++I)
+    if (Reservations_[I])
+      renewReservation(I, Now);
+  for (std::size_t I = First; I < First + reservationLimit(); ++I)
+    if (!Reservations_[I])
+      addReservation(I, Band, Now);
+}
+
+void Scheduler::State::renewReservation(std::size_t Index, TimePoint Now) {
+  const Reservation &Held = *Reservations_[Index];
+  const TimePoint Next = Held.PlannedAt_ + ReplanInterval;
+  if (Now < Next && (Now < Held.ReadyAt_ || Now == Held.PlannedAt_))
     return;
-  const WaitingItem *Holder = Waiting_.find(Held->Holder_);
+  const WaitingItem *Holder = Waiting_.find(Held.Holder_);
   if (Holder == nullptr)
-    dropReservation(Band);
+    dropReservation(Index);
   else
-    plan(*Held, Holder->Work_, Now);
+    plan(Index, Holder->Work_, Now, {});
+}
+
+void Scheduler::State::addReservation(std::size_t Index, std::size_t Band,
+                                      TimePoint Now) {
+  const WaitingItem *Best = nullptr;
+  for (const auto &[T, M] : Misfits_) {
+    const WaitingItem *Item = Waiting_.find(M.First_);
+    if (Item == nullptr || reservationOf(Band, T))
+      continue;
+    if (Best == nullptr ||
+        Teams_[T].weightedShare() < Teams_[Best->Team_].weightedShare())
+      Best = Item;
+  }
+  if (Best == nullptr)
+    return;
+  Reservations_[Index].emplace();
+  Reservations_[Index]->Holder_ = Best->Work_.First_;
+  Reservations_[Index]->Team_ = Best->Team_;
+  plan(Index, Best->Work_, Now, {});
 }
 
-std::set<Scheduler::State::WorkerIndex>
-Scheduler::State::candidates(const Reservation &For, const WorkItem &Item) {
-  std::set<WorkerIndex> Chosen(For.Workers_.begin(), For.Workers_.end());
+void Scheduler::State::addCandidates(const WorkItem &Item,
+                                     std::set<WorkerIndex> &Chosen) {
   const std::size_t Wanted =
       Chosen.size() + std::max(MinCandidates, CandidatesPerTask * Item.Count_);
   for (const auto &[Unused, Class] : Capacities_) {
@@ -160,32 +222,33 @@
     for (std::size_t I = 0; I < Size && Chosen.size() < Wanted; ++I)
       Chosen.insert(Class.Workers_[(Start + I) % Size]);
   }
-  return Chosen;
 }
 
-void Scheduler::State::plan(Reservation &For, const WorkItem &Item,
-                            TimePoint Now) {
-  const std::size_t Band = bandOf(Item.Class_, Item.Urgent_);
-  const std::set<WorkerIndex> Candidates = candidates(For, Item);
+void Scheduler::State::plan(std::size_t Index, const WorkItem &Item,
+                            TimePoint Now, std::set<WorkerIndex> Candidates) {
+  Reservation &For = *Reservations_[Index];
+  Candidates.insert(For.Workers_.begin(), For.Workers_.end());
+  addCandidates(Item, Candidates);
   for (const WorkerIndex W : For.Workers_)
-    Workers_[W].ReservedBand_.reset();
+    Workers_[W].Reservation_.reset();
   For.Workers_.clear();
   std::vector<Fit> Fits;
   for (const WorkerIndex W : Candidates)
-    if (Workers_[W].Open_ && !Workers_[W].ReservedBand_)
+    if (Workers_[W].Open_ && !Workers_[W].Reservation_)
       addFits(Workers_[W], W, Item, Now, Fits);
   if (Fits.size() < Item.Count_) {
-    Reservations_[Band].reset();
+    Reservations_[Index].reset();
     return;
   }
   std::stable_sort(Fits.begin(), Fits.end());
   Fits.resize(Item.Count_);
   For.PlannedAt_ = Now;
+  For.GrowthsSeen_ = GrowthBase_ + Growths_.size();
   For.ReadyAt_ = Fits.back().At_;
   for (const Fit &F : Fits) {
     Worker &W = Workers_[F.Worker_];
-    if (!W.ReservedBand_) {
-      W.ReservedBand_ = Band;
+    if (!W.Reservation_) {
+      W.Reservation_ = Index;
       W.ReservedAt_ = For.ReadyAt_;
       W.Spare_ = freeAt(W, Now, For.ReadyAt_);
       For.Workers_.push_back(F.Worker_);
@@ -194,18 +257,18 @@
   }
 }
 
-void Scheduler::State::dropReservation(std::size_t Band) {
-  if (!Reservations_[Band])
+void Scheduler::State::dropReservation(std::size_t Index) {
+  if (!Reservations_[Index])
     return;
-  for (const WorkerIndex W : Reservations_[Band]->Workers_)
-    Workers_[W].ReservedBand_.reset();
-  Reservations_[Band].reset();
+  for (const WorkerIndex W : Reservations_[Index]->Workers_)
+    Workers_[W].Reservation_.reset();
+  Reservations_[Index].reset();
 }
 
 void Scheduler::State::dropReservationOf(const TaskId &Holder) {
-  for (std::size_t Band = 0; Band < BandCount; ++Band)
-    if (Reservations_[Band] && Reservations_[Band]->Holder_ == Holder)
-      dropReservation(Band);
+  for (std::size_t I = 0; I < Reservations_.size(); ++I)
+    if (Reservations_[I] && Reservations_[I]->Holder_ == Holder)
+      dropReservation(I);
 }
 
 } // namespace oleandergauge
--- a/src/core/scheduler_round.cc
+++ b/src/core/scheduler_round.cc
@@ -24,8 +24,8 @@
 } // namespace
 
 void Scheduler::State::runBand(std::size_t Band, Round &R) {
-  LargestMisfit_.reset();
-  checkHolder(Band);
+  Misfits_.clear();
+  checkHolders(Band);
   std::vector<Turn> Turns;
   for (const TeamIndex T : Waiting_.teams(Band))
     if (Teams_[T].Headroom_ > 0)
@@ -48,7 +48,7 @@
       Turns.pop_back();
     }
   }
-  renewReservation(Band, R.Now_);
+  renewReservations(Band, R.Now_);
 }
 
 bool Scheduler::State::serveTeam(std::size_t Band, std::size_t Searches,
@@ -130,8 +130,8 @@
       R.Placed_.push_back({Id, On.Info_.Id_, Item.Need_});
       --Teams_[internTeam(Item.Team_)].Headroom_;
       ++Counters_.Placements_;
-      if (On.ReservedBand_ && (Item.ExpectedRun_ == Duration(0) ||
-                               R.Now_ + Item.ExpectedRun_ > On.ReservedAt_))
+      if (On.Reservation_ && (Item.ExpectedRun_ == Duration(0) ||
+                              R.Now_ + Item.ExpectedRun_ > On.ReservedAt_))
         On.Spare_ = On.Spare_ - Item.Need_;
       if (On.Probe_)
         setOpen(W, false);
--- a/src/core/scheduler_state.h
+++ b/src/core/scheduler_state.h
@@ -51,8 +51,8 @@
   /// Urgent items for which room is being made here; others than urgent and
   /// direct work receive nothing of it meanwhile.
   std::uint32_t Pledges_ = 0;
-  /// The band whose reservation this worker is part of.
-  std::optional<std::size_t> ReservedBand_;
+  /// The reservation that this worker is part of.
+  std::optional<std::size_t> Reservation_;
   TimePoint ReservedAt_; ///< When the holder is expected to fit.
   Resources Spare_;      ///< Left at that time beside the holder.
 };
@@ -75,11 +75,16 @@
   std::vector<WorkerIndex> Workers_;
 };
 
-/// Room kept for the largest item of a band that did not fit.
+/// Reservations that a band may have, each for another team.
+inline constexpr std::size_t ReservationsPerBand = 4;
+
+/// Room kept for the largest item of a team and band that did not fit.
 struct Reservation {
   TaskId Holder_;
+  TeamIndex Team_ = 0;
   TimePoint PlannedAt_;
   TimePoint ReadyAt_;
+  std::uint64_t GrowthsSeen_ = 0; ///< Length of the log at the last plan.
   std::vector<WorkerIndex> Workers_;
 };
 
@@ -194,20 +199,30 @@
   bool mayFitNow(detail::Group &G, const WorkItem &Item) const;
 
   // Reservations (scheduler_reserve.cc).
+  /// Reservations that a band may have now.
+  std::size_t reservationLimit() const;
+  std::optional<std::size_t> reservationOf(std::size_t Band, TeamIndex T) const;
   void noteMisfit(const detail::WaitingItem &Item, std::size_t Band);
-  /// Ends the reservation of a band whose holder cannot start.
-  void checkHolder(std::size_t Band);
-  /// Places the holder of the band's reservation in its team's first turn of
+  /// Ends the reservations of a band whose holders cannot start.
+  void checkHolders(std::size_t Band);
+  /// Places the holder of a team's reservation in the team's first turn of
   /// a round.
   bool tryHolder(std::size_t Band, detail::Turn &T, detail::Round &R);
-  void renewReservation(std::size_t Band, TimePoint Now);
-  void plan(detail::Reservation &For, const WorkItem &Item, TimePoint Now);
-  /// Some workers that could hold a task of the item, those of the present
-  /// reservation among them.
-  std::set<WorkerIndex> candidates(const detail::Reservation &For,
-                                   const WorkItem &Item);
+  void renewReservations(std::size_t Band, TimePoint Now);
+  void renewReservation(std::size_t Index, TimePoint Now);
+  /// Gives a free reservation to the misfit of the team with the least share.
+  void addReservation(std::size_t Index, std::size_t Band, TimePoint Now);
+  /// Plans again where room for a task of a gang came up since the last plan,
+  /// so that the gang collects it.
+  void collectRoom(std::size_t Index, const WorkItem &Item, TimePoint Now);
+  /// Chooses the workers on which the item is expected to fit first, among
+  /// \p Candidates, those reserved now and some more.
+  void plan(std::size_t Index, const WorkItem &Item, TimePoint Now,
+            std::set<WorkerIndex> Candidates);
+  /// Adds some workers that could hold a task of the item.
+  void addCandidates(const WorkItem &Item, std::set<WorkerIndex> &Chosen);
   std::uint64_t nextRandom();
-  void dropReservation(std::size_t Band);
+  void dropReservation(std::size_t Index);
   void dropReservationOf(const TaskId &Holder);
   double sizeOf(const WorkItem &Item) const;
 
@@ -252,14 +267,16 @@
   std::vector<WorkerIndex> Growths_;
   std::uint64_t GrowthBase_ = 0;
 
-  std::array<std::optional<detail::Reservation>, detail::BandCount>
+  /// Those of band B start at B * ReservationsPerBand.
+  std::array<std::optional<detail::Reservation>,
+             detail::BandCount * detail::ReservationsPerBand>
       Reservations_;
   /// Whether the last attempt to place met room that is only reserved.
   bool MetReservation_ = false;
   /// Mean weighted share of the teams of the round and band.
   double FairShare_ = 0.0;
-  /// The largest item of the round and band that did not fit.
-  std::optional<detail::Misfit> LargestMisfit_;
+  /// The largest item of each team that did not fit, of the round and band.
+  std::map<TeamIndex, detail::Misfit> Misfits_;
   std::vector<WorkerIndex> Chosen_; ///< Reused by attempts to place.
   /// Urgent items for which room is being made.
   std::unordered_map<TaskId, detail::Pledge> Pledges_;
--- a/src/core/scheduler_workers.cc
+++ b/src/core/scheduler_workers.cc
@@ -99,8 +99,8 @@
     OpenWorkers_[W.OpenPosition_] = OpenWorkers_.back();
     Workers_[OpenWorkers_.back()].OpenPosition_ = W.OpenPosition_;
     OpenWorkers_.pop_back();
-    if (W.ReservedBand_)
-      dropReservation(*W.ReservedBand_);
+    if (W.Reservation_)
+      dropReservation(*W.Reservation_);
   }
   W.Open_ = Open;
   refresh(Index);
