Measure how full the workers are while work waits

Cause: the end of the packing run is decided by a few long tasks that start late, so the figure says little about packing itself.

Change: policy_bench prints the mean use of the most used amount as long as work waits.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -87,6 +87,7 @@
   const Outcome O = Simulation(S, E.Make_()).run();
   addWaits("mixed", O, To);
   To.add("mixed.work", "part", O.Work_);
+  To.add("mixed.use_while_waiting", "part", O.UseWhileWaiting_);
   To.add("mixed.overload", "part", O.Overload_);
   To.add("mixed.failed_starts", "starts", O.FailedStarts_);
   To.add("mixed.preemptions", "tasks", O.Preemptions_);
@@ -96,6 +97,7 @@
   const Scenario S = packingScenario();
   const Outcome O = Simulation(S, E.Make_()).run();
   To.add("packing.end_over_bound", "ratio", O.End_ / O.LowerBound_);
+  To.add("packing.use_while_waiting", "part", O.UseWhileWaiting_);
   To.add("packing.work", "part", O.Work_);
   To.add("packing.wait_p99.gang", "s", quantile(O.Waits_.at("gang"), 0.99));
 }
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -22,7 +22,8 @@
   double LowerBound_ = 0.0;      ///< Of End_, from the work and the capacity.
   double LargestDistance_ = 0.0; ///< From the fair share, as a part of it.
   double MeanDistance_ = 0.0;
-  double OutageWork_ = 0.0; ///< As a part of what was left could do.
+  double UseWhileWaiting_ = 0.0; ///< Of the most used amount.
+  double OutageWork_ = 0.0;      ///< As a part of what was left could do.
   double Work_ = 0.0;     ///< Useful work as a part of capacity, after warm-up.
   double Overload_ = 0.0; ///< Part of worker time with use above capacity.
   int FailedStarts_ = 0;
@@ -89,6 +90,10 @@
   static constexpr double FailAfter = 1.0;
   static constexpr double CheckpointTime = 1.0;
 
+  static double part(std::int64_t Used, std::int64_t All) {
+    return static_cast<double>(Used) / static_cast<double>(All);
+  }
+
   template <typename F> auto policy(F &&Call) {
     return std::visit(std::forward<F>(Call), P_);
   }
@@ -199,12 +204,9 @@
 
   /// Brings the work done on a worker up to date and sets its new speed.
   void rerate(Host &H) {
-    const auto Part = [](std::int64_t Used, std::int64_t All) {
-      return static_cast<double>(Used) / static_cast<double>(All);
-    };
     const double Load =
-        std::max({1.0, Part(H.Used_.CpuMilli_, H.Info_.Capacity_.CpuMilli_),
-                  Part(H.Used_.MemoryMib_, H.Info_.Capacity_.MemoryMib_)});
+        std::max({1.0, part(H.Used_.CpuMilli_, H.Info_.Capacity_.CpuMilli_),
+                  part(H.Used_.MemoryMib_, H.Info_.Capacity_.MemoryMib_)});
     for (const TaskId &Id : H.Tasks_) {
       Live &L = Running_.at(Id);
       progress(L);
@@ -324,6 +326,20 @@
       Overloads_ += H.Used_.fitsIn(H.Info_.Capacity_) ? 0 : 1;
     }
     sampleShares();
+    sampleUse();
+  }
+
+  /// Use of the most used amount, as long as work waits.
+  void sampleUse() {
+    if (Waiting_.empty() || Now_ < S_.WarmUp_)
+      return;
+    Resources Used;
+    for (const Host &H : Hosts_)
+      Used = Used + H.Used_;
+    Uses_ += std::max({part(Used.CpuMilli_, Total_.CpuMilli_),
+                       part(Used.MemoryMib_, Total_.MemoryMib_),
+                       part(Used.Slots_, Total_.Slots_)});
+    ++UseSamples_;
   }
 
   void sampleShares() {
@@ -335,14 +351,11 @@
       Resources &Of = Held[A.Item_.Team_.str()];
       Of = Of + componentMax(A.Item_.Need_, A.Usage_);
     }
-    const auto Part = [](std::int64_t Used, std::int64_t All) {
-      return static_cast<double>(Used) / static_cast<double>(All);
-    };
     for (const auto &[Team, Weight] : S_.Teams_) {
       const Resources &Of = Held[Team];
-      WindowShares_[Team] += std::max({Part(Of.CpuMilli_, Total_.CpuMilli_),
-                                       Part(Of.MemoryMib_, Total_.MemoryMib_),
-                                       Part(Of.Slots_, Total_.Slots_)}) /
+      WindowShares_[Team] += std::max({part(Of.CpuMilli_, Total_.CpuMilli_),
+                                       part(Of.MemoryMib_, Total_.MemoryMib_),
+                                       part(Of.Slots_, Total_.Slots_)}) /
                              Weight;
     }
     if (++Samples_ % static_cast<std::uint64_t>(ShareWindow) == 0)
@@ -379,6 +392,8 @@
     Out_.OutageWork_ =
         partOf(OutageWork_, Total_ - CapacityOut_, S_.ReturnAt_ - S_.LeaveAt_);
     Out_.LowerBound_ = lowerBound();
+    Out_.UseWhileWaiting_ =
+        Uses_ / static_cast<double>(std::max<std::uint64_t>(UseSamples_, 1));
     Out_.Overload_ =
         static_cast<double>(Overloads_) /
         static_cast<double>(std::max<std::uint64_t>(HostSamples_, 1));
@@ -446,6 +461,8 @@
   std::map<std::string, double> WindowShares_;
   std::uint64_t Samples_ = 0;
   std::uint64_t HostSamples_ = 0;
+  double Uses_ = 0.0;
+  std::uint64_t UseSamples_ = 0;
   std::uint64_t Overloads_ = 0;
   double DistanceSum_ = 0.0;
   std::uint64_t Distances_ = 0;
