Serve calls, jobs, status and changes end to end

Change: requests are passed between hosts by the peer codec; answers follow docs/api.md (202 for an accepted job, the stored record for a change, the log under /v1/records/log). A request that comes while the host has no proof of its configuration waits up to 300 ms for it: after each change of a record the proof is missing for 1 to 2 ms (seen in the log of a trial).

--- a/src/cli/admin.cc
+++ b/src/cli/admin.cc
@@ -208,8 +208,9 @@
 }
 
 int showLog(const ApiClient &Client, const Arguments &Given) {
-  std::string Path = "/v1/log?after=" + escapePath(Given.text("after", "0")) +
-                     "&limit=" + escapePath(Given.text("limit", "100"));
+  std::string Path =
+      "/v1/records/log?after=" + escapePath(Given.text("after", "0")) +
+      "&limit=" + escapePath(Given.text("limit", "100"));
   ApiResponse Response = Client.send("GET", Path, std::nullopt, true);
   if (!Response.ok() || Given.isSet("json"))
     return printAnswer(Response);
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -57,6 +57,11 @@
   return jsonReply(200, codec::toJson(Status));
 }
 
+/// The job is committed and goes on after the answer.
+ApiReply writeAccepted(const JobStatus &Status) {
+  return jsonReply(202, codec::toJson(Status));
+}
+
 ApiReply writeExplanation(const JobStatus &Status) {
   return jsonReply(200, codec::explanationToJson(Status));
 }
@@ -100,7 +105,7 @@
   if (!Spec)
     Respond(refusalReply(Spec.error()));
   else
-    sendSpec(*Spec, CommitWait, writeJob, std::move(Respond));
+    sendSpec(*Spec, CommitWait, writeAccepted, std::move(Respond));
 }
 
 void CallerApi::sendSpec(const JobSpec &Spec, Duration Patience,
--- a/src/daemon/config_task.cc
+++ b/src/daemon/config_task.cc
@@ -18,6 +18,7 @@
 constexpr Duration HeadInterval = std::chrono::milliseconds(500);
 constexpr Duration MembersInterval = std::chrono::milliseconds(1000);
 constexpr Duration PublishInterval = std::chrono::milliseconds(100);
+constexpr Duration ProofLogDelay = std::chrono::milliseconds(1000);
 constexpr Duration RegisterRetry = std::chrono::milliseconds(500);
 constexpr Duration HeartbeatTimeout = std::chrono::milliseconds(1000);
 constexpr std::uint32_t MaxMembers = 1000;
@@ -86,6 +87,7 @@
   void sendHeartbeats();
   Heartbeat ownHeartbeat(const PeerVouch &Vouch) const;
   void heartbeatAnswered(TimePoint SentAt, const PeerReply &Reply);
+  void logProof(TimePoint Now, bool MayAct);
   void publish();
   std::shared_ptr<const Routing> routing(TimePoint Now) const;
 
@@ -105,7 +107,8 @@
   bool Draining_ = false;
   bool Leaving_ = false;
   int DeregisterTries_ = 0;
-  std::optional<bool> MayActBefore_;
+  TimePoint ProvenLast_ = UnknownMoment;
+  bool ProofTold_ = false;
   std::unique_ptr<RecordChanges> Changes_;
   std::unique_ptr<RecordLoader> Loader_;
   std::unique_ptr<TableClient> Table_;
@@ -369,6 +372,20 @@
   return std::make_shared<const Routing>(std::move(Out));
 }
 
+/// Each change of a record leaves the host without proof for a few
+/// milliseconds, which is not worth a line.
+void ConfigTask::Engine::logProof(TimePoint Now, bool MayAct) {
+  if (MayAct)
+    ProvenLast_ = Now;
+  bool Told = MayAct || Now - ProvenLast_ < ProofLogDelay;
+  if (Told == ProofTold_)
+    return;
+  ProofTold_ = Told;
+  logLine(Told ? LogLevel::Info : LogLevel::Warning,
+          Told ? "configuration is proven"
+               : "configuration is not proven; new work is refused");
+}
+
 void ConfigTask::Engine::publish() {
   TimePoint Now = monotonicNow();
   Guard_.setMembers(Members_.countedMembers(Now));
@@ -384,11 +401,7 @@
       Shared.OwnedElsewhere_.insert(Id);
   }
   bool MayAct = Guard_.mayAct(Now);
-  if (MayActBefore_ != MayAct)
-    logLine(MayAct ? LogLevel::Info : LogLevel::Warning,
-            MayAct ? "configuration is proven"
-                   : "configuration is not proven; new work is refused");
-  MayActBefore_ = MayAct;
+  logProof(Now, MayAct);
   Figures_.set("config_proven", {}, MayAct ? 1 : 0);
   Figures_.set("store_outage_proven", {}, Guard_.outageProven(Now) ? 1 : 0);
   Outputs_.Partitions_(std::move(Shared));
--- a/src/daemon/http_api.cc
+++ b/src/daemon/http_api.cc
@@ -1,5 +1,8 @@
 #include "daemon/http_api.h"
 
+#include <algorithm>
+#include <deque>
+#include <set>
 #include <utility>
 
 #include "codec/json.h"
@@ -17,6 +20,9 @@
 
 constexpr Duration DispatchInterval = std::chrono::milliseconds(10);
 constexpr Duration IdleCheckInterval = std::chrono::milliseconds(20);
+/// After each change of a record a host has no proof until it has read the
+/// records, mostly for a few milliseconds; requests wait this long for it.
+constexpr Duration ProofHold = std::chrono::milliseconds(300);
 constexpr Duration ShedRetryHint = std::chrono::milliseconds(500);
 constexpr Duration DrainRetryHint = std::chrono::milliseconds(100);
 
@@ -34,8 +40,8 @@
 
 /// The first two segments, which are few; labels of figures must be.
 std::string routeLabel(const std::vector<std::string> &Parts) {
-  static const std::set<std::string> Known = {"calls",   "jobs", "status",
-                                              "records", "log",  "histograms"};
+  static const std::set<std::string> Known = {"calls", "jobs", "status",
+                                              "records", "histograms"};
   if (Parts.size() >= 2 && Known.count(Parts[1]) != 0)
     return Parts[1];
   return Parts.size() == 1 && Parts[0] == "metrics" ? "metrics" : "other";
@@ -44,8 +50,7 @@
 /// Whether the request brings new work or a new question of a caller; figures
 /// and the status page are served until the end.
 bool isRefusedInDrain(const std::string &Route) {
-  return Route == "calls" || Route == "jobs" || Route == "records" ||
-         Route == "log";
+  return Route == "calls" || Route == "jobs" || Route == "records";
 }
 
 } // namespace
@@ -67,6 +72,16 @@
   void take(const LogAnswered &Answer) { Operators_.handle(Answer); }
   void take(const RefuseNew &Wanted);
 
+  /// A request that waits for proof of the configuration.
+  struct Held {
+    TimePoint Until_;
+    ApiRequest Request_;
+    std::vector<std::string> Parts_;
+    ApiResponder Respond_;
+  };
+
+  bool isProven() const;
+  void serveHeld();
   DispatcherOutputs dispatcherOutputs();
   void checkIdle();
   void received(const ApiRequest &Request, ApiResponder Respond);
@@ -91,6 +106,7 @@
   Dispatcher Home_;
   CallerApi Callers_;
   OperatorApi Operators_;
+  std::deque<Held> Held_;
   bool Draining_ = false;
   bool IdleTold_ = false;
   std::unique_ptr<PeerClient> Peers_;
@@ -126,7 +142,10 @@
 
 void HttpApi::Engine::start() {
   Peers_ = std::make_unique<PeerClient>();
-  Thread_.every(DispatchInterval, [this] { Home_.tick(); });
+  Thread_.every(DispatchInterval, [this] {
+    Home_.tick();
+    serveHeld();
+  });
   Server_ = std::make_unique<HttpServer>(
       Options_.HttpListen_, Options_.MaxBodyBytes_,
       [this](const ApiRequest &Request, ApiResponder Respond) {
@@ -144,6 +163,7 @@
   Callers_.setRouting(Routing_);
   Operators_.setRouting(Routing_);
   Home_.setRouting(Routing_);
+  serveHeld();
 }
 
 void HttpApi::Engine::take(const RefuseNew &) {
@@ -187,7 +207,27 @@
     Counted(std::move(Refused));
     return;
   }
-  route(Request, Parts, std::move(Counted));
+  bool NeedsProof = Route == "calls" || Route == "jobs";
+  if (NeedsProof && !isProven())
+    Held_.push_back(
+        {monotonicNow() + ProofHold, Request, Parts, std::move(Counted)});
+  else
+    route(Request, Parts, std::move(Counted));
+}
+
+bool HttpApi::Engine::isProven() const {
+  return monotonicNow() < Routing_->MayActUntil_;
+}
+
+/// Serves the requests that waited for proof, and refuses those that waited
+/// too long.
+void HttpApi::Engine::serveHeld() {
+  while (!Held_.empty() &&
+         (isProven() || Held_.front().Until_ <= monotonicNow())) {
+    Held Next = std::move(Held_.front());
+    Held_.pop_front();
+    route(Next.Request_, Next.Parts_, std::move(Next.Respond_));
+  }
 }
 
 void HttpApi::Engine::route(const ApiRequest &Request,
@@ -230,7 +270,7 @@
                                   const std::vector<std::string> &Parts,
                                   ApiResponder &Respond) {
   const std::string &Method = Request.Method_;
-  if (Method == "GET" && Request.Path_ == "/v1/log") {
+  if (Method == "GET" && Request.Path_ == "/v1/records/log") {
     Operators_.log(Request, Respond);
     return true;
   }
--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -147,10 +147,11 @@
                          const PartitionsReported &) = default;
 };
 
-/// The change is committed: versions of the row and of the head.
+/// The change is committed. Stored_ is the record with its new version; empty
+/// where it was deleted.
 struct ChangeAccepted {
-  std::uint64_t RowVersion_ = 0;
   std::uint64_t HeadVersion_ = 0;
+  std::optional<Record> Stored_;
   friend bool operator==(const ChangeAccepted &,
                          const ChangeAccepted &) = default;
 };
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -4,8 +4,6 @@
 #include <charconv>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "codec/json.h"
 #include "daemon/api_reply.h"
 
@@ -47,9 +45,7 @@
 }
 
 ApiReply writeAccepted(const ChangeAccepted &Done) {
-  nlohmann::json Body = {{"version", Done.RowVersion_},
-                         {"head_version", Done.HeadVersion_}};
-  return jsonReply(200, Body.dump());
+  return jsonReply(200, Done.Stored_ ? codec::toJson(*Done.Stored_) : "{}");
 }
 
 } // namespace
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -31,7 +31,7 @@
   /// and expected_version (0: is absent), DELETE the latter as a query.
   void record(const ApiRequest &Request, const std::string &Kind,
               const std::string &Name, const ApiResponder &Respond);
-  /// GET /v1/log?after=<version>&limit=<count>
+  /// GET /v1/records/log?after=<version>&limit=<count>
   void log(const ApiRequest &Request, const ApiResponder &Respond);
 
   void handle(const ChangeAnswered &Answer);
--- a/src/daemon/record_changes.cc
+++ b/src/daemon/record_changes.cc
@@ -149,7 +149,7 @@
 void RecordChanges::commitAnswered(const TableReply &Reply) {
   if (const auto *Done = std::get_if<Committed>(&Reply)) {
     std::uint64_t Version = Done->Versions_.empty() ? 0 : Done->Versions_[0];
-    finish(ChangeAccepted{Version, Work_->Head_.Version_ + 1});
+    accept(Version);
     return;
   }
   if (std::holds_alternative<OutcomeUnknown>(Reply))
@@ -189,7 +189,7 @@
     return;
   }
   Row Present = findRow(*Read, keyOf(Work_->Wanted_.Change_));
-  finish(ChangeAccepted{Present.Version_, Work_->Head_.Version_ + 1});
+  accept(Present.Version_);
 }
 
 void RecordChanges::settleLater(void (RecordChanges::*Step)()) {
@@ -226,6 +226,13 @@
   });
 }
 
+void RecordChanges::accept(std::uint64_t RowVersion) {
+  ChangeAccepted Out{Work_->Head_.Version_ + 1, Work_->Next_};
+  if (Out.Stored_)
+    Out.Stored_->Version_ = RowVersion;
+  finish(std::move(Out));
+}
+
 void RecordChanges::refuse(const Refusal &Why) { finish(Why); }
 
 void RecordChanges::finish(ChangeOutcome Outcome) {
--- a/src/daemon/record_changes.h
+++ b/src/daemon/record_changes.h
@@ -66,6 +66,7 @@
   void settleLater(void (RecordChanges::*Step)());
   void startOver();
   void conflict();
+  void accept(std::uint64_t RowVersion);
   void refuse(const Refusal &Why);
   void finish(ChangeOutcome Outcome);
   void answer(ChangeOutcome Outcome);
--- a/test/daemon/record_changes_test.cc
+++ b/test/daemon/record_changes_test.cc
@@ -98,7 +98,8 @@
   ASSERT_EQ(Own.Answers_[1].size(), 1U);
   const auto &Done = std::get<ChangeAccepted>(Own.Answers_[1][0]);
   EXPECT_EQ(Done.HeadVersion_, 1U);
-  EXPECT_EQ(Done.RowVersion_,
+  ASSERT_TRUE(Done.Stored_);
+  EXPECT_EQ(Done.Stored_->Version_,
             Own.Table_.find(codec::recordKey(RecordKind::Limit, "t")).Version_);
 }
 
