--- /dev/null
+++ b/src/daemon/api_reply.cc
@@ -0,0 +1,54 @@
+#include "daemon/api_reply.h"
+
+#include <cctype>
+#include <utility>
+
+#include <glib.h>
+
+#include "codec/json.h"
+
+namespace oleandergauge::daemon {
+ApiReply jsonReply(unsigned Status, std::string Body) {
+  ApiReply Out;
+  Out.Status_ = Status;
+  Out.Body_ = std::move(Body);
+  return Out;
+}
+
+ApiReply refusalReply(const Refusal &Why) {
+  auto Status = static_cast<unsigned>(codec::httpStatusOf(Why.Reason_));
+  ApiReply Out = jsonReply(Status, codec::toJson(Why));
+  Out.CloseConnection_ = Why.Reason_ == RefusalReason::Draining;
+  return Out;
+}
+
+std::string hashKey(const std::string &Key) {
+  char *Hash = g_compute_checksum_for_data(
+      G_CHECKSUM_SHA256, reinterpret_cast<const guchar *>(Key.data()),
+      Key.size());
+  std::string Out = Hash;
+  g_free(Hash);
+  return Out;
+}
+
+std::optional<std::string> bearerKey(const std::string &Authorization) {
+  constexpr std::string_view Scheme = "bearer ";
+  if (Authorization.size() <= Scheme.size())
+    return std::nullopt;
+  for (std::size_t I = 0; I < Scheme.size(); ++I)
+    if (std::tolower(static_cast<unsigned char>(Authorization[I])) != Scheme[I])
+      return std::nullopt;
+  return Authorization.substr(Scheme.size());
+}
+
+bool equalSecrets(const std::string &A, const std::string &B) {
+  // Hashes have one length and do not tell where the texts differ.
+  std::string HashA = hashKey(A);
+  std::string HashB = hashKey(B);
+  unsigned Difference = 0;
+  for (std::size_t I = 0; I < HashA.size(); ++I)
+    Difference |= static_cast<unsigned char>(HashA[I] ^ HashB[I]);
+  return Difference == 0;
+}
+
+} // namespace oleandergauge::daemon
