Initialise the network classes before the tasks start

Cause: an entry host sometimes hung at its start: after "started" no task came up. Four threads use GIO and libsoup for the first time at the same moment, and GLib 2.74 deadlocks where one thread registers a type with interfaces while another one initialises a class that needs the type. In a hung process two threads waited for one lock and a third for another, while the fourth was idle.

Change: prepareNetworkTypes makes one HTTP request to a server of its own on the main thread before the tasks start.

Conclusion: the cause is found by the effect of the change; no debugger was used.

--- a/src/daemon/host.cc
+++ b/src/daemon/host.cc
@@ -10,6 +10,7 @@
 #include "daemon/http_api.h"
 #include "daemon/log.h"
 #include "daemon/metrics.h"
+#include "daemon/network_types.h"
 #include "daemon/partition_task.h"
 #include "daemon/peer_task.h"
 
@@ -215,6 +216,7 @@
 } // namespace
 
 int runHost(const Settings &Options) {
+  prepareNetworkTypes();
   Host Own(Options);
   return Own.run();
 }
