Start an entry host of a test again where its port was taken

Cause: a port that bind(0) found free was taken by a connection before the entry host listened on it; the host ended with "Address already in use".

Change: the cell waits until a host accepts connections on both ports and starts it again with other ports after exactly this error.

--- a/test/system/cell.py
+++ b/test/system/cell.py
@@ -82,22 +82,44 @@
 
 class EntryHost:
     def __init__(self, cell, name, domain):
-        http_port, peer_port = free_ports(2)
         self.name = name
+        self.domain = domain
+        # A port that was free may be taken by a connection meanwhile.
+        while not self._start(cell):
+            assert "already in use" in cell.log(name), cell.log(name)
+        http(cell.platform, "POST", "/hosts", {
+            "id": name, "address": self.peer, "kind": "entry", "region": "r1",
+            "failure_domain": domain, "rack": name, "state": "live",
+            "capacity": {}})
+
+    def _start(self, cell):
+        """False where the process ended by itself."""
+        http_port, peer_port = free_ports(2)
         self.address = f"127.0.0.1:{http_port}"
-        peer = f"127.0.0.1:{peer_port}"
+        self.peer = f"127.0.0.1:{peer_port}"
         arguments = [
             os.path.join(cell.build, "oleandergauge"), "serve",
-            "--host-id", name, "--region", "r1", "--failure-domain", domain,
-            "--http-listen", self.address, "--peer-listen", peer,
-            "--peer-advertise", peer, "--table-url", cell.platform_url,
+            "--host-id", self.name, "--region", "r1",
+            "--failure-domain", self.domain,
+            "--http-listen", self.address, "--peer-listen", self.peer,
+            "--peer-advertise", self.peer, "--table-url", cell.platform_url,
             "--live-list-url", cell.platform_url]
         environment = dict(os.environ, OLEANDERGAUGE_OPERATOR_KEY=OPERATOR_KEY)
-        self.process = cell.start(name, arguments, environment)
-        http(cell.platform, "POST", "/hosts", {
-            "id": name, "address": peer, "kind": "entry", "region": "r1",
-            "failure_domain": domain, "rack": name, "state": "live",
-            "capacity": {}})
+        self.process = cell.start(self.name, arguments, environment)
+        until(lambda: self.process.poll() is not None
+              or self._answers(self.address) and self._answers(self.peer),
+              START_LIMIT, f"{self.name} listens")
+        time.sleep(0.05)
+        return self.process.poll() is None
+
+    @staticmethod
+    def _answers(address):
+        host, port = address.split(":")
+        try:
+            socket.create_connection((host, int(port)), 1).close()
+            return True
+        except OSError:
+            return False
 
     def send(self, sent):
         self.process.send_signal(sent)
