Bound the time of choosing victims

Cause: each shape of urgent work without victims went through the youngest tasks of all teams, whatever the number of such shapes.

Change: at most 512 tasks are looked at for one item, and at most 16 items without victims are tried in a call, divided among the teams. A worker that was open for a probe counts as grown when it opens, so that gangs which had no room there are tried again.

--- a/src/core/scheduler_preempt.cc
+++ b/src/core/scheduler_preempt.cc
@@ -10,8 +10,13 @@
 
 /// Tasks of a team looked at for one urgent item.
 constexpr std::size_t MaxCandidatesPerTeam = 64;
+/// The same over all teams.
+constexpr std::size_t MaxCandidates = 512;
 /// Waiting items of a shape that are considered in one call.
 constexpr std::size_t MaxItemsPerGroup = 8;
+/// Items for which no victims are found in one call, divided evenly among the
+/// teams with urgent work; bounds the time of the call.
+constexpr std::size_t MaxFailures = 16;
 
 std::uint32_t countFits(const Resources &Need, Resources Free,
                         std::uint32_t Max) {
@@ -34,10 +39,15 @@
 std::vector<Preemption> Scheduler::State::choosePreemptions(TimePoint Now) {
   std::vector<Preemption> Chosen;
   dropFulfilledPledges();
-  for (const std::size_t Band : {UrgentDirectBand, UrgentBand})
-    for (const TeamIndex T : Waiting_.teams(Band))
+  for (const std::size_t Band : {UrgentDirectBand, UrgentBand}) {
+    const auto &Teams = Waiting_.teams(Band);
+    for (const TeamIndex T : Teams) {
+      const std::size_t Failures =
+          std::max<std::size_t>(MaxFailures / Teams.size(), 1);
       if (Teams_[T].Headroom_ > 0)
-        preemptInLine(Waiting_.line(Band, T), Now, Chosen);
+        preemptInLine(Waiting_.line(Band, T), Now, Failures, Chosen);
+    }
+  }
   return Chosen;
 }
 
@@ -83,6 +93,7 @@
 }
 
 void Scheduler::State::preemptInLine(const Line &L, TimePoint Now,
+                                     std::size_t Failures,
                                      std::vector<Preemption> &Chosen) {
   for (const auto &[Unused, G] : L.Heads_) {
     std::size_t Items = 0;
@@ -98,8 +109,11 @@
       if (chooseWorkers(I->Work_, Now, Fitting))
         break;
       std::vector<Preemption> Victims = victimsFor(I->Work_);
-      if (Victims.empty())
+      if (Victims.empty()) {
+        if (--Failures == 0)
+          return;
         break;
+      }
       Chosen.insert(Chosen.end(), Victims.begin(), Victims.end());
       addPledge(I->Work_.First_, std::move(Victims));
     }
@@ -143,11 +157,13 @@
     Fits += Gain - C.Gain_;
     C.Gain_ = Gain;
   };
+  std::size_t SeenOfAll = 0;
   for (const TeamIndex T : teamsByShare()) {
     std::size_t Seen = 0;
     const auto &Tasks = Teams_[T].Preemptible_;
     for (auto It = Tasks.rbegin(); It != Tasks.rend(); ++It) {
-      if (Fits >= Item.Count_ || ++Seen > MaxCandidatesPerTeam)
+      if (Fits >= Item.Count_ || ++Seen > MaxCandidatesPerTeam ||
+          ++SeenOfAll > MaxCandidates)
         break;
       Add(Running_.at(It->second));
     }
--- a/src/core/scheduler_state.h
+++ b/src/core/scheduler_state.h
@@ -233,7 +233,7 @@
   /// Ends pledges whose victims have all ended.
   void dropFulfilledPledges();
   bool pending(const detail::Pledge &P) const;
-  void preemptInLine(const detail::Line &L, TimePoint Now,
+  void preemptInLine(const detail::Line &L, TimePoint Now, std::size_t Failures,
                      std::vector<Preemption> &Chosen);
   std::vector<Preemption> victimsFor(const WorkItem &Item);
   std::vector<TeamIndex> teamsByShare() const;
--- a/src/core/scheduler_workers.cc
+++ b/src/core/scheduler_workers.cc
@@ -87,6 +87,9 @@
 
 void Scheduler::State::setOpen(WorkerIndex Index, bool Open) {
   Worker &W = Workers_[Index];
+  // A worker open for a probe had no room for gangs.
+  if (Open && W.Probe_)
+    noteGrowth(Index);
   W.Probe_ = false;
   if (Open && (!W.Known_ || W.Removed_))
     return;
