Scale declarations that prove right instead of using the percentile

Cause: all items of a queue reserved at least the 90th percentile of its usage, so small items that were declared well reserved as much as large ones.

Change: noteEnd() takes the declared need too. Where the 90th percentile of usage to declaration is at most 2, the learned need is the declared one times it, at most the percentile of the usage. Without the declared need nothing changes.

--- a/bench/policies.h
+++ b/bench/policies.h
@@ -52,7 +52,7 @@
   void release(const TaskId &Task) { S_.release(Task); }
   void noteEnd(const WorkItem &Item, const WorkerId &Worker, TimePoint Now,
                Duration Run, const Resources &Usage) {
-    E_.noteEnd(Item.Team_, queueOf(Item), Run, Usage);
+    E_.noteEnd(Item.Team_, queueOf(Item), Run, Usage, Item.Need_);
     const bool Closed = Health_.isQuarantined(Worker);
     Health_.noteSuccess(Worker, Now);
     if (Closed && !Health_.isQuarantined(Worker))
--- a/src/core/estimator.cc
+++ b/src/core/estimator.cc
@@ -10,6 +10,11 @@
 /// Ends needed before the learned values replace the declared ones.
 constexpr std::uint32_t MinEnds = 8;
 constexpr double Percentile = 0.9;
+constexpr double RatioUnit = 1000.0;
+constexpr double LargestExactRatio = 1.05;
+/// Above this ratio of usage to declaration, declarations say too little
+/// about the usage to scale them.
+constexpr double LargestReliableRatio = 2.0;
 /// Weight of a new sample's distance in the step size.
 constexpr double StepSmoothing = 0.1;
 /// A sample moves the step as if it were at most this many steps away, so
@@ -42,13 +47,35 @@
   Value_ = std::max(Value_ + Up * Step_, 0.0);
 }
 
+void Estimator::Amount::note(std::int64_t Usage, std::int64_t Declared) {
+  Usage_.note(static_cast<double>(Usage));
+  if (Declared <= 0)
+    return;
+  ++Ratios_;
+  Ratio_.note(static_cast<double>(Usage) * RatioUnit /
+              static_cast<double>(Declared));
+}
+
+std::int64_t Estimator::Amount::expected(std::int64_t Declared) const {
+  double Learned = Usage_.Value_;
+  if (Declared > 0 && Ratios_ >= MinEnds &&
+      Ratio_.Value_ <= LargestReliableRatio * RatioUnit)
+    Learned = std::min(Learned, static_cast<double>(Declared) * Ratio_.Value_ /
+                                    RatioUnit);
+  // Where usage is as declared, the ratio differs from one by the steps of
+  // the estimate only.
+  if (Learned <= static_cast<double>(Declared) * LargestExactRatio)
+    return Declared;
+  return roundedUp(Learned);
+}
+
 void Estimator::noteEnd(const TeamId &Team, const QueueId &Queue, Duration Run,
-                        const Resources &PeakUsage) {
+                        const Resources &PeakUsage, const Resources &Declared) {
   Entry &E = Entries_[{Team, Queue}];
   ++E.Ends_;
   E.Run_.note(static_cast<double>(Run.count()));
-  E.Cpu_.note(static_cast<double>(PeakUsage.CpuMilli_));
-  E.Memory_.note(static_cast<double>(PeakUsage.MemoryMib_));
+  E.Cpu_.note(PeakUsage.CpuMilli_, Declared.CpuMilli_);
+  E.Memory_.note(PeakUsage.MemoryMib_, Declared.MemoryMib_);
 }
 
 Duration Estimator::expectedRun(const TeamId &Team, const QueueId &Queue,
@@ -64,10 +91,10 @@
   const auto Found = Entries_.find({Team, Queue});
   if (Found == Entries_.end() || Found->second.Ends_ < MinEnds)
     return Declared;
-  Resources Learned;
-  Learned.CpuMilli_ = roundedUp(Found->second.Cpu_.Value_);
-  Learned.MemoryMib_ = roundedUp(Found->second.Memory_.Value_);
-  return componentMax(Declared, Learned);
+  Resources Need = Declared;
+  Need.CpuMilli_ = Found->second.Cpu_.expected(Declared.CpuMilli_);
+  Need.MemoryMib_ = Found->second.Memory_.expected(Declared.MemoryMib_);
+  return Need;
 }
 
 } // namespace oleandergauge
--- a/test/core/estimator_test.cc
+++ b/test/core/estimator_test.cc
@@ -52,6 +52,23 @@
   EXPECT_EQ(Need.Connections_, 2);
 }
 
+// Guards against small items that are declared well being taken to be as
+// large as the large items of their queue, and against scaling declarations
+// that say nothing about the usage.
+TEST(EstimatorTest, ScalesTheDeclarationWhereItIsKnown) {
+  Estimator E;
+  for (int I = 0; I < 300; ++I) {
+    const Resources Size{I % 2 == 0 ? 1000 : 8000, 512, 0, 1, 0};
+    E.noteEnd(Team, Queue, seconds(5), Size, Size);
+    E.noteEnd(TeamId("wrong"), Queue, seconds(5), Size,
+              {I % 3 == 0 ? 1000 : 8000, 512, 0, 1, 0});
+  }
+  const Resources Small{1000, 512, 0, 1, 0};
+  EXPECT_EQ(E.expectedNeed(Team, Queue, Small), Small);
+  const Resources Need = E.expectedNeed(TeamId("wrong"), Queue, Small);
+  EXPECT_GE(Need.CpuMilli_, 7900);
+}
+
 // Guards against one team's work changing what is expected of another's.
 TEST(EstimatorTest, KeepsTeamsAndQueuesApart) {
   Estimator E;
