Ask a home without proof of its configuration again for 300 ms

Cause: operator_test met stale_configuration from the home partition right after a change of a record: the home had no proof for a few milliseconds.

Change: the dispatcher repeats a request that the home refused so, every 20 ms for at most 300 ms; the refusal is NotRun, so the repeat is safe.

--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr Duration OwnerRetryHint = std::chrono::milliseconds(1000);
+constexpr Duration ProofRetry = std::chrono::milliseconds(20);
+constexpr Duration ProofPatience = std::chrono::milliseconds(300);
 
 bool isSubmission(const HomeRequest &Request) {
   return std::holds_alternative<Submitted>(Request);
@@ -170,6 +172,8 @@
 void Dispatcher::refused(Token Id, const Refusal &Why) {
   Pending &Own = Pending_.at(Id);
   Own.Unsettled_ = Own.Unsettled_ || Why.Verdict_ == Verdict::MayHaveRun;
+  if (Why.Reason_ == RefusalReason::StaleConfiguration && waitForProof(Id, Own))
+    return;
   bool Settles = Own.Unsettled_ && isTransient(Why.Reason_);
   bool Moves = Own.Wanted_.Repeatable_ && meansOwnerLost(Why.Reason_);
   if ((Settles || Moves) && tryAgain(Id, Own))
@@ -192,12 +196,29 @@
   Duration Delay = jitteredDelay(Base, Most, Next, random());
   if (Outputs_.Now_() + Delay >= Own.Wanted_.Deadline_)
     return false;
-  Own.Waiting_ = false;
   Figures_.count("repeats", {{"kind", Repeatable ? "call" : "settle"}});
-  Repeats_.emplace(Outputs_.Now_() + Delay, Id);
+  repeatAfter(Id, Own, Delay);
+  return true;
+}
+
+/// Each change of a record leaves the home without proof for a few
+/// milliseconds, in which it takes nothing.
+bool Dispatcher::waitForProof(Token Id, Pending &Own) {
+  TimePoint Now = Outputs_.Now_();
+  if (!Own.ProofUntil_)
+    Own.ProofUntil_ = Now + ProofPatience;
+  if (Now >= std::min(*Own.ProofUntil_, Own.Wanted_.Deadline_))
+    return false;
+  Figures_.count("repeats", {{"kind", "proof"}});
+  repeatAfter(Id, Own, ProofRetry);
   return true;
 }
 
+void Dispatcher::repeatAfter(Token Id, Pending &Own, Duration Delay) {
+  Own.Waiting_ = false;
+  Repeats_.emplace(Outputs_.Now_() + Delay, Id);
+}
+
 void Dispatcher::expire(Token Id) {
   const Pending &Own = Pending_.at(Id);
   if (Own.Waiting_ && Own.Target_ == Self_)
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -76,6 +76,8 @@
     /// True once an attempt ended without an answer; the verdict can no
     /// longer be NotRun.
     bool Unsettled_ = false;
+    /// Until when a home without proof of its configuration is asked again.
+    std::optional<TimePoint> ProofUntil_;
     bool Waiting_ = false; ///< For an answer; else for the next try.
     HostId Target_;
     PartitionId TargetPartition_;
@@ -93,6 +95,8 @@
   void unknown(Token Id);
   void refused(Token Id, const Refusal &Why);
   bool tryAgain(Token Id, Pending &Own);
+  bool waitForProof(Token Id, Pending &Own);
+  void repeatAfter(Token Id, Pending &Own, Duration Delay);
   void expire(Token Id);
   void finish(Token Id, const Result<JobStatus> &Answer);
   double random() { return std::uniform_real_distribution<>()(Random_); }
--- a/test/daemon/dispatcher_test.cc
+++ b/test/daemon/dispatcher_test.cc
@@ -187,6 +187,27 @@
   EXPECT_EQ(verdict(), Verdict::MayHaveRun);
 }
 
+// Guards against refusals at each change of a record.
+TEST_F(DispatcherTest, HomeWithoutProofIsAskedAgainForAMoment) {
+  Own_.setRouting(ownedBy("peer"));
+  submit(false);
+  answerPeer(0, refusal(Verdict::NotRun, RefusalReason::StaleConfiguration));
+  pass(milliseconds(50));
+  ASSERT_EQ(Peers_.size(), 2U);
+  answerPeer(1, JobStatus{});
+  EXPECT_TRUE(Answers_.at(0));
+
+  submit(false);
+  TimePoint Began = Now_;
+  while (Answers_.size() == 1) {
+    answerPeer(Peers_.size() - 1,
+               refusal(Verdict::NotRun, RefusalReason::StaleConfiguration));
+    pass(milliseconds(50));
+  }
+  EXPECT_LE(Now_ - Began, milliseconds(400));
+  EXPECT_EQ(Answers_[1].error().Verdict_, Verdict::NotRun);
+}
+
 // Guards against waiters that stay in the partition task for ever.
 TEST_F(DispatcherTest, LocalRequestIsAbandonedAtTheDeadline) {
   Own_.setRouting(ownedBy("self"));
