Run a service marked non-idempotent once

Cause: retryOrEnd and moveServices repeated any service. A non-idempotent service now ends with its only attempt and is not moved.

--- a/src/core/partition_tasks.cc
+++ b/src/core/partition_tasks.cc
@@ -398,7 +398,8 @@
     returnTask(Job, Index, Duration(0));
     return;
   }
-  if (!Cancelled && Job.service()) {
+  // A service marked non-idempotent runs once, as all such work (P8).
+  if (!Cancelled && Job.service() && Job.Spec_->Idempotent_) {
     Task.FailedStarts_ = Early ? Task.FailedStarts_ + 1 : 0;
     returnTask(Job, Index, restartDelay(Task.FailedStarts_));
     return;
--- a/src/core/partition_workers.cc
+++ b/src/core/partition_workers.cc
@@ -91,7 +91,8 @@
   if (!mayDecide())
     return;
   for (auto &[Id, Job] : Jobs_) {
-    if (!Job.service() || Job.Ended_ || Job.CancelledFor_)
+    if (!Job.service() || !Job.Spec_->Idempotent_ || Job.Ended_ ||
+        Job.CancelledFor_)
       continue;
     const bool OneMoves = std::any_of(
         Job.Tasks_.begin(), Job.Tasks_.end(),
