Do not start above a limit that fell during a stalled commit

Ruled out: the grant (the row had none above the limit) and evidence (the new view was applied). sendStart now asks for the team's excess and returns the task to the queue.

--- a/include/oleandergauge/allotment.h
+++ b/include/oleandergauge/allotment.h
@@ -70,6 +70,8 @@
   std::uint32_t headroomOf(const TeamId &Team) const;
   std::uint32_t grantOf(const TeamId &Team) const;
   std::uint32_t runningOf(const TeamId &Team) const;
+  /// How many running tasks the team has above its part of the limit.
+  std::uint32_t excessOf(const TeamId &Team) const;
   /// Teams that run more than their part of a lowered limit.
   std::vector<Excess> excess() const;
 
--- a/src/core/allotment.cc
+++ b/src/core/allotment.cc
@@ -96,15 +96,23 @@
   return Found == Teams_.end() ? 0 : Found->second.Running_;
 }
 
+std::uint32_t Allotments::excessOf(const TeamId &Id) const {
+  const auto Found = Teams_.find(Id);
+  if (Found == Teams_.end())
+    return 0;
+  const Team &State = Found->second;
+  // Before the first read nothing is known but that a limit of 0 is 0.
+  if (!State.Known_ && State.Limit_ > 0)
+    return 0;
+  const std::uint32_t Part = partOf(State);
+  return State.Running_ - std::min(Part, State.Running_);
+}
+
 std::vector<Excess> Allotments::excess() const {
   std::vector<Excess> Result;
-  for (const auto &[Id, State] : Teams_) {
-    // Before the first read nothing is known but that a limit of 0 is 0.
-    const bool PartKnown = State.Known_ || State.Limit_ == 0;
-    const std::uint32_t Part = partOf(State);
-    if (PartKnown && State.Running_ > Part)
-      Result.push_back({Id, State.Running_ - Part});
-  }
+  for (const auto &[Id, State] : Teams_)
+    if (const std::uint32_t Count = excessOf(Id))
+      Result.push_back({Id, Count});
   return Result;
 }
 
--- a/src/core/partition_tasks.cc
+++ b/src/core/partition_tasks.cc
@@ -158,8 +158,9 @@
   whenCommitted(Ticket, [this, Id, Attempt] { sendStart(Id, Attempt); });
 }
 
-/// The assignment is durable where it must be. What may no longer start
-/// waits again: its command was certainly not sent.
+/// The assignment is durable where it must be. What may no longer start, as
+/// when the limit fell while the journal stalled, waits again: its command
+/// was certainly not sent.
 void Partition::Engine::sendStart(const TaskId &Id, std::uint32_t Attempt) {
   detail::TaskEntry *Task = findTask(Id);
   if (!Task || Task->Attempt_ != Attempt || Task->CommandUntil_ ||
@@ -171,7 +172,8 @@
   const bool MayStart = (Journaled ? mayDecide() : mayServe()) &&
                         Now_ < startUntil() && !Draining_ &&
                         !isWithdrawn(Worker) && !Job.CancelledFor_ &&
-                        !Task->Final_ && !Job.GangRestart_;
+                        !Task->Final_ && !Job.GangRestart_ &&
+                        Allotments_.excessOf(Job.Spec_->Team_) == 0;
   if (!MayStart) {
     returnTask(Job, Id.Index_, Duration(0));
     return;
