Split the choice of victims into short functions

Cause: the search for victims was one function of 45 lines with a nested lambda.

Change: fitsWithoutVictims(), addVictim() and preemptInGroup(); the option for preemptions says that the victims for one item are named together.

Conclusion: no change in behaviour.

--- a/include/oleandergauge/scheduler.h
+++ b/include/oleandergauge/scheduler.h
@@ -66,7 +66,8 @@
   /// time of one round. Divided evenly among the teams that wait in the band,
   /// at least one each, so that no team uses up the part of another.
   std::size_t MaxMisfitsPerBand_ = 64;
-  /// Preemptions asked for in one round.
+  /// Preemptions in one round after which no further urgent item is
+  /// considered; the victims for one item are always named together.
   std::size_t MaxPreemptionsPerRound_ = 8;
 };
 
--- a/src/core/scheduler_preempt.cc
+++ b/src/core/scheduler_preempt.cc
@@ -26,14 +26,6 @@
   return Count;
 }
 
-/// Victims on one worker, and how many more tasks of the item fit with them
-/// gone.
-struct Clearing {
-  Resources Released_;
-  std::vector<Preemption> Victims_;
-  std::uint32_t Gain_ = 0;
-};
-
 } // namespace
 
 std::vector<Preemption> Scheduler::State::choosePreemptions(TimePoint Now) {
@@ -96,28 +88,33 @@
                                      std::size_t Failures,
                                      std::vector<Preemption> &Chosen) {
   for (const auto &[Unused, G] : L.Heads_) {
-    std::size_t Items = 0;
-    for (const WaitingItem *I = G->First_; I != nullptr; I = I->Next_) {
-      if (Chosen.size() >= Options_.MaxPreemptionsPerRound_)
-        return;
-      if (++Items > MaxItemsPerGroup ||
-          I->Work_.Count_ > Teams_[I->Team_].Headroom_)
-        break;
-      if (Pledges_.contains(I->Work_.First_))
-        continue;
-      std::vector<WorkerIndex> Fitting;
-      if (chooseWorkers(I->Work_, Now, Fitting))
-        break;
-      std::vector<Preemption> Victims = victimsFor(I->Work_);
-      if (Victims.empty()) {
-        if (--Failures == 0)
-          return;
-        break;
-      }
-      Chosen.insert(Chosen.end(), Victims.begin(), Victims.end());
-      addPledge(I->Work_.First_, std::move(Victims));
-    }
+    if (!preemptInGroup(*G, Now, Chosen))
+      --Failures;
+    if (Failures == 0)
+      return;
+  }
+}
+
+bool Scheduler::State::preemptInGroup(const Group &G, TimePoint Now,
+                                      std::vector<Preemption> &Chosen) {
+  std::size_t Items = 0;
+  for (const WaitingItem *I = G.First_; I != nullptr; I = I->Next_) {
+    if (Chosen.size() >= Options_.MaxPreemptionsPerRound_ ||
+        ++Items > MaxItemsPerGroup ||
+        I->Work_.Count_ > Teams_[I->Team_].Headroom_)
+      return true;
+    if (Pledges_.contains(I->Work_.First_))
+      continue;
+    Chosen_.clear();
+    if (chooseWorkers(I->Work_, Now, Chosen_))
+      return true;
+    std::vector<Preemption> Victims = victimsFor(I->Work_);
+    if (Victims.empty())
+      return false;
+    Chosen.insert(Chosen.end(), Victims.begin(), Victims.end());
+    addPledge(I->Work_.First_, std::move(Victims));
   }
+  return true;
 }
 
 std::vector<Scheduler::State::TeamIndex>
@@ -132,7 +129,7 @@
   return Order;
 }
 
-std::vector<Preemption> Scheduler::State::victimsFor(const WorkItem &Item) {
+std::uint32_t Scheduler::State::fitsWithoutVictims(const WorkItem &Item) {
   const bool Direct = Item.Class_ == WorkClass::Direct;
   std::uint32_t Fits = 0;
   All_.visit(0, Item.Need_, Direct, Counters_.WorkersLooked_,
@@ -142,21 +139,29 @@
                                    Item.Count_);
                return Fits >= Item.Count_;
              });
-  std::map<WorkerIndex, Clearing> Clearings;
-  const auto Add = [&](const Running &Task) {
-    const Worker &W = Workers_[Task.Worker_];
-    if (Task.Victim_ || !W.Open_ || W.Pledges_ > 0)
-      return;
-    Clearing &C = Clearings[Task.Worker_];
-    C.Victims_.push_back({Task.Id_, W.Info_.Id_});
-    C.Released_ = C.Released_ + Task.Taken_;
-    const std::uint32_t Gain =
-        countFits(Item.Need_, freeOf(W, C.Released_).usable(Direct),
-                  Item.Count_) -
-        countFits(Item.Need_, W.Free_.usable(Direct), Item.Count_);
-    Fits += Gain - C.Gain_;
-    C.Gain_ = Gain;
-  };
+  return Fits;
+}
+
+std::uint32_t Scheduler::State::addVictim(const WorkItem &Item,
+                                          const Running &Task,
+                                          Clearings &Cleared) const {
+  const bool Direct = Item.Class_ == WorkClass::Direct;
+  const Worker &W = Workers_[Task.Worker_];
+  if (Task.Victim_ || !W.Open_ || W.Pledges_ > 0)
+    return 0;
+  Clearing &C = Cleared[Task.Worker_];
+  C.Victims_.push_back({Task.Id_, W.Info_.Id_});
+  C.Released_ = C.Released_ + Task.Taken_;
+  const std::uint32_t Before = C.Gain_;
+  C.Gain_ = countFits(Item.Need_, freeOf(W, C.Released_).usable(Direct),
+                      Item.Count_) -
+            countFits(Item.Need_, W.Free_.usable(Direct), Item.Count_);
+  return C.Gain_ - Before;
+}
+
+std::vector<Preemption> Scheduler::State::victimsFor(const WorkItem &Item) {
+  std::uint32_t Fits = fitsWithoutVictims(Item);
+  Clearings Cleared;
   std::size_t SeenOfAll = 0;
   for (const TeamIndex T : teamsByShare()) {
     std::size_t Seen = 0;
@@ -165,13 +170,13 @@
       if (Fits >= Item.Count_ || ++Seen > MaxCandidatesPerTeam ||
           ++SeenOfAll > MaxCandidates)
         break;
-      Add(Running_.at(It->second));
+      Fits += addVictim(Item, Running_.at(It->second), Cleared);
     }
   }
   std::vector<Preemption> Victims;
   if (Fits < Item.Count_)
     return Victims;
-  for (auto &[Unused, C] : Clearings)
+  for (const auto &[Unused, C] : Cleared)
     if (C.Gain_ > 0)
       Victims.insert(Victims.end(), C.Victims_.begin(), C.Victims_.end());
   return Victims;
--- a/src/core/scheduler_state.h
+++ b/src/core/scheduler_state.h
@@ -69,6 +69,15 @@
   double weightedShare() const { return Share_ / Weight_; }
 };
 
+/// Victims on one worker, and how many more tasks of an item fit with them
+/// gone.
+struct Clearing {
+  Resources Released_;
+  std::vector<Preemption> Victims_;
+  std::uint32_t Gain_ = 0;
+};
+using Clearings = std::map<WorkerIndex, Clearing>;
+
 /// Room that is being made for an urgent item.
 struct Pledge {
   std::vector<Preemption> Victims_;
@@ -235,7 +244,16 @@
   bool pending(const detail::Pledge &P) const;
   void preemptInLine(const detail::Line &L, TimePoint Now, std::size_t Failures,
                      std::vector<Preemption> &Chosen);
+  /// False where room cannot be made for an item of the group.
+  bool preemptInGroup(const detail::Group &G, TimePoint Now,
+                      std::vector<Preemption> &Chosen);
   std::vector<Preemption> victimsFor(const WorkItem &Item);
+  /// Tasks of the item that fit on workers without pledges.
+  std::uint32_t fitsWithoutVictims(const WorkItem &Item);
+  /// Counts a task among the victims and returns how many more tasks of the
+  /// item fit for it.
+  std::uint32_t addVictim(const WorkItem &Item, const detail::Running &Task,
+                          detail::Clearings &Cleared) const;
   std::vector<TeamIndex> teamsByShare() const;
 
   std::string explain(const TaskId &First) const;
--- a/test/core/scheduler_test.cc
+++ b/test/core/scheduler_test.cc
@@ -570,8 +570,8 @@
     }
     const WorkItem Item =
         item("j" + std::to_string(Step), "a", WorkClass::Batch,
-             {C.A_ % 4 * 1500, C.B_ % 4 * 3000, static_cast<int>(C.C_ % 7 / 6),
-              1, static_cast<int>(C.C_ % 3)});
+             {std::int64_t(1500) * (C.A_ % 4), std::int64_t(3000) * (C.B_ % 4),
+              static_cast<int>(C.C_ % 7 / 6), 1, static_cast<int>(C.C_ % 3)});
     // A worker's last slot is for direct calls.
     Resources WithReserve = Item.Need_;
     ++WithReserve.Slots_;
