--- a/scripts/demo_story.py
+++ b/scripts/demo_story.py
@@ -160,7 +160,8 @@
     code = 1
     try:
         for process in c.processes:
-            print(f"    pid {process.pid}: {os.path.basename(process.args[0])}")
+            program = os.path.basename(process.args[0])
+            print(f"    pid {process.pid}: {program}")
         c.alive = list(c.hosts)
         s.servers = ",".join(f"http://{host.address}" for host in c.hosts)
         operator_sets_up(s, c)
--- a/test/system/operator_test.py
+++ b/test/system/operator_test.py
@@ -34,7 +34,8 @@
     changed = time.time()
     i = 0
     while time.time() < changed + cell.CHANGE_LIMIT + 4:
-        status, reply = c.submit(c.hosts[i % 3], f"job-{i}", tasks=3, run_ms=50)
+        status, reply = c.submit(c.hosts[i % 3], f"job-{i}", tasks=3,
+                                 run_ms=50)
         assert status in (200, 202), reply
         i += 1
         time.sleep(0.2)
