Remove the logs of a cell that passed

Cause: each run of a system test or of the demo left a directory of logs.

Change: the directory is removed where the test or the demo passed, and kept where it failed.

Conclusion: only failed runs leave logs.

--- a/scripts/demo_story.py
+++ b/scripts/demo_story.py
@@ -178,6 +178,8 @@
         print(f"logs: {c.directory}")
     finally:
         c.end()
+    if code == 0:
+        c.remove_logs()
     s.say("Done." if code == 0 else "FAILED.")
     sys.exit(code)
 
--- a/test/system/cell.py
+++ b/test/system/cell.py
@@ -7,6 +7,7 @@
 import hashlib
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -175,6 +176,9 @@
         for process in self.processes:
             process.wait()
 
+    def remove_logs(self):
+        shutil.rmtree(self.directory, ignore_errors=True)
+
     # Records.
 
     def put(self, kind, name, body, expected=0):
@@ -337,4 +341,6 @@
         code = 1
     finally:
         cell.end()
+    if code == 0:
+        cell.remove_logs()
     sys.exit(code)
