Set up the libraries' types before the tasks start

A stack showed two threads that set up GSocket and GSocketListener at the same time: one held GObject's lock and waited for the type that the other was registering, which needed the lock.

Change: startLibraries makes one request to a loopback server of its own on the main thread, and references the types of the peer link, before any task runs.

--- a/src/daemon/config_task.cc
+++ b/src/daemon/config_task.cc
@@ -417,7 +417,7 @@
 
 void ConfigTask::start() { Engine_->start(); }
 
-void ConfigTask::handle(ConfigTaskMessage Message) {
+void ConfigTask::handle(const ConfigTaskMessage &Message) {
   Engine_->receive(Message);
 }
 
--- a/src/daemon/config_task.h
+++ b/src/daemon/config_task.h
@@ -29,7 +29,7 @@
 
   /// Makes the clients and starts to read; on the task's thread.
   void start();
-  void handle(ConfigTaskMessage Message);
+  void handle(const ConfigTaskMessage &Message);
 
 private:
   class Engine;
--- a/src/daemon/host.cc
+++ b/src/daemon/host.cc
@@ -8,6 +8,7 @@
 
 #include "daemon/config_task.h"
 #include "daemon/http_api.h"
+#include "daemon/library_start.h"
 #include "daemon/log.h"
 #include "daemon/metrics.h"
 #include "daemon/partition_task.h"
@@ -215,6 +216,7 @@
 } // namespace
 
 int runHost(const Settings &Options) {
+  startLibraries();
   Host Own(Options);
   return Own.run();
 }
--- a/src/daemon/record_changes.cc
+++ b/src/daemon/record_changes.cc
@@ -68,7 +68,7 @@
   Work_.reset();
   if (Queue_.empty())
     return;
-  Work_.emplace();
+  Work_ = Work();
   Work_->Wanted_ = std::move(Queue_.front());
   Work_->BeganAt_ = Outputs_.Now_();
   Queue_.pop_front();
