--- a/src/daemon/host.cc
+++ b/src/daemon/host.cc
@@ -8,9 +8,9 @@
 
 #include "daemon/config_task.h"
 #include "daemon/http_api.h"
-#include "daemon/library_start.h"
 #include "daemon/log.h"
 #include "daemon/metrics.h"
+#include "daemon/network_types.h"
 #include "daemon/partition_task.h"
 #include "daemon/peer_task.h"
 
@@ -216,7 +216,7 @@
 } // namespace
 
 int runHost(const Settings &Options) {
-  startLibraries();
+  prepareNetworkTypes();
   Host Own(Options);
   return Own.run();
 }
