--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -77,8 +77,14 @@
 
 void addWaits(const std::string &Scenario, const Outcome &O, Report &To) {
   for (const auto &[Class, Waits] : O.Waits_) {
-    To.add(Scenario + ".wait_median." + Class, "s", quantile(Waits, 0.5));
-    To.add(Scenario + ".wait_p99." + Class, "s", quantile(Waits, 0.99));
+    std::string Name = Scenario;
+    Name += ".wait_median.";
+    Name += Class;
+    To.add(Name, "s", quantile(Waits, 0.5));
+    Name = Scenario;
+    Name += ".wait_p99.";
+    Name += Class;
+    To.add(Name, "s", quantile(Waits, 0.99));
   }
 }
 
@@ -87,6 +93,7 @@
   const Outcome O = Simulation(S, E.Make_()).run();
   addWaits("mixed", O, To);
   To.add("mixed.work", "part", O.Work_);
+  To.add("mixed.use_while_waiting", "part", O.UseWhileWaiting_);
   To.add("mixed.overload", "part", O.Overload_);
   To.add("mixed.failed_starts", "starts", O.FailedStarts_);
   To.add("mixed.preemptions", "tasks", O.Preemptions_);
@@ -96,6 +103,7 @@
   const Scenario S = packingScenario();
   const Outcome O = Simulation(S, E.Make_()).run();
   To.add("packing.end_over_bound", "ratio", O.End_ / O.LowerBound_);
+  To.add("packing.use_while_waiting", "part", O.UseWhileWaiting_);
   To.add("packing.work", "part", O.Work_);
   To.add("packing.wait_p99.gang", "s", quantile(O.Waits_.at("gang"), 0.99));
 }
--- a/src/core/scheduler_workers.cc
+++ b/src/core/scheduler_workers.cc
@@ -87,6 +87,9 @@
 
 void Scheduler::State::setOpen(WorkerIndex Index, bool Open) {
   Worker &W = Workers_[Index];
+  // A worker open for a probe had no room for gangs.
+  if (Open && W.Probe_)
+    noteGrowth(Index);
   W.Probe_ = false;
   if (Open && (!W.Known_ || W.Removed_))
     return;
@@ -99,8 +102,8 @@
     OpenWorkers_[W.OpenPosition_] = OpenWorkers_.back();
     Workers_[OpenWorkers_.back()].OpenPosition_ = W.OpenPosition_;
     OpenWorkers_.pop_back();
-    if (W.ReservedBand_)
-      dropReservation(*W.ReservedBand_);
+    if (W.Reservation_)
+      dropReservation(*W.Reservation_);
   }
   W.Open_ = Open;
   refresh(Index);
