Delete the rows of members that are gone; learn from declared needs

The estimator scales declarations that prove right, but the partition did not pass them.

Change: a member that the live list has shown gone, and that was not heard, for 10 minutes is deleted, conditional on the version of its row; the partition passes the declared need at the end of a task.

Conclusion: a host whose row was deleted by mistake registers again when it reads the members.

--- a/include/oleandergauge/membership.h
+++ b/include/oleandergauge/membership.h
@@ -18,6 +18,9 @@
 inline constexpr Duration PeerSilence = std::chrono::milliseconds(1500);
 /// A member that the live list has shown gone for this long no longer counts.
 inline constexpr Duration LiveListLag = std::chrono::milliseconds(10000);
+/// The row of a member that was gone for this long is deleted. Hosts are
+/// replaced all the time, and their rows would stay for ever.
+inline constexpr Duration MemberRowRetention = std::chrono::minutes(10);
 
 /// A registered entry host: row "member/<host>".
 struct Member {
@@ -71,6 +74,9 @@
   /// less those that the live list has shown gone for LiveListLag and that
   /// were not heard for as long.
   std::vector<HostId> countedMembers(TimePoint Now) const;
+  /// Members that were gone and unheard for MemberRowRetention. A host whose
+  /// row was deleted by mistake registers again when it reads the members.
+  std::vector<HostId> expiredMembers(TimePoint Now) const;
   /// Members heard within PeerSilence that do not drain; the host itself
   /// included unless it drains.
   std::vector<HostId> livePeers(TimePoint Now) const;
@@ -101,7 +107,8 @@
     bool Released_ = false;
   };
 
-  bool counts(const Peer &Each, TimePoint Now) const;
+  /// The live list has shown the peer gone, and it was not heard, for \p Span.
+  static bool goneFor(const Peer &Each, Duration Span, TimePoint Now);
   void noteClaim(const PartitionId &Partition, Epoch ClaimedEpoch,
                  const HostId &Host);
   void dropClaims(const HostId &Host, const std::vector<OwnedPartition> &Kept);
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -103,11 +103,19 @@
     noteClaim(Partition, RowEpoch, Owner);
 }
 
-bool Membership::counts(const Peer &Each, TimePoint Now) const {
-  const bool Gone = Each.MissingSince_ &&
-                    *Each.MissingUntil_ - *Each.MissingSince_ >= LiveListLag;
-  const bool Heard = Now - Each.ContactAt_ < LiveListLag;
-  return !Gone || Heard;
+bool Membership::goneFor(const Peer &Each, Duration Span, TimePoint Now) {
+  const bool Gone =
+      Each.MissingSince_ && *Each.MissingUntil_ - *Each.MissingSince_ >= Span;
+  const bool Heard = Now - Each.ContactAt_ < Span;
+  return Gone && !Heard;
+}
+
+std::vector<HostId> Membership::expiredMembers(TimePoint Now) const {
+  std::vector<HostId> Expired;
+  for (const auto &[Host, Entry] : Peers_)
+    if (goneFor(Entry, MemberRowRetention, Now))
+      Expired.push_back(Host);
+  return Expired;
 }
 
 std::vector<HostId> Membership::countedMembers(TimePoint Now) const {
@@ -115,7 +123,7 @@
   if (SelfRegistered_)
     Counted.push_back(Self_.Host_);
   for (const auto &[Host, Entry] : Peers_)
-    if (counts(Entry, Now))
+    if (!goneFor(Entry, LiveListLag, Now))
       Counted.push_back(Host);
   std::ranges::sort(Counted);
   return Counted;
--- a/src/core/partition_tasks.cc
+++ b/src/core/partition_tasks.cc
@@ -343,7 +343,7 @@
   if (Ran && Task.State_ == TaskState::Running) {
     const Duration Run = Now_ - Task.RunningSince_;
     Estimator_.noteEnd(Job.Spec_->Team_, Job.Spec_->Queue_, Run,
-                       Task.PeakUsage_);
+                       Task.PeakUsage_, Job.Spec_->Need_);
     Out_.push_back(
         Measured{"run_us", Job.Spec_->Team_, Job.Spec_->Class_, Run.count()});
   }
--- a/src/daemon/config_task.cc
+++ b/src/daemon/config_task.cc
@@ -83,6 +83,7 @@
   void registerSelf();
   void readMembers();
   void membersRead(TimePoint BeganAt, const TableReply &Reply);
+  void deleteExpired(const Rows &Read);
   void readLiveList();
   void sendHeartbeats();
   Heartbeat ownHeartbeat(const PeerVouch &Vouch) const;
@@ -308,12 +309,28 @@
       Found.push_back(*Decoded);
     }
   Members_.setRegistered(monotonicNow(), Found);
+  deleteExpired(*Read);
   // Read after the registration and yet not there: the row was deleted.
   if (!SelfFound && RegisteredAt_ && *RegisteredAt_ < BeganAt)
     registerSelf();
   publish();
 }
 
+/// Conditional on the version that was read, so that a host which registers
+/// meanwhile keeps its row.
+void ConfigTask::Engine::deleteExpired(const Rows &Read) {
+  for (const HostId &Host : Members_.expiredMembers(monotonicNow())) {
+    const std::string Key = codec::memberKey(Host);
+    const std::optional<Row> Present = findRow(Read, Key);
+    if (!Present)
+      continue;
+    logLine(LogLevel::Info, "deleting the row of a member that is gone",
+            {{"peer", Host.str()}});
+    sendTable(Transaction{{{Key, Present->Version_}}, {{Key, std::nullopt}}},
+              [](const TableReply &) {});
+  }
+}
+
 void ConfigTask::Engine::readLiveList() {
   if (std::exchange(ReadingList_, true))
     return;
--- a/test/core/membership_test.cc
+++ b/test/core/membership_test.cc
@@ -33,6 +33,19 @@
 
 const PartitionId P("p");
 
+// Guards against rows of replaced hosts that stay for ever, and against the
+// deletion of a row whose host is only missing from the list.
+TEST(MembershipTest, RowsExpireOnceTheHostIsGoneAndUnheard) {
+  Membership Members = threeHosts();
+  const std::int64_t Retention = MemberRowRetention / milliseconds(1);
+  Members.setListed(at(0), {HostId("a"), HostId("c")});
+  Members.setListed(at(Retention), {HostId("a"), HostId("c")});
+  EXPECT_EQ(Members.expiredMembers(at(Retention)),
+            std::vector<HostId>{HostId("b")});
+  Members.noteHeartbeat(at(Retention), beat("b", Retention - 10));
+  EXPECT_TRUE(Members.expiredMembers(at(Retention)).empty());
+}
+
 // Guards against a heartbeat that comes late taking a partition from its
 // owner, or bringing back a state that has changed since.
 TEST(MembershipTest, LateHeartbeatChangesNothing) {
