Wait for a vouch that overlaps a takeover

Cause: a host may vouch for a store outage while its takeover is on the way. Found by reading; the fuzz test binds the host before it vouches and did not meet it.

Change: an owner that may not take over partitions, before its workers have reported, waits for the evidence and delivery bounds before it uses them.

Conclusion: takeovers without a vouch are as fast as before.

--- a/include/oleandergauge/partition.h
+++ b/include/oleandergauge/partition.h
@@ -33,7 +33,9 @@
     WorkerLeaseLength + WorkerLeaseLength / 10 + DeliveryBound;
 /// A new owner gives a worker no work before a report that was asked for
 /// this long after the takeover. An old owner's last command was sent 400 ms
-/// or more before the takeover, so together that is the delivery bound.
+/// or more before the takeover, so together that is the delivery bound. Where
+/// the new owner vouched for an outage around the takeover, it waits for the
+/// evidence bound as well.
 inline constexpr Duration TakeoverSettle = std::chrono::milliseconds(600);
 /// A submission waits this long for its journal write to be sent.
 inline constexpr Duration CommitPatience = std::chrono::milliseconds(5000);
--- a/src/core/partition.cc
+++ b/src/core/partition.cc
@@ -70,10 +70,7 @@
                  [this](const WorkerSilent &Is) { onWorkerSilent(Is); },
                  [this](const WorkersListed &Is) { onWorkersListed(Is); },
                  [this](const ConfigApplied &Is) { applyView(Is.View_); },
-                 [this](const EvidenceChanged &Is) {
-                   Evidence_ = Is;
-                   updateAllOpen();
-                 },
+                 [this](const EvidenceChanged &Is) { noteEvidence(Is); },
                  [](const Tick &) {},
                  [this](const DrainRequested &) { Draining_ = true; },
              },
@@ -177,6 +174,18 @@
   Out_.push_back(OwnershipChanged{false, Epoch_});
 }
 
+/// A host that vouches for an outage while its takeover is on the way lets
+/// the former owner serve calls for as long as the vouch counts. The new owner
+/// then waits longer before it uses the workers.
+void Partition::Engine::noteEvidence(const EvidenceChanged &Evidence) {
+  Evidence_ = Evidence;
+  const bool Contested = Mode_ != Mode::Idle && !Evidence.MayTakeOver_ &&
+                         !Draining_ && Now_ < SettledAt_;
+  if (Contested)
+    SettledAt_ = std::max(SettledAt_, Now_ + EvidenceBound + DeliveryBound);
+  updateAllOpen();
+}
+
 void Partition::Engine::applyView(
     const std::shared_ptr<const ConfigView> &View) {
   if (!View || (View_ && View->headVersion() < View_->headVersion()))
--- a/src/core/partition_engine.h
+++ b/src/core/partition_engine.h
@@ -83,6 +83,7 @@
   bool mayServe() const;
   TimePoint serveUntil() const;
   TimePoint startUntil() const;
+  void noteEvidence(const EvidenceChanged &Evidence);
   void applyView(const std::shared_ptr<const ConfigView> &View);
   void pumpDrain();
 
@@ -194,6 +195,8 @@
   Mode Mode_ = Mode::Idle;
   Epoch Epoch_ = 0;
   TimePoint OwnedSince_;
+  /// Workers get work after a report that was asked for later than this.
+  TimePoint SettledAt_;
   bool LimitedLost_ = false;
   bool Draining_ = false;
   bool DrainReported_ = false;
--- a/src/core/partition_recovery.cc
+++ b/src/core/partition_recovery.cc
@@ -41,6 +41,8 @@
   Mode_ = Mode::Recovering;
   Epoch_ = Lease_.epoch();
   OwnedSince_ = Now_;
+  SettledAt_ = Now_ + TakeoverSettle;
+  noteEvidence(Evidence_);
   LimitedLost_ = false;
   RecoveryStep_ = RecoveryStep::Pointer;
   RecoveryRetry_ = Now_;
--- a/src/core/partition_workers.cc
+++ b/src/core/partition_workers.cc
@@ -186,7 +186,7 @@
   Worker.LastReportSent_ = Event.SentAt_;
   Worker.ExchangeAsked_.reset();
   Worker.SilentExchanges_ = 0;
-  if (Event.SentAt_ >= OwnedSince_ + TakeoverSettle && !Worker.Reported_) {
+  if (Event.SentAt_ >= SettledAt_ && !Worker.Reported_) {
     Worker.Reported_ = true;
     Worker.NextExchange_ = Now_ + WorkerExchangeInterval;
   }
--- /dev/null
+++ b/test/core/partition_test.cc
@@ -0,0 +1,108 @@
+#include "oleandergauge/partition.h"
+
+#include <gtest/gtest.h>
+
+#include "fake_table.h"
+
+namespace oleandergauge {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// One host, one worker that answers every exchange at once, and a table
+/// without faults.
+class SmallCell {
+public:
+  SmallCell() : Table_(Time_, 1) {
+    WorkerInfo Worker;
+    Worker.Id_ = WorkerId("w");
+    Worker.Region_ = Region("r");
+    Worker.Capacity_ = {8000, 8192, 0, 8, 8};
+    const std::vector<Record> Records = {
+        {"p", 2, PartitionRecord{Region("r"), 0, 1}, "", 1},
+        {"t", 2, LimitRecord{8}, "", 1}};
+    feed(ConfigApplied{std::make_shared<const ConfigView>(1, Records)});
+    feed(WorkersListed{{{Worker, false}}});
+  }
+
+  void prove(bool MayTakeOver) {
+    feed(EvidenceChanged{now() + EvidenceBound, TimePoint(), MayTakeOver, 0});
+  }
+  void advance(Duration Span, bool MayTakeOver) {
+    for (const TimePoint End = now() + Span; now() < End;) {
+      Time_.advance(milliseconds(10));
+      prove(MayTakeOver);
+      feed(Tick{});
+    }
+  }
+  void submitCall() {
+    JobSpec Spec;
+    Spec.Id_ = JobId("t:call");
+    Spec.Team_ = TeamId("t");
+    Spec.Class_ = WorkClass::Direct;
+    Spec.Need_ = {1, 1, 0, 1, 1};
+    feed(Submitted{1, Spec});
+  }
+
+  bool Owned_ = false;
+  std::size_t Starts_ = 0;
+
+private:
+  TimePoint now() const { return Time_.now(); }
+  void feed(const PartitionEvent &Event) {
+    for (const PartitionEffect &Effect : Subject_.handle(now(), Event))
+      std::visit([this](const auto &Is) { run(Is); }, Effect);
+  }
+  void run(const SendTable &Is) {
+    Table_.send(
+        Is.Request_,
+        [this, Sent = Is.Token_](const TableReply &Reply) {
+          feed(TableAnswered{Sent, Reply});
+        },
+        TableFault::None);
+  }
+  void run(const ExchangeWithWorker &Is) {
+    Time_.after(milliseconds(1), [this, Worker = Is.Worker_, Sent = now()] {
+      feed(WorkerReported{Worker, Sent, {}, {}});
+    });
+  }
+  void run(const OwnershipChanged &Is) { Owned_ = Is.Owned_; }
+  void run(const StartOnWorker &) { ++Starts_; }
+  template <typename Other> void run(const Other &) {}
+
+  VirtualTime Time_;
+  FakeTable Table_;
+  Partition Subject_{PartitionId("p"), HostId("h"), "h:1"};
+};
+
+void takeOver(SmallCell &Cell) {
+  while (!Cell.Owned_)
+    Cell.advance(milliseconds(10), true);
+}
+
+// Guards against a slow takeover: urgent work has 3.7 s in all.
+TEST(PartitionTest, UsesWorkersSoonAfterATakeover) {
+  SmallCell Cell;
+  takeOver(Cell);
+  Cell.advance(milliseconds(900), true);
+  Cell.submitCall();
+  Cell.advance(milliseconds(200), true);
+  EXPECT_EQ(Cell.Starts_, 1u);
+}
+
+// Guards against two owners that fill one worker: a host that vouched for an
+// outage while its takeover was on the way let the former owner go on.
+TEST(PartitionTest, WaitsForTheVouchThatOverlapsATakeover) {
+  SmallCell Cell;
+  takeOver(Cell);
+  Cell.advance(milliseconds(100), false);
+  Cell.advance(milliseconds(900), true);
+  Cell.submitCall();
+  Cell.advance(milliseconds(200), true);
+  EXPECT_EQ(Cell.Starts_, 0u);
+  Cell.advance(EvidenceBound + DeliveryBound, true);
+  EXPECT_EQ(Cell.Starts_, 1u);
+}
+
+} // namespace
+} // namespace oleandergauge
