--- a/test/core/allotment_test.cc
+++ b/test/core/allotment_test.cc
@@ -240,43 +240,43 @@
     return decodeAllotment(*Sent.Writes_.front().Value_).value();
   }
 
-  const PartitionId P0{"p0"};
-  const PartitionId P1{"p1"};
-  Allotments Allotments_{P0};
+  const PartitionId First_{"p0"};
+  const PartitionId Second_{"p1"};
+  Allotments Allotments_{First_};
 };
 
 // Guards against a write for each start: grants are asked for in steps of an
 // eighth of the limit, and count only once they are certain.
 TEST_F(AllotmentAnswerTest, AsksInStepsAndCountsAfterTheAnswer) {
   answerRead(0, {}, 0);
-  EXPECT_EQ(written(poll(0)).Grants_.at(P0), 4U);
+  EXPECT_EQ(written(poll(0)).Grants_.at(First_), 4U);
   EXPECT_EQ(Allotments_.headroomOf(Red), 0U);
   Allotments_.answered(at(1), OutcomeUnknown());
   EXPECT_EQ(Allotments_.headroomOf(Red), 0U);
-  answerRead(1, {16, {{P0, 4}}, {}}, 1);
+  answerRead(1, {16, {{First_, 4}}, {}}, 1);
   EXPECT_EQ(Allotments_.headroomOf(Red), 4U);
 }
 
 // Guards against using a grant again after a write that gave it back got no
 // answer: the write may still take effect while the row is unchanged.
 TEST_F(AllotmentAnswerTest, GivenBackGrantIsUnusedUntilTheRowMovesOn) {
-  const AllotmentRow Row{16, {{P0, 10}, {P1, 6}}, {P1}};
+  const AllotmentRow Row{16, {{First_, 10}, {Second_, 6}}, {Second_}};
   answerRead(0, Row, 5);
-  EXPECT_EQ(written(poll(0)).Grants_.at(P0), 3U);
+  EXPECT_EQ(written(poll(0)).Grants_.at(First_), 3U);
   EXPECT_EQ(Allotments_.headroomOf(Red), 3U);
   Allotments_.answered(at(1), OutcomeUnknown());
   Allotments_.setDemand(Red, 9);
   answerRead(1, Row, 5);
   EXPECT_EQ(Allotments_.headroomOf(Red), 3U);
-  EXPECT_EQ(written(poll(1)).Grants_.at(P0), 9U);
+  EXPECT_EQ(written(poll(1)).Grants_.at(First_), 9U);
   Allotments_.answered(at(2), Committed{{6}});
   EXPECT_EQ(Allotments_.headroomOf(Red), 9U);
 }
 
 // Guards against starvation beside a partition with idle grants.
 TEST_F(AllotmentAnswerTest, MarksWhatItWantsWhereNothingIsFree) {
-  answerRead(0, {16, {{P1, 16}}, {}}, 5);
-  EXPECT_TRUE(written(poll(0)).Wanting_.contains(P0));
+  answerRead(0, {16, {{Second_, 16}}, {}}, 5);
+  EXPECT_TRUE(written(poll(0)).Wanting_.contains(First_));
 }
 
 // Guards against starting, or keeping, more than the part of a lowered limit;
@@ -284,11 +284,11 @@
 TEST_F(AllotmentAnswerTest, LoweredLimitLeavesAProportionalPart) {
   for (int Task = 0; Task < 10; ++Task)
     Allotments_.noteStarted(Red);
-  answerRead(0, {16, {{P0, 12}, {P1, 4}}, {}}, 5);
+  answerRead(0, {16, {{First_, 12}, {Second_, 4}}, {}}, 5);
   Allotments_.setLimits({{Red, 8}});
   EXPECT_EQ(Allotments_.headroomOf(Red), 0U);
   EXPECT_EQ(Allotments_.excess(), (std::vector<Excess>{{Red, 4}}));
-  EXPECT_EQ(written(poll(0)).Grants_.at(P0), 10U);
+  EXPECT_EQ(written(poll(0)).Grants_.at(First_), 10U);
 }
 
 // Guards against writing on after another host has taken the partition.
--- a/test/fake_workers.h
+++ b/test/fake_workers.h
@@ -112,7 +112,7 @@
   }
 
   Run end(const AttemptId &Id) {
-    const Run Ended = std::move(Running_.at(Id));
+    Run Ended = std::move(Running_.at(Id));
     Running_.erase(Id);
     Checks_.noteEnd(*Ended.Spec_, Id, Ended.Reserved_, Info_.Id_);
     return Ended;
