Count a cancelled task as waiting only where it was queued

Cause: a task that waits for its restart delay is not counted in the team's demand, but its cancellation took one off all the same. The demand then stayed too low, no grant was asked for, and an accepted gang waited for ever beside free grants. Ruled out: grants held by the other partition (two of six were free and no wanted mark was set). cancelWaiting now asks the scheduler whether the task was queued.

No small test was written for it; the property is the only guard.

--- a/src/core/partition_jobs.cc
+++ b/src/core/partition_jobs.cc
@@ -194,11 +194,14 @@
     detail::TaskEntry &Task = Job.Tasks_[Index];
     if (Task.State_ != TaskState::Waiting)
       continue;
-    Scheduler_.dequeue({Id, Index});
+    // A task that is to be queued again later is not counted as waiting.
+    const bool Queued = Scheduler_.dequeue({Id, Index});
+    const std::size_t Counted = Job.gang() ? Job.Tasks_.size() : 1;
     Task.State_ = TaskState::Ended;
     Task.Verdict_ = Task.EverStarted_ ? Verdict::MayHaveRun : Verdict::NotRun;
     std::uint32_t &Waiting = WaitingByTeam_[Job.Spec_->Team_];
-    Waiting -= Waiting > 0 ? 1 : 0;
+    if (Queued)
+      Waiting -= std::min(Waiting, static_cast<std::uint32_t>(Counted));
   }
 }
 
