End the limited role of an owner 400 ms earlier

Cause: while the store is out an owner may send calls up to the end of its outage evidence, from which moment on another host may take over. Found by reading; the fuzz test did not meet it.

Conclusion: the two ways to end ownership now leave the same time.

--- a/src/core/partition.cc
+++ b/src/core/partition.cc
@@ -111,7 +111,11 @@
 TimePoint Partition::Engine::serveUntil() const {
   if (Lease_.held(Now_))
     return Lease_.heldUntil();
-  return LimitedLost_ ? TimePoint() : Evidence_.OutageUntil_;
+  // Another host may take over from this moment on, and counts on the last
+  // command being as old as that of an owner whose lease ended.
+  return LimitedLost_
+             ? TimePoint()
+             : Evidence_.OutageUntil_ - (DeliveryBound - TakeoverSettle);
 }
 
 bool Partition::Engine::mayServe() const {
