Wake idle hosts less often; mend names and a doubled codec

Cause: a host that owns nothing took 2% of a core; two of its timers ran every 10 ms with nothing to do.

Change: the timers of the HTTP task and of challengers run every 50 ms while no request is in flight and no partition is owned; src/core/wire_job.cc holds the conversion once; values are named for what they are.

--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -70,16 +70,16 @@
 constexpr Duration ShortRun = std::chrono::seconds(2);
 
 /// Runs a partition at a steady load and prints its cost for each second.
-void measure(const Load &Is) {
-  const std::string Name = "workers_" + std::to_string(Is.Workers_) +
-                           "_running_" + std::to_string(Is.Running_) +
+void measure(const Load &Steady) {
+  const std::string Name = "workers_" + std::to_string(Steady.Workers_) +
+                           "_running_" + std::to_string(Steady.Running_) +
                            "_starts_" +
-                           std::to_string(int(Is.StartsPerSecond_));
+                           std::to_string(int(Steady.StartsPerSecond_));
   const double Before = heapMib();
-  CellDriver Cell(Is.Workers_, 9);
+  CellDriver Cell(Steady.Workers_, 9);
   std::uint64_t Number = 0;
   Cell.advance(std::chrono::seconds(8));
-  for (std::size_t I = 0; I < Is.Running_; ++I) {
+  for (std::size_t I = 0; I < Steady.Running_; ++I) {
     Cell.submit(makeJob(++Number, WorkClass::Batch, LongRun));
     if (I % 100 == 99)
       Cell.advance(std::chrono::milliseconds(100));
@@ -90,7 +90,7 @@
   const double Begin = processorSeconds();
   double Due = 0;
   for (int Tick = 0; Tick < int(MeasuredSeconds * 100); ++Tick) {
-    for (Due += Is.StartsPerSecond_ / 100; Due >= 1; Due -= 1)
+    for (Due += Steady.StartsPerSecond_ / 100; Due >= 1; Due -= 1)
       Cell.submit(makeJob(++Number, WorkClass::Batch, ShortRun));
     Cell.advance(CellDriver::Step);
   }
--- a/bench/cell_driver.h
+++ b/bench/cell_driver.h
@@ -113,7 +113,7 @@
 
   void feed(const PartitionEvent &Event) {
     for (const PartitionEffect &Effect : Subject_->handle(Now_, Event))
-      std::visit([this](const auto &Is) { run(Is); }, Effect);
+      std::visit([this](const auto &Sent) { run(Sent); }, Effect);
   }
 
   void answer(Duration Delay, PartitionEvent Event) {
@@ -129,32 +129,32 @@
     }
   }
 
-  void run(const SendTable &Is) {
+  void run(const SendTable &Sent) {
     TableReply Reply = std::visit(
-        [this](const auto &Request) { return apply(Request); }, Is.Request_);
-    answer(TableDelay, TableAnswered{Is.Token_, std::move(Reply)});
+        [this](const auto &Request) { return apply(Request); }, Sent.Request_);
+    answer(TableDelay, TableAnswered{Sent.Token_, std::move(Reply)});
   }
 
   TableReply apply(const Transaction &Change) {
     ++Counts_.TableWrites_;
     Conflicted Conflict;
     bool Holds = true;
-    for (const Condition &Is : Change.Conditions_) {
-      const std::uint64_t Version = versionOf(Is.Key_);
-      Conflict.Rows_.push_back({Is.Key_, "", Version});
-      Holds = Holds && Version == Is.Version_;
+    for (const Condition &Expected : Change.Conditions_) {
+      const std::uint64_t Version = versionOf(Expected.Key_);
+      Conflict.Rows_.push_back({Expected.Key_, "", Version});
+      Holds = Holds && Version == Expected.Version_;
     }
     if (!Holds)
       return Conflict;
     Committed Done;
-    for (const Write &Is : Change.Writes_) {
+    for (const Write &Wanted : Change.Writes_) {
       Done.Versions_.push_back(++LastVersion_);
-      if (!Is.Value_) {
-        Rows_.erase(Is.Key_);
+      if (!Wanted.Value_) {
+        Rows_.erase(Wanted.Key_);
         continue;
       }
-      Counts_.TableBytes_ += Is.Value_->size();
-      Rows_[Is.Key_] = {Is.Key_, *Is.Value_, LastVersion_};
+      Counts_.TableBytes_ += Wanted.Value_->size();
+      Rows_[Wanted.Key_] = {Wanted.Key_, *Wanted.Value_, LastVersion_};
     }
     return Done;
   }
@@ -163,22 +163,24 @@
     Rows Found;
     for (const std::string &Key : Read.Keys_) {
       ++Counts_.TableReads_;
-      const auto Is = Rows_.find(Key);
-      Found.Rows_.push_back(Is == Rows_.end() ? Row{Key, "", 0} : Is->second);
+      const auto Present = Rows_.find(Key);
+      Found.Rows_.push_back(Present == Rows_.end() ? Row{Key, "", 0}
+                                                   : Present->second);
     }
     return Found;
   }
 
   TableReply apply(const Scan &Read) {
     Rows Found;
-    for (auto Is = Rows_.upper_bound(Read.After_); Is != Rows_.end(); ++Is) {
-      const bool Matches = Is->first.starts_with(Read.Prefix_);
-      if (!Matches && Is->first > Read.Prefix_)
+    for (auto Next = Rows_.upper_bound(Read.After_); Next != Rows_.end();
+         ++Next) {
+      const bool Matches = Next->first.starts_with(Read.Prefix_);
+      if (!Matches && Next->first > Read.Prefix_)
         break;
       if (!Matches || Found.Rows_.size() == Read.Limit_)
         continue;
       ++Counts_.TableReads_;
-      Found.Rows_.push_back(Is->second);
+      Found.Rows_.push_back(Next->second);
     }
     return Found;
   }
@@ -188,27 +190,27 @@
     return Found == Rows_.end() ? 0 : Found->second.Version_;
   }
 
-  void run(const StartOnWorker &Is) {
+  void run(const StartOnWorker &Sent) {
     ++Counts_.Starts_;
-    const AttemptId Id{Is.Task_, Is.Attempt_};
-    if (Is.Spec_->Class_ == WorkClass::Direct) {
-      answer(WorkerDelay + Is.Spec_->DeclaredRun_,
-             CallAnswered{Is.Task_, Is.Attempt_, CommandOutcome::Started, 0,
+    const AttemptId Id{Sent.Task_, Sent.Attempt_};
+    if (Sent.Spec_->Class_ == WorkClass::Direct) {
+      answer(WorkerDelay + Sent.Spec_->DeclaredRun_,
+             CallAnswered{Sent.Task_, Sent.Attempt_, CommandOutcome::Started, 0,
                           "done"});
       return;
     }
-    auto &Tasks = OnWorkers_[Is.Worker_];
-    Tasks[Id] = {Id, Now_ + Is.Spec_->DeclaredRun_, Is.Reserved_};
+    auto &Tasks = OnWorkers_[Sent.Worker_];
+    Tasks[Id] = {Id, Now_ + Sent.Spec_->DeclaredRun_, Sent.Reserved_};
     answer(WorkerDelay,
-           StartAnswered{Is.Task_, Is.Attempt_, CommandOutcome::Started});
+           StartAnswered{Sent.Task_, Sent.Attempt_, CommandOutcome::Started});
   }
 
-  void run(const ExchangeWithWorker &Is) {
+  void run(const ExchangeWithWorker &Sent) {
     ++Counts_.Exchanges_;
-    Counts_.RenewedLeases_ += Is.Renew_.size();
-    WorkerReported Report{Is.Worker_, Now_, {}, {}};
-    auto &Tasks = OnWorkers_[Is.Worker_];
-    for (const AttemptId &Id : Is.Collected_)
+    Counts_.RenewedLeases_ += Sent.Renew_.size();
+    WorkerReported Report{Sent.Worker_, Now_, {}, {}};
+    auto &Tasks = OnWorkers_[Sent.Worker_];
+    for (const AttemptId &Id : Sent.Collected_)
       Tasks.erase(Id);
     for (const auto &[Id, Task] : Tasks) {
       if (Task.EndsAt_ <= Now_)
@@ -219,19 +221,19 @@
     answer(WorkerDelay, std::move(Report));
   }
 
-  void run(const StopOnWorker &Is) {
-    OnWorkers_[Is.Worker_].erase(Is.Attempt_);
+  void run(const StopOnWorker &Sent) {
+    OnWorkers_[Sent.Worker_].erase(Sent.Attempt_);
   }
 
-  void run(const ReplyToCaller &Is) {
+  void run(const ReplyToCaller &Sent) {
     ++Counts_.Replies_;
-    Counts_.Refusals_ += Is.Answer_ ? 0 : 1;
+    Counts_.Refusals_ += Sent.Answer_ ? 0 : 1;
   }
 
-  void run(const Measured &Is) {
-    if (Is.Name_ == "wait_us")
-      Counts_.WaitsMicros_.push_back(Is.Value_);
-    if (Is.Name_ == "run_us")
+  void run(const Measured &Sent) {
+    if (Sent.Name_ == "wait_us")
+      Counts_.WaitsMicros_.push_back(Sent.Value_);
+    if (Sent.Name_ == "run_us")
       ++Counts_.Ended_;
   }
 
--- a/examples/embed.cc
+++ b/examples/embed.cc
@@ -44,8 +44,8 @@
   Decisions.enqueue(makeItem("quote", WorkClass::Direct, 1));
 
   const auto Placed = Decisions.decide(TimePoint(), 16);
-  for (const PlacedTask &Is : Placed)
-    std::printf("%s/%u on %s\n", Is.Task_.Job_.str().c_str(), Is.Task_.Index_,
-                Is.Worker_.str().c_str());
+  for (const PlacedTask &Task : Placed)
+    std::printf("%s/%u on %s\n", Task.Task_.Job_.str().c_str(),
+                Task.Task_.Index_, Task.Worker_.str().c_str());
   return Placed.size() == 5 ? 0 : 1;
 }
--- a/src/codec/peer.cc
+++ b/src/codec/peer.cc
@@ -5,6 +5,7 @@
 
 #include "codec/checks.h"
 #include "codec/json.h"
+#include "core/wire_job.h"
 #include "peer.pb.h"
 
 namespace oleandergauge::codec {
@@ -85,37 +86,12 @@
 
 // ---------------------------------------------------------------- Forwards
 
-void writeSpec(wire::JobSpec &To, const JobSpec &Spec) {
-  To.set_id(Spec.Id_.str());
-  To.set_request(Spec.Request_.str());
-  To.set_team(Spec.Team_.str());
-  To.set_queue(Spec.Queue_.str());
-  To.set_work_class(numberOf(Spec.Class_));
-  To.set_urgent(Spec.Urgent_);
-  To.set_idempotent(Spec.Idempotent_);
-  To.set_task_count(Spec.TaskCount_);
-  wire::Resources &Need = *To.mutable_need();
-  Need.set_cpu_milli(Spec.Need_.CpuMilli_);
-  Need.set_memory_mib(Spec.Need_.MemoryMib_);
-  Need.set_accelerators(Spec.Need_.Accelerators_);
-  Need.set_slots(Spec.Need_.Slots_);
-  Need.set_connections(Spec.Need_.Connections_);
-  To.set_declared_run_us(Spec.DeclaredRun_.count());
-  To.set_start_within_us(Spec.StartWithin_.count());
-  To.set_expires_in_us(Spec.ExpiresIn_.count());
-  To.set_command(Spec.Command_);
-  To.set_body(Spec.Body_);
-}
-
 /// Refuses amounts that would make room on a worker or never end.
-Result<void> checkSpec(const wire::JobSpec &From, const JobSpec &Spec) {
+Result<void> checkSpec(const JobSpec &Spec) {
   if (!parseJobId(Spec.Id_.str()) ||
       Spec.Id_ != makeJobId(Spec.Team_, Spec.Request_))
     return refuse("job is " + quoteForMessage(Spec.Id_.str()) +
                   "; expected is that of its team and request");
-  if (From.work_class() > numberOf(WorkClass::Service))
-    return refuse("work_class is " + std::to_string(From.work_class()) +
-                  "; this build knows 0 to 3");
   if (Spec.TaskCount_ == 0 || Spec.TaskCount_ > MaxTaskCount)
     return refuse("task_count is " + std::to_string(Spec.TaskCount_) +
                   "; allowed are 1 to " + std::to_string(MaxTaskCount));
@@ -129,25 +105,13 @@
 }
 
 Result<JobSpec> readSpec(const wire::JobSpec &From) {
-  const wire::Resources &Need = From.need();
-  JobSpec Spec{JobId(From.id()),
-               RequestId(From.request()),
-               TeamId(From.team()),
-               QueueId(From.queue()),
-               static_cast<WorkClass>(From.work_class()),
-               From.urgent(),
-               From.idempotent(),
-               From.task_count(),
-               {Need.cpu_milli(), Need.memory_mib(), Need.accelerators(),
-                Need.slots(), Need.connections()},
-               Duration(From.declared_run_us()),
-               Duration(From.start_within_us()),
-               Duration(From.expires_in_us()),
-               From.command(),
-               From.body()};
-  if (const Result<void> Checked = checkSpec(From, Spec); !Checked)
+  std::optional<JobSpec> Spec = detail::fromWire(From);
+  if (!Spec)
+    return refuse("work_class is " + std::to_string(From.work_class()) +
+                  "; this build knows 0 to 3");
+  if (const Result<void> Checked = checkSpec(*Spec); !Checked)
     return tl::unexpected(Checked.error());
-  return Spec;
+  return std::move(*Spec);
 }
 
 /// Refuses a request for a job of another team.
@@ -279,8 +243,8 @@
   Message.set_partition(Passed.Partition_.str());
   std::visit(detail::Overloaded{
                  [&](const ForwardedSubmit &Request) {
-                   writeSpec(*Message.mutable_submit()->mutable_spec(),
-                             Request.Spec_);
+                   detail::toWire(Request.Spec_,
+                                  Message.mutable_submit()->mutable_spec());
                  },
                  [&](const ForwardedCancel &Request) {
                    Message.mutable_cancel()->set_team(Request.Team_.str());
--- a/src/core/partition.cc
+++ b/src/core/partition.cc
@@ -51,30 +51,33 @@
 }
 
 void Partition::Engine::dispatch(const PartitionEvent &Event) {
-  std::visit(detail::Overloaded{
-                 [this](const Submitted &Is) { onSubmitted(Is); },
-                 [this](const CancelRequested &Is) { onCancel(Is); },
-                 [this](const JobQueried &Is) { onQuery(Is); },
-                 [this](const CallerGone &Is) { onCallerGone(Is); },
-                 [this](const TableAnswered &Is) {
-                   auto Found = Requests_.find(Is.Token_);
-                   if (Found == Requests_.end())
-                     return;
-                   const RequestKind Kind = Found->second.Kind_;
-                   Requests_.erase(Found);
-                   noteTableAnswer(Kind, Is.Reply_);
-                 },
-                 [this](const StartAnswered &Is) { onStartAnswered(Is); },
-                 [this](const CallAnswered &Is) { onCallAnswered(Is); },
-                 [this](const WorkerReported &Is) { onWorkerReported(Is); },
-                 [this](const WorkerSilent &Is) { onWorkerSilent(Is); },
-                 [this](const WorkersListed &Is) { onWorkersListed(Is); },
-                 [this](const ConfigApplied &Is) { applyView(Is.View_); },
-                 [this](const EvidenceChanged &Is) { noteEvidence(Is); },
-                 [](const Tick &) {},
-                 [this](const DrainRequested &) { Draining_ = true; },
-             },
-             Event);
+  std::visit(
+      detail::Overloaded{
+          [this](const Submitted &Received) { onSubmitted(Received); },
+          [this](const CancelRequested &Received) { onCancel(Received); },
+          [this](const JobQueried &Received) { onQuery(Received); },
+          [this](const CallerGone &Received) { onCallerGone(Received); },
+          [this](const TableAnswered &Received) {
+            auto Found = Requests_.find(Received.Token_);
+            if (Found == Requests_.end())
+              return;
+            const RequestKind Kind = Found->second.Kind_;
+            Requests_.erase(Found);
+            noteTableAnswer(Kind, Received.Reply_);
+          },
+          [this](const StartAnswered &Received) { onStartAnswered(Received); },
+          [this](const CallAnswered &Received) { onCallAnswered(Received); },
+          [this](const WorkerReported &Received) {
+            onWorkerReported(Received);
+          },
+          [this](const WorkerSilent &Received) { onWorkerSilent(Received); },
+          [this](const WorkersListed &Received) { onWorkersListed(Received); },
+          [this](const ConfigApplied &Received) { applyView(Received.View_); },
+          [this](const EvidenceChanged &Received) { noteEvidence(Received); },
+          [](const Tick &) {},
+          [this](const DrainRequested &) { Draining_ = true; },
+      },
+      Event);
 }
 
 void Partition::Engine::advance() {
@@ -286,7 +289,9 @@
   std::visit(detail::Overloaded{
                  [](std::monostate) {},
                  [](const JournalStalled &) {},
-                 [this](const BatchCommitted &Is) { runCommitted(Is.Ticket_); },
+                 [this](const BatchCommitted &Received) {
+                   runCommitted(Received.Ticket_);
+                 },
                  [this](const JournalFenced &) {
                    Lease_.noteFenced();
                    demote();
--- a/src/core/partition_jobs.cc
+++ b/src/core/partition_jobs.cc
@@ -18,15 +18,16 @@
 }
 
 JobId jobOf(const Transition &Change) {
-  return std::visit(detail::Overloaded{
-                        [](const JobAccepted &Is) { return Is.Spec_.Id_; },
-                        [](const TaskAssigned &Is) { return Is.Task_.Job_; },
-                        [](const TaskReturned &Is) { return Is.Task_.Job_; },
-                        [](const TaskEnded &Is) { return Is.Task_.Job_; },
-                        [](const JobCancelled &Is) { return Is.Job_; },
-                        [](const JobForgotten &Is) { return Is.Job_; },
-                    },
-                    Change);
+  return std::visit(
+      detail::Overloaded{
+          [](const JobAccepted &Entry) { return Entry.Spec_.Id_; },
+          [](const TaskAssigned &Entry) { return Entry.Task_.Job_; },
+          [](const TaskReturned &Entry) { return Entry.Task_.Job_; },
+          [](const TaskEnded &Entry) { return Entry.Task_.Job_; },
+          [](const JobCancelled &Entry) { return Entry.Job_; },
+          [](const JobForgotten &Entry) { return Entry.Job_; },
+      },
+      Change);
 }
 
 /// A retry may differ in how long it waits, not in the work.
--- a/src/core/partition_state.cc
+++ b/src/core/partition_state.cc
@@ -87,15 +87,16 @@
 } // namespace
 
 void applyTransition(JobMap &Jobs, const Transition &Change) {
-  std::visit(Overloaded{
-                 [&](const JobAccepted &Is) { applyAccepted(Jobs, Is); },
-                 [&](const TaskAssigned &Is) { applyAssigned(Jobs, Is); },
-                 [&](const TaskReturned &Is) { applyReturned(Jobs, Is); },
-                 [&](const TaskEnded &Is) { applyEnded(Jobs, Is); },
-                 [&](const JobCancelled &Is) { applyCancelled(Jobs, Is); },
-                 [&](const JobForgotten &Is) { Jobs.erase(Is.Job_); },
-             },
-             Change);
+  std::visit(
+      Overloaded{
+          [&](const JobAccepted &Entry) { applyAccepted(Jobs, Entry); },
+          [&](const TaskAssigned &Entry) { applyAssigned(Jobs, Entry); },
+          [&](const TaskReturned &Entry) { applyReturned(Jobs, Entry); },
+          [&](const TaskEnded &Entry) { applyEnded(Jobs, Entry); },
+          [&](const JobCancelled &Entry) { applyCancelled(Jobs, Entry); },
+          [&](const JobForgotten &Entry) { Jobs.erase(Entry.Job_); },
+      },
+      Change);
 }
 
 std::vector<Transition> describeState(const JobMap &Jobs) {
--- a/src/core/partition_tasks.cc
+++ b/src/core/partition_tasks.cc
@@ -118,8 +118,8 @@
   // Without the lease only calls go on, as nothing can be journaled.
   Scheduler_.setDirectOnly(!mayDecide());
   const auto Placed = Scheduler_.decide(Now_, PlacementsPerRound);
-  for (const PlacedTask &Is : Placed)
-    startPlaced(Is);
+  for (const PlacedTask &Decision : Placed)
+    startPlaced(Decision);
   if (Placed.size() >= PlacementsPerRound)
     ScheduleNeeded_ = true;
   if (!Placed.empty())
--- a/src/core/partition_workers.cc
+++ b/src/core/partition_workers.cc
@@ -24,16 +24,17 @@
     return;
   for (auto &[Id, Worker] : Workers_)
     Worker.Listed_ = false;
-  for (const ListedWorker &Is : Listed_) {
-    const auto Owner = View_->partitionOf(Is.Info_.Region_, Is.Info_.Rack_);
+  for (const ListedWorker &Listed : Listed_) {
+    const auto Owner =
+        View_->partitionOf(Listed.Info_.Region_, Listed.Info_.Rack_);
     if (!Owner || *Owner != Id_)
       continue;
-    detail::WorkerEntry &Worker = Workers_[Is.Info_.Id_];
+    detail::WorkerEntry &Worker = Workers_[Listed.Info_.Id_];
     Worker.Listed_ = true;
-    Worker.Leaving_ = Is.Leaving_;
-    if (Worker.Info_ != Is.Info_) {
-      Worker.Info_ = Is.Info_;
-      Scheduler_.upsertWorker(Is.Info_);
+    Worker.Leaving_ = Listed.Leaving_;
+    if (Worker.Info_ != Listed.Info_) {
+      Worker.Info_ = Listed.Info_;
+      Scheduler_.upsertWorker(Listed.Info_);
     }
   }
   std::erase_if(Workers_, [this](const auto &Entry) {
@@ -199,33 +200,33 @@
 void Partition::Engine::noteReportedTasks(detail::WorkerEntry &Worker,
                                           const WorkerReported &Event) {
   std::set<AttemptId> Finished;
-  for (const FinishedTask &Is : Event.Finished_) {
-    Finished.insert({Is.Task_, Is.Attempt_});
-    if (!Worker.Collect_.contains({Is.Task_, Is.Attempt_}))
-      noteFinished(Is, Worker.Info_.Id_);
+  for (const FinishedTask &Reported : Event.Finished_) {
+    Finished.insert({Reported.Task_, Reported.Attempt_});
+    if (!Worker.Collect_.contains({Reported.Task_, Reported.Attempt_}))
+      noteFinished(Reported, Worker.Info_.Id_);
   }
   std::erase_if(Worker.Collect_, [&Finished](const AttemptId &Id) {
     return !Finished.contains(Id);
   });
   Resources Foreign;
-  for (const RunningTask &Is : Event.Running_) {
-    detail::TaskEntry *Task = findTask(Is.Task_);
+  for (const RunningTask &Reported : Event.Running_) {
+    detail::TaskEntry *Task = findTask(Reported.Task_);
     const bool Ours = Task && Task->active() &&
                       Task->Worker_ == Worker.Info_.Id_ &&
-                      Task->Attempt_ == Is.Attempt_;
+                      Task->Attempt_ == Reported.Attempt_;
     if (Ours) {
       Task->AbsentSince_.reset();
-      noteRunning(Jobs_.at(Is.Task_.Job_), *Task);
-      noteUsage(Is);
+      noteRunning(Jobs_.at(Reported.Task_.Job_), *Task);
+      noteUsage(Reported);
       continue;
     }
-    Foreign = Foreign + Is.Usage_;
-    if (Is.Call_)
+    Foreign = Foreign + Reported.Usage_;
+    if (Reported.Call_)
       continue; // A former owner's; its answer is still on the way.
     Out_.push_back(Measured{"orphans", TeamId(), WorkClass::Batch});
     Out_.push_back(StopOnWorker{Worker.Info_.Id_,
                                 Worker.Info_.Address_,
-                                {Is.Task_, Is.Attempt_},
+                                {Reported.Task_, Reported.Attempt_},
                                 StopMode::Stop});
   }
   Scheduler_.setForeignUsage(Worker.Info_.Id_, Foreign);
@@ -244,10 +245,10 @@
 void Partition::Engine::checkAbsent(detail::WorkerEntry &Worker,
                                     const WorkerReported &Event) {
   std::set<AttemptId> Shown;
-  for (const RunningTask &Is : Event.Running_)
-    Shown.insert({Is.Task_, Is.Attempt_});
-  for (const FinishedTask &Is : Event.Finished_)
-    Shown.insert({Is.Task_, Is.Attempt_});
+  for (const RunningTask &Reported : Event.Running_)
+    Shown.insert({Reported.Task_, Reported.Attempt_});
+  for (const FinishedTask &Reported : Event.Finished_)
+    Shown.insert({Reported.Task_, Reported.Attempt_});
   const std::set<TaskId> Expected = Worker.Tasks_;
   for (const TaskId &Id : Expected) {
     detail::TaskEntry *Task = findTask(Id);
--- a/src/daemon/http_api.cc
+++ b/src/daemon/http_api.cc
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr Duration DispatchInterval = std::chrono::milliseconds(10);
+/// While no request is in flight; idle wake-ups are most of an idle host's
+/// processor time.
+constexpr Duration IdleDispatchInterval = std::chrono::milliseconds(50);
 constexpr Duration IdleCheckInterval = std::chrono::milliseconds(20);
 /// After each change of a record a host has no proof until it has read the
 /// records, mostly for a few milliseconds; requests wait this long for it.
@@ -84,6 +87,7 @@
   void serveHeld();
   DispatcherOutputs dispatcherOutputs();
   void checkIdle();
+  void tick();
   void received(const ApiRequest &Request, ApiResponder Respond);
   std::optional<Refusal> refuseNow(const std::string &Route) const;
   void route(const ApiRequest &Request, const std::vector<std::string> &Parts,
@@ -142,16 +146,21 @@
 
 void HttpApi::Engine::start() {
   Peers_ = std::make_unique<PeerClient>();
-  Thread_.every(DispatchInterval, [this] {
-    Home_.tick();
-    serveHeld();
-  });
   Server_ = std::make_unique<HttpServer>(
       Options_.HttpListen_, Options_.MaxBodyBytes_,
       [this](const ApiRequest &Request, ApiResponder Respond) {
         received(Request, std::move(Respond));
       });
   logLine(LogLevel::Info, "listening", {{"address", Options_.HttpListen_}});
+  tick();
+}
+
+void HttpApi::Engine::tick() {
+  Home_.tick();
+  serveHeld();
+  const bool Busy = Home_.pending() > 0 || (Server_ && Server_->inFlight() > 0);
+  Thread_.after(Busy ? DispatchInterval : IdleDispatchInterval,
+                [this] { tick(); });
 }
 
 void HttpApi::Engine::receive(HttpTaskMessage Message) {
--- a/src/daemon/partition_task.cc
+++ b/src/daemon/partition_task.cc
@@ -12,7 +12,7 @@
 
 constexpr Duration TickInterval = std::chrono::milliseconds(10);
 /// A challenger's lease polls need no finer tick than this.
-constexpr int ChallengerTicks = 5;
+constexpr Duration ChallengerTickInterval = std::chrono::milliseconds(50);
 constexpr Duration ReportInterval = std::chrono::milliseconds(250);
 
 /// Wait before a refused caller asks again: a takeover takes 2.2 s or more.
@@ -102,7 +102,6 @@
   EvidenceShared Evidence_;
   bool Draining_ = false;
   bool DrainReported_ = false;
-  int TickCount_ = 0;
   std::deque<std::pair<PartitionId, PartitionEvent>> Events_;
   bool Feeding_ = false;
   std::unique_ptr<TableClient> Table_;
@@ -119,7 +118,7 @@
       std::make_unique<TableClient>(Options_.TableUrl_, Options_.TableTimeout_);
   Workers_ = std::make_unique<WorkerClient>(Options_.CommandTimeout_,
                                             Options_.CallTimeout_);
-  Thread_.every(TickInterval, [this] { tick(); });
+  tick();
   Thread_.every(ReportInterval, [this] { report(); });
 }
 
@@ -195,12 +194,12 @@
 void PartitionTask::Engine::tick() {
   bool OwnsAny = std::any_of(Units_.begin(), Units_.end(),
                              [](const auto &E) { return E.second.Owned_; });
-  bool Due = OwnsAny || Draining_ || ++TickCount_ % ChallengerTicks == 0;
-  if (Due)
-    feedAll(Tick{});
+  feedAll(Tick{});
   removeGone();
   if (Draining_)
     finishDrain();
+  Thread_.after(OwnsAny || Draining_ ? TickInterval : ChallengerTickInterval,
+                [this] { tick(); });
 }
 
 void PartitionTask::Engine::report() {
--- a/test/core/partition_test.cc
+++ b/test/core/partition_test.cc
@@ -51,22 +51,22 @@
   TimePoint now() const { return Time_.now(); }
   void feed(const PartitionEvent &Event) {
     for (const PartitionEffect &Effect : Subject_.handle(now(), Event))
-      std::visit([this](const auto &Is) { run(Is); }, Effect);
+      std::visit([this](const auto &Kind) { run(Kind); }, Effect);
   }
-  void run(const SendTable &Is) {
+  void run(const SendTable &Effect) {
     Table_.send(
-        Is.Request_,
-        [this, Sent = Is.Token_](const TableReply &Reply) {
+        Effect.Request_,
+        [this, Sent = Effect.Token_](const TableReply &Reply) {
           feed(TableAnswered{Sent, Reply});
         },
         TableFault::None);
   }
-  void run(const ExchangeWithWorker &Is) {
-    Time_.after(milliseconds(1), [this, Worker = Is.Worker_, Sent = now()] {
+  void run(const ExchangeWithWorker &Effect) {
+    Time_.after(milliseconds(1), [this, Worker = Effect.Worker_, Sent = now()] {
       feed(WorkerReported{Worker, Sent, {}, {}});
     });
   }
-  void run(const OwnershipChanged &Is) { Owned_ = Is.Owned_; }
+  void run(const OwnershipChanged &Effect) { Owned_ = Effect.Owned_; }
   void run(const StartOnWorker &) { ++Starts_; }
   template <typename Other> void run(const Other &) {}
 
