Spread the partitions that become free at once

Cause: after a cold start one host owned all partitions: it ranked first for each of them, as none was owned when the ranks were computed, and it saw the records of a new cell some 500 ms before the others. Ruled out: the rank delay alone; with 700 ms a rank for new partitions one host still took both in 3 of 3 starts.

Change: a partition without a live owner counts for the host that is to take it when the next one is ranked; new partitions have a rank delay of 700 ms.

A host that comes later still gets no partition before another one dies or drains.

--- a/include/oleandergauge/lease.h
+++ b/include/oleandergauge/lease.h
@@ -23,6 +23,11 @@
     std::chrono::milliseconds(2200);
 /// Challengers of later ranks wait longer, so that one takes over alone.
 inline constexpr Duration TakeoverRankDelay = std::chrono::milliseconds(150);
+/// The same for a partition that never had an owner. Longer than the time in
+/// which all hosts have read a new partition's record, so that the host which
+/// sees the records first does not take all partitions of a new cell.
+inline constexpr Duration FirstTakeoverRankDelay =
+    std::chrono::milliseconds(700);
 /// A failed request is tried again after this time.
 inline constexpr Duration PartitionLeaseRetry = std::chrono::milliseconds(200);
 /// After a failed request a challenger waits this long, so that after an
--- a/include/oleandergauge/membership.h
+++ b/include/oleandergauge/membership.h
@@ -84,9 +84,15 @@
   std::vector<Member> peers() const;
   /// The host that owns the partition as far as known, highest epoch first.
   std::optional<Member> ownerOf(const PartitionId &Partition) const;
+  /// All configured partitions, in the order of their names.
+  void setPartitions(std::vector<PartitionId> Partitions) {
+    Partitions_ = std::move(Partitions);
+  }
   /// Place of this host among the live ones in the order of preference for
   /// the partition: 0 takes first. Hosts that own fewer partitions come
-  /// first, then by rendezvous hash.
+  /// first, then by rendezvous hash. Partitions before this one that have no
+  /// live owner count for the host that is to take them, so that several
+  /// which become free at once are spread.
   std::uint32_t rankFor(const PartitionId &Partition, TimePoint Now) const;
   void setDraining(bool Draining) { Draining_ = Draining; }
   void setOwned(const std::vector<OwnedPartition> &Owned);
@@ -113,12 +119,15 @@
                  const HostId &Host);
   void dropClaims(const HostId &Host, const std::vector<OwnedPartition> &Kept);
   std::size_t ownedBy(const HostId &Host) const;
+  bool hasLiveOwner(const PartitionId &Partition,
+                    const std::vector<HostId> &Live) const;
 
   Member Self_;
   bool SelfRegistered_ = false;
   bool Draining_ = false;
   std::map<HostId, Peer> Peers_;
   std::map<PartitionId, OwnerEntry> Owners_;
+  std::vector<PartitionId> Partitions_;
 };
 
 } // namespace oleandergauge
--- a/src/core/lease.cc
+++ b/src/core/lease.cc
@@ -87,8 +87,9 @@
     return std::nullopt;
   const Duration Wait =
       Observed_->Host_.empty() ? Duration(0) : PartitionLeaseTakeover;
-  return std::max(*LeaseSeenAt_ + Wait, NextTakeover_) +
-         Rank * TakeoverRankDelay;
+  const Duration RankDelay =
+      Observed_->Epoch_ == 0 ? FirstTakeoverRankDelay : TakeoverRankDelay;
+  return std::max(*LeaseSeenAt_ + Wait, NextTakeover_) + Rank * RankDelay;
 }
 
 TableRequest PartitionLease::sendRead(TimePoint Now) {
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -164,18 +164,38 @@
       Owners_, [&](const auto &Each) { return Each.second.Host_ == Host; }));
 }
 
+bool Membership::hasLiveOwner(const PartitionId &Partition,
+                              const std::vector<HostId> &Live) const {
+  const auto Found = Owners_.find(Partition);
+  return Found != Owners_.end() && contains(Live, Found->second.Host_);
+}
+
 std::uint32_t Membership::rankFor(const PartitionId &Partition,
                                   TimePoint Now) const {
-  const auto Preference = [&](const HostId &Host) {
-    return std::tuple(ownedBy(Host),
-                      stableHash(Host.str() + "/" + Partition.str()), Host);
+  std::vector<HostId> Live = livePeers(Now);
+  if (!contains(Live, Self_.Host_))
+    Live.push_back(Self_.Host_);
+  std::map<HostId, std::size_t> Load;
+  for (const HostId &Each : Live)
+    Load[Each] = ownedBy(Each);
+  const auto Order = [&](const PartitionId &Wanted) {
+    const auto Preference = [&](const HostId &Host) {
+      return std::tuple(Load.at(Host),
+                        stableHash(Host.str() + "/" + Wanted.str()), Host);
+    };
+    std::ranges::sort(Live, {}, Preference);
   };
-  const auto Mine = Preference(Self_.Host_);
-  std::uint32_t Rank = 0;
-  for (const HostId &Each : livePeers(Now))
-    if (Each != Self_.Host_ && Preference(Each) < Mine)
-      ++Rank;
-  return Rank;
+  for (const PartitionId &Earlier : Partitions_) {
+    if (Earlier == Partition)
+      break;
+    if (hasLiveOwner(Earlier, Live))
+      continue;
+    Order(Earlier);
+    ++Load.at(Live.front());
+  }
+  Order(Partition);
+  return static_cast<std::uint32_t>(std::ranges::find(Live, Self_.Host_) -
+                                    Live.begin());
 }
 
 void Membership::setOwned(const std::vector<OwnedPartition> &Owned) {
--- a/src/daemon/config_task.cc
+++ b/src/daemon/config_task.cc
@@ -407,6 +407,10 @@
 void ConfigTask::Engine::publish() {
   TimePoint Now = monotonicNow();
   Guard_.setMembers(Members_.countedMembers(Now));
+  std::vector<PartitionId> Partitions;
+  for (const auto &[Id, Spec] : View_->partitions())
+    Partitions.push_back(Id);
+  Members_.setPartitions(std::move(Partitions));
   std::shared_ptr<const Routing> Known = routing(Now);
   EvidenceShared Shared;
   Shared.MayActUntil_ = Known->MayActUntil_;
--- a/test/core/lease_test.cc
+++ b/test/core/lease_test.cc
@@ -208,6 +208,19 @@
   EXPECT_EQ(Later.epoch(), 2U);
 }
 
+// Guards against one host that takes all partitions of a new cell, because it
+// saw their records some 500 ms before the others.
+TEST_F(LeaseAnswerTest, NewPartitionGoesToTheFirstRank) {
+  Lease_.answered(at(0), apply(Lease_.poll(at(0), 1, true)));
+  const auto Early = Lease_.poll(at(600), 1, true);
+  ASSERT_TRUE(Early && std::holds_alternative<ReadKeys>(*Early));
+  Lease_.answered(at(600), apply(Early));
+  PartitionLease First(Self, HostId("h1"), "b");
+  First.answered(at(600), apply(First.poll(at(600), 0, true)));
+  First.answered(at(610), apply(First.poll(at(610), 0, true)));
+  EXPECT_TRUE(First.held(at(610)));
+}
+
 // Guards against acting on after another owner's write was seen.
 TEST_F(LeaseAnswerTest, ConflictStopsAtOnce) {
   takeOver(Lease_, 0);
--- a/test/core/membership_test.cc
+++ b/test/core/membership_test.cc
@@ -33,6 +33,24 @@
 
 const PartitionId P("p");
 
+// Guards against one host that takes all partitions which become free at
+// once, as after the death of their owner or in a new cell.
+TEST(MembershipTest, FreePartitionsAreSpread) {
+  const std::vector<PartitionId> Free = {PartitionId("p0"), PartitionId("p1"),
+                                         PartitionId("p2")};
+  for (const std::string Self : {"a", "b", "c"}) {
+    Membership Members(member(Self));
+    Members.setRegistered(at(0), {member("a"), member("b"), member("c")});
+    for (const std::string Peer : {"a", "b", "c"})
+      Members.noteHeartbeat(at(100), beat(Peer, 90));
+    Members.setPartitions(Free);
+    std::size_t First = 0;
+    for (const PartitionId &Each : Free)
+      First += Members.rankFor(Each, at(100)) == 0 ? 1 : 0;
+    EXPECT_EQ(First, 1u) << Self;
+  }
+}
+
 // Guards against rows of replaced hosts that stay for ever, and against the
 // deletion of a row whose host is only missing from the list.
 TEST(MembershipTest, RowsExpireOnceTheHostIsGoneAndUnheard) {
