--- a/bench/decision_bench.cc
+++ b/bench/decision_bench.cc
@@ -22,10 +22,11 @@
 constexpr std::size_t TimedRounds = 400;
 constexpr double StartsPerWorkerAndSecond = 1.0;
 
-const char *const TargetSource = "brief: thousands of placements a second, "
-                                 "each decided in milliseconds";
-const char *const IndexSource =
-    "brief: a decision's cost grows more slowly than the number of workers";
+const char *const TargetSource =
+    "requirement: thousands of placements a second, "
+    "each decided in milliseconds";
+const char *const IndexSource = "requirement: a decision's cost grows more "
+                                "slowly than the number of workers";
 
 /// The kinds of task that fill a worker: 7 batch tasks in the slots that are
 /// not for direct calls, 1.86 services (a fifth of all) without a slot, and
--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -65,7 +65,7 @@
   static std::optional<Bound> boundOf(const std::string &Name) {
     if (Name == "mixed.wait_p99.direct")
       return Bound{Bound::Kind::AtMost, 0.1,
-                   "brief: short calls never wait behind long work"};
+                   "requirement: short calls never wait behind long work"};
     if (Name == "mixed.wait_p99.urgent")
       return Bound{Bound::Kind::AtMost, 3.7,
                    "design page: urgent work starts within 3.7 s"};
