Decode jobs on hosts without a desired state; release ownership by its own write

Cause: a host that had just restarted forwarded submissions without their body, and the owner accepted jobs without steps, which a next owner took for complete. A released owner counted the transaction that was under way as its release, so nobody followed. Placement passes cost the square of the backlog. Ruled out: the store slowing down as such (the first stall came 2 s after it had recovered). Change: see above; a healthy owner is not replaced while its row stays the same; passes sum what runs once and look at allowed workers only.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -130,7 +130,9 @@
   bool preempts(const StepRun &For, const Run &Victim) const;
   std::uint32_t makeRoom(Worker &On, StepRun &For, std::uint32_t Copies);
   bool underLimit(const StepRun &For, std::uint32_t Copies) const;
-  bool ticketValid(const StepRun &For, const Worker &On) const;
+  bool yields(const Run &Victim) const;
+  void sumRuns();
+  std::vector<Worker *> openWorkers(const StepRun &For);
   void placeStep(StepRun &Step);
   void placeTasks(StepRun &Step);
   void placeGang(StepRun &Step);
@@ -175,6 +177,7 @@
   std::vector<StepRun *> Ready_;
   bool PlaceWanted_ = false;
   Millis NextPlace_ = 0;
+  std::size_t AskChoices_ = 0; ///< Made in this pass.
   Millis NextAdvance_ = 0;
 
   bool CommitInFlight_ = false;
--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -23,6 +23,10 @@
 constexpr double FirstShare = 0.5;
 constexpr Millis AnswerSlack = 700;
 constexpr Millis RetryPause = 40;
+/// Pause before a step without room anywhere is looked at again.
+constexpr Millis NoRoomPause = 60;
+/// Steps for which one pass chooses workers to ask about.
+constexpr std::size_t MaxAskChoices = 16;
 
 } // namespace
 
@@ -130,20 +134,19 @@
   if (!Step.Job_->Stored_ && !Step.Advice_.empty())
     return;
   const AdviceCost &Rates = *Of->Advice_;
-  if (chooseAgent(Rates.Base_) == nullptr) {
-    PlaceWanted_ = true;
-    return;
-  }
+  if (AskChoices_ >= MaxAskChoices || chooseAgent(Rates.Base_) == nullptr)
+    return; // The next answer starts another pass.
+  ++AskChoices_;
   const std::vector<Worker *> Asked = chooseAsked(Step);
-  if (Asked.empty())
+  if (Asked.empty()) {
+    Step.AdviceNotBefore_ = Now_ + NoRoomPause;
     return;
+  }
   const double Cost =
       Rates.Base_ + Rates.PerWorker_ * static_cast<double>(Asked.size());
   Agent *Through = chooseAgent(Cost);
-  if (Through == nullptr) {
-    PlaceWanted_ = true;
+  if (Through == nullptr)
     return;
-  }
   const Token Id = NextToken_++;
   OpenAdvice &Open = OpenAdvice_[Id];
   Open.Step_ = &Step;
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -13,7 +13,7 @@
 constexpr double TypicalAsked = 30;
 /// Time of commits, orders and hops that a step needs besides its work.
 constexpr Millis StepOverhead = 60;
-constexpr Millis AdvanceInterval = 100;
+constexpr Millis AdvanceInterval = 40;
 
 } // namespace
 
@@ -408,6 +408,7 @@
   if (Now_ < NextAdvance_)
     return;
   NextAdvance_ = Now_ + AdvanceInterval;
+  PlaceWanted_ = true; // Tickets and pauses run out without an event.
   for (const auto &[Id, Each] : Jobs_) {
     if (Each->Spec_->Occurrences_ == 0 || Each->End_)
       continue;
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -13,6 +13,9 @@
 /// Part of each worker's processors that only work of the first priority may
 /// use, so that short work need not wait for the end of long work.
 constexpr double UrgentShare = 0.10;
+/// Waiting steps that a pass looks at in about a millisecond, for longer
+/// pauses between longer passes.
+constexpr std::size_t StepsPerMilli = 40;
 /// Time for which room that is being freed is kept for the step it is for.
 constexpr Millis KeepTime = 700;
 /// Attempts of one epoch; a next owner numbers above them.
@@ -51,20 +54,60 @@
   return Free;
 }
 
-bool Cell::Engine::preempts(const StepRun &For, const Run &Victim) const {
-  if (Victim.Phase_ != Run::Phase::Running || Victim.Step_ == nullptr ||
-      Victim.Priority_ <= priorityOf(For))
+/// Its state is saved when it is stopped, so that little work is lost.
+bool Cell::Engine::yields(const Run &Victim) const {
+  if (Victim.Phase_ != Run::Phase::Running || Victim.Step_ == nullptr)
     return false;
   const StepSpec &Spec = Victim.Step_->spec();
   return Spec.Checkpointed_ && !Spec.Gang_ && !Spec.Service_;
 }
 
+bool Cell::Engine::preempts(const StepRun &For, const Run &Victim) const {
+  return Victim.Priority_ > priorityOf(For) && yields(Victim);
+}
+
+void Cell::Engine::sumRuns() {
+  for (auto &[Id, Each] : Workers_) {
+    Each->Ending_ = {};
+    Each->Yielding_.clear();
+    for (const auto &[Name, Run] : Each->Runs_) {
+      if (Run.Phase_ == Run::Phase::Stopping)
+        Each->Ending_ = Each->Ending_ + Run.Need_;
+      else if (yields(Run))
+        Each->Yielding_[Run.Priority_] =
+            Each->Yielding_[Run.Priority_] + Run.Need_;
+    }
+  }
+}
+
 /// What runs on the worker that \p For may displace, and what is ending.
 Resources Cell::Engine::victimRoom(const Worker &On, const StepRun &For) const {
-  Resources Out;
-  for (const auto &[Name, Each] : On.Runs_)
-    if (Each.Phase_ == Run::Phase::Stopping || preempts(For, Each))
-      Out = Out + Each.Need_;
+  Resources Out = On.Ending_;
+  const auto First = On.Yielding_.upper_bound(priorityOf(For));
+  for (auto It = First; It != On.Yielding_.end(); ++It)
+    Out = Out + It->second;
+  return Out;
+}
+
+/// Workers on which the step may start now, if there is room.
+std::vector<Worker *> Cell::Engine::openWorkers(const StepRun &For) {
+  std::vector<Worker *> Out;
+  const Queue *Of = queueOf(*For.Job_);
+  if (Of == nullptr)
+    return Out;
+  if (!Of->Advice_) {
+    for (const auto &[Id, Each] : Workers_)
+      if (usable(*Each, For))
+        Out.push_back(Each.get());
+    return Out;
+  }
+  for (const auto &[Id, Each] : For.Advice_) {
+    if (!Each.Allowed_ || Now_ >= Each.ValidUntil_)
+      continue;
+    Worker *On = findWorker(Id);
+    if (On != nullptr && usable(*On, For))
+      Out.push_back(On);
+  }
   return Out;
 }
 
@@ -107,15 +150,6 @@
          Within(Now.Accelerators_, Need.Accelerators_, Most.Accelerators_);
 }
 
-bool Cell::Engine::ticketValid(const StepRun &For, const Worker &On) const {
-  const Queue *Of = queueOf(*For.Job_);
-  if (Of == nullptr || !Of->Advice_)
-    return true;
-  const auto Known = For.Advice_.find(On.Id_);
-  return Known != For.Advice_.end() && Known->second.Allowed_ &&
-         Now_ < Known->second.ValidUntil_;
-}
-
 std::uint64_t Cell::Engine::nextAttempt(Task &Of,
                                         std::uint32_t &Counter) const {
   ++Counter;
@@ -186,10 +220,7 @@
 }
 
 void Cell::Engine::placeTasks(StepRun &Step) {
-  std::vector<Worker *> Open;
-  for (const auto &[Id, Each] : Workers_)
-    if (usable(*Each, Step) && ticketValid(Step, *Each))
-      Open.push_back(Each.get());
+  const std::vector<Worker *> Open = openWorkers(Step);
   const StepSpec &Spec = Step.spec();
   std::uint32_t Left = Step.waiting();
   for (std::uint32_t Index = 0; Index < Step.Tasks_.size() && Left > 0;
@@ -243,10 +274,8 @@
     if (Now_ < Each.NotBefore_)
       return;
   std::map<std::string, std::vector<Candidate>> Racks;
-  for (const auto &[Id, Each] : Workers_)
-    if (usable(*Each, Step) && ticketValid(Step, *Each))
-      Racks[Step.spec().SameRack_ ? Each->Rack_ : ""].push_back(
-          {Each.get(), 0});
+  for (Worker *Each : openWorkers(Step))
+    Racks[Step.spec().SameRack_ ? Each->Rack_ : ""].push_back({Each, 0});
   for (const bool WithVictims : {false, true}) {
     for (auto &[Rack, Candidates] : Racks) {
       std::uint32_t Room = 0;
@@ -308,7 +337,7 @@
       Class = 2;
     else if (Now_ > Of.Objective_)
       Class = 1;
-    return std::tuple(Class, Each->LatestStart_, Each->Name_);
+    return std::tuple(Class, Each->LatestStart_, std::string_view(Each->Name_));
   };
   std::sort(
       Ready_.begin(), Ready_.end(),
@@ -319,8 +348,11 @@
   if (!PlaceWanted_ || Now_ < NextPlace_)
     return;
   PlaceWanted_ = false;
-  NextPlace_ = Now_ + PlacePause;
+  AskChoices_ = 0;
+  sumRuns();
   collectReady();
+  NextPlace_ = Now_ + PlacePause +
+               static_cast<Millis>(Ready_.size() / StepsPerMilli);
   const std::vector<StepRun *> Order = Ready_;
   for (StepRun *Step : Order)
     if (Step->waiting() > 0)
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -139,6 +139,10 @@
   StepRun *KeptFor_ = nullptr;
   Millis KeptUntil_ = 0;
   std::int64_t UrgentCpu_ = 0; ///< In use by work of the first priority.
+  /// Sums over Runs_ as of the last pass: what is ending, and what work of a
+  /// lower number may displace, by its priority.
+  Resources Ending_;
+  std::map<int, Resources> Yielding_;
 
   bool hasLabel(const std::string &Label) const;
 };
--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -31,6 +31,8 @@
   const Millis Delay = Preferred_ ? 0 : Spread_;
   if (Last_.Version_ == 0 || Last_.Row_.Released_)
     return Now - UnchangedSince_ >= Delay;
+  if (OwnerWell_)
+    return false;
   const Millis Limit = LinkLost_ ? UnchangedLimitLinkLost : UnchangedLimit;
   return Now - UnchangedSince_ >= Limit + Delay;
 }
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -34,6 +34,9 @@
   void observe(Millis Now, const StoredOwner &Seen);
   /// The link to the owner was refused or reset: its process is gone.
   void ownerLinkLost() { LinkLost_ = true; }
+  /// The owner is alive and reaches the store: however long its row stays
+  /// the same, as with a slow store, it is not replaced.
+  void setOwnerWell(bool Well) { OwnerWell_ = Well; }
   /// The owner named this host to follow it.
   void setPreferred(bool Preferred) { Preferred_ = Preferred; }
   /// True where this host should write itself into the row now.
@@ -51,6 +54,7 @@
   Millis LastRead_ = -1;
   bool LinkLost_ = false;
   bool Preferred_ = false;
+  bool OwnerWell_ = false;
 };
 
 /// The owner's transactions: one at a time, each on condition of the version
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -58,7 +58,20 @@
   To->answer(Status, Body, Headers);
 }
 
+void Front::refuseAll() {
+  Refusing_ = true;
+  const auto Open = Pending_;
+  for (const auto &[Token, Each] : Open)
+    giveUp(Token, *Each);
+}
+
 void Front::serve(const std::shared_ptr<IncomingRequest> &Request) {
+  if (Refusing_) {
+    const platform::CallerAnswer Answer =
+        platform::encodeRefusal(cell::Access::NoState);
+    answer(Request, Answer.Status_, Answer.Body_, Answer.RetryLater_);
+    return;
+  }
   auto Made = std::make_shared<Pending>();
   Made->Request_ = Request;
   Made->Since_ = bootTime();
@@ -82,13 +95,15 @@
   Out.set_queue(Where.Queue_);
   Out.set_team(Where.Team_);
   Out.set_job_id(Where.JobId_);
-  if (Method == HttpMethod::Post && Where.Access_ == cell::Access::Allowed) {
+  if (Method == HttpMethod::Post) {
+    // Also where this host would refuse: the owner may know a newer state.
     const auto Job = platform::decodeJob(Request->body());
-    if (!Job) {
+    if (Job) {
+      cell::toMessage(cell::JobRecord{*Job, "", "", 0}, *Out.mutable_job());
+    } else if (Where.Access_ == cell::Access::Allowed) {
       answer(Request, 400, "{\"error\":\"" + Job.error() + "\"}", false);
       return;
     }
-    cell::toMessage(cell::JobRecord{*Job, "", "", 0}, *Out.mutable_job());
   }
   Pending_[Out.token()] = Made;
   Made->Sent_ = ToOwner_(Out);
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -32,6 +32,8 @@
   void ownerLost();
   /// Answers what has waited too long.
   void tick();
+  /// Answers all that is open, and from now on refuses at once.
+  void refuseAll();
   /// Further answers ask callers to connect elsewhere.
   void setDraining() { Draining_ = true; }
   std::size_t pending() const { return Pending_.size(); }
@@ -50,6 +52,7 @@
   std::map<std::uint64_t, std::shared_ptr<Pending>> Pending_;
   std::uint64_t NextToken_ = 1;
   bool Draining_ = false;
+  bool Refusing_ = false;
 };
 
 } // namespace oleandergauge::node
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -20,6 +20,9 @@
 constexpr Millis BeatPause = 300;
 /// Silence after which a link between hosts is given up.
 constexpr Millis LinkSilence = 1300;
+/// An owner that has had no answer from the store for longer is replaced by a
+/// host that has.
+constexpr Millis StoreSilence = 1800;
 constexpr Millis RowPoll = 450;
 constexpr Millis FeedWait = 1200;
 constexpr Millis FeedRetry = 150;
@@ -30,7 +33,9 @@
 /// Least time after SIGTERM in which open connections are still served.
 constexpr Millis DrainTime = 1500;
 /// Kept of the time that the platform grants after SIGTERM.
-constexpr Millis DrainReserve = 1000;
+constexpr Millis DrainReserve = 800;
+/// Before that, what is still open is answered and nothing more is taken.
+constexpr Millis AnswerReserve = 500;
 constexpr int MetricsPort = 9464;
 
 class EntryHost {
@@ -206,13 +211,13 @@
 // ------------------------------------------------------------- ownership
 
 void EntryHost::pollOwner() {
-  if (Owner_ || Polling_ || TakingOver_ || DrainingSince_ != 0)
+  if (Owner_ || Polling_ || TakingOver_)
     return;
   Polling_ = true;
   Store_.readTable(platform::Space::Own, cell::OwnerTable,
                    [this](const std::optional<platform::RowPage> &Page) {
                      Polling_ = false;
-                     if (!Page || Owner_ || DrainingSince_ != 0)
+                     if (!Page || Owner_)
                        return;
                      Succession_.observe(bootTime(), platform::ownerOf(*Page));
                      followOwner();
@@ -231,6 +236,7 @@
   OwnerAddress_ = Row.Address_;
   OwnerEpoch_ = Row.Epoch_;
   OwnerSaysReady_ = false;
+  Succession_.setOwnerWell(false);
   OwnerLink_ = std::make_unique<PeerLink>(Events_, Row.Address_);
   OwnerLink_->onFrame(
       [this](const Frame &Received) { handleFromOwner(Received); });
@@ -251,6 +257,7 @@
              {{"address", OwnerAddress_}, {"refused", Refused ? 1 : 0}});
   OwnerLink_.reset();
   OwnerSaysReady_ = false;
+  Succession_.setOwnerWell(false);
   if (Refused)
     Succession_.ownerLinkLost();
   Front_.ownerLost();
@@ -383,6 +390,8 @@
   case Frame::kBeat: {
     const bool Was = OwnerSaysReady_;
     OwnerSaysReady_ = Received.beat().owner_ready();
+    Succession_.setOwnerWell(Received.beat().epoch() == OwnerEpoch_ &&
+                             Received.beat().store_age_ms() < StoreSilence);
     Succession_.setPreferred(Received.beat().successor() == Settings_.Name_);
     if (OwnerSaysReady_)
       Front_.ownerReady();
@@ -448,8 +457,10 @@
     OwnerLink_->send(Out);
   Beat.set_owner_ready(Owner_ && Owner_->ready());
   Beat.set_successor(successor());
-  if (Owner_)
+  if (Owner_) {
     Beat.set_epoch(Owner_->epoch());
+    Beat.set_store_age_ms(bootTime() - Store_.lastSuccess());
+  }
   for (const HostLink &Each : Links_)
     Each.Link_->send(Out);
 }
@@ -513,6 +524,9 @@
   if (DrainingSince_ == 0)
     return;
   const Millis Draining = Now - DrainingSince_;
+  const bool Late = Draining > Settings_.Grace_ - DrainReserve - AnswerReserve;
+  if (Late)
+    Front_.refuseAll();
   const bool Done = !Owner_ && Front_.pending() == 0 && Draining > DrainTime;
   if (Done || Draining > Settings_.Grace_ - DrainReserve)
     Events_.stop();
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -132,6 +132,10 @@
     Where = {static_cast<cell::Access>(Request.access()),
              Request.config_version(), Request.queue(), Request.team(),
              Request.job_id()};
+  const bool Submits = Request.method() == "POST";
+  if (Submits && Where.Access_ == cell::Access::Allowed &&
+      (Where.JobId_.empty() || Request.job().steps().empty()))
+    Where.Access_ = cell::Access::BadJobId;
   if (Where.Access_ != cell::Access::Allowed) {
     const platform::CallerAnswer Refused =
         platform::encodeRefusal(Where.Access_);
@@ -144,7 +148,7 @@
   }
   Replies_[Caller] = std::move(Then);
   const Millis Now = bootTime();
-  if (Request.method() == "POST")
+  if (Submits)
     Cell_->submit(Now, wallTime(), Caller, Where,
                   cell::fromMessage(Request.job()).Spec_);
   else if (Request.method() == "DELETE")
@@ -300,6 +304,8 @@
 }
 
 void Owner::perform(const cell::Commit &Each) {
+  if (Released_)
+    return; // Nothing further is told, so nothing is lost.
   Changes_ = Each.Changes_;
   CommitWanted_ = true;
   sendCommit();
@@ -319,13 +325,15 @@
   case cell::OwnerLog::Verdict::Committed:
     CommitWanted_ = false;
     Shared_.Counters_.count("commits", "done");
-    if (Log_.row().Released_ && Released_) {
+    if (Log_.row().Released_) {
       Over_ = true;
       Released_();
       return;
     }
     Cell_->committed(bootTime(), wallTime());
     drain();
+    if (Released_ && !Over_ && !CommitWanted_)
+      sendRelease();
     return;
   case cell::OwnerLog::Verdict::Deposed:
     step("the owner row is another host's");
@@ -354,9 +362,12 @@
 
 void Owner::release(std::function<void()> Done) {
   Released_ = std::move(Done);
+  if (!CommitWanted_)
+    sendRelease(); // Otherwise after the transaction that is under way.
+}
+
+void Owner::sendRelease() {
   Log_.release();
-  if (CommitWanted_)
-    return; // The transaction under way, or its repetition, says so.
   Changes_.clear();
   CommitWanted_ = true;
   sendCommit();
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -54,6 +54,7 @@
   void readWorkers();
   void drain();
   void sendCommit();
+  void sendRelease();
   void settleCommit(const platform::TransactionAnswer &Answer);
   void step(const std::string &Why);
   Lanes &lanesOf(const cell::WorkerAddress &To);
