Count each failed run once; let the lease of a silent worker end

Ruled out: ends acknowledged before they were stored; a lost workers row. Change: failed run numbers are stored; a worker silent for 0.7 s is asked without a renewal. Log writes end at a line, at most 4000 bytes each.

--- a/src/cell/engine_commit.cc
+++ b/src/cell/engine_commit.cc
@@ -22,18 +22,13 @@
     StepProgress Row;
     Row.Occurrence_ = Step->Occurrence_;
     Row.Step_ = Step->Step_;
-    bool Failed = false;
     for (const Task &Each : Step->Tasks_) {
       Row.Done_.push_back(Each.Phase_ == Task::Phase::Done);
-      Row.Failures_.push_back(Each.Failures_);
-      Row.FailedAttempts_.push_back(Each.FailedAttempt_);
-      Failed = Failed || Each.Failures_ > 0;
+      for (std::uint64_t Attempt : Each.FailedAttempts_)
+        Row.Failures_.push_back(
+            {static_cast<std::uint32_t>(&Each - Step->Tasks_.data()), Attempt});
     }
-    if (!Failed) {
-      Row.Failures_.clear();
-      Row.FailedAttempts_.clear();
-    }
-    if (Failed || Step->DoneCount_ > 0)
+    if (!Row.Failures_.empty() || Step->DoneCount_ > 0)
       Out.push_back(std::move(Row));
   }
   return encode(Out);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -157,11 +157,10 @@
         ++Step.DoneCount_;
         Of.Started_ = true;
       }
-      if (At < Row.Failures_.size() && At < Row.FailedAttempts_.size()) {
-        Each.Failures_ = Row.Failures_[At];
-        Each.FailedAttempt_ = Row.FailedAttempts_[At];
-      }
     }
+    for (const Failure &Each : Row.Failures_)
+      if (Each.Task_ < Step.Tasks_.size())
+        Step.Tasks_[Each.Task_].FailedAttempts_.insert(Each.Attempt_);
   }
 }
 
@@ -349,13 +348,11 @@
     return;
   // A gang fails as a whole: its first task counts for all.
   Task &Counted = Step.spec().Gang_ ? Step.Tasks_[0] : Of;
-  if (End.Attempt_ <= Counted.FailedAttempt_)
+  if (!Counted.FailedAttempts_.insert(End.Attempt_).second)
     return;
-  Counted.FailedAttempt_ = End.Attempt_;
-  ++Counted.Failures_;
   markDirty(Owner);
   const Queue *Rules = queueOf(Owner);
-  if (Rules != nullptr && Counted.Failures_ >= Rules->Attempts_)
+  if (Rules != nullptr && Counted.FailedAttempts_.size() >= Rules->Attempts_)
     endJob(Owner, EndState::Failed);
 }
 
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -351,8 +351,8 @@
   AskChoices_ = 0;
   sumRuns();
   collectReady();
-  NextPlace_ = Now_ + PlacePause +
-               static_cast<Millis>(Ready_.size() / StepsPerMilli);
+  NextPlace_ =
+      Now_ + PlacePause + static_cast<Millis>(Ready_.size() / StepsPerMilli);
   const std::vector<StepRun *> Order = Ready_;
   for (StepRun *Step : Order)
     if (Step->waiting() > 0)
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -16,6 +16,8 @@
 /// Time that a worker may wait for an end before it answers a look.
 constexpr Millis HoldWait = 1500;
 constexpr Millis HoldRetry = 150;
+/// Time for which a silent worker's lease is still renewed.
+constexpr Millis RenewUnanswered = 700;
 /// Pause before an unanswered order is sent again.
 constexpr Millis OrderRetry = 60;
 /// Time after which an unanswered start is taken back by a stop.
@@ -92,7 +94,10 @@
   SendHold Out;
   Out.Worker_ = {To.Id_, To.Address_, To.Fence_};
   Out.Taken_ = To.StoredEnd_;
-  if (To.ClockAt_ != 0 && To.Settled_) {
+  // A look without an answer may still renew the lease, so that a worker that
+  // stays silent is soon asked without: its lease has to end.
+  const bool Renew = To.Reachable_ || Now_ - To.FailingSince_ < RenewUnanswered;
+  if (To.ClockAt_ != 0 && To.Settled_ && Renew) {
     Out.Deadline_ = clockOf(To) + Lease;
     To.LeaseEnd_ = std::max(To.LeaseEnd_, Now_ + Lease + LeaseSlack);
     if (To.Reachable_ && To.SeenEnd_ == To.StoredEnd_)
@@ -249,7 +254,7 @@
   // A job that failed before on another worker says little about this one.
   for (const auto &Step : Cause.Steps_)
     for (const Task &Each : Step->Tasks_)
-      if (Each.Failures_ > 0)
+      if (!Each.FailedAttempts_.empty())
         return;
   if (++Of.FailStreak_ < FailStreakLimit)
     return;
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -41,8 +41,7 @@
   Phase Phase_ = Phase::Waiting;
   Worker *Where_ = nullptr; ///< While active.
   std::uint32_t Starts_ = 0;
-  std::uint32_t Failures_ = 0;
-  std::uint64_t FailedAttempt_ = 0;
+  std::set<std::uint64_t> FailedAttempts_;
   std::string Checkpoint_;
   Millis NotBefore_ = 0;
 };
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -141,10 +141,11 @@
     Row.set_occurrence(Step.Occurrence_);
     Row.set_step(Step.Step_);
     Row.set_done(packBits(Step.Done_));
-    for (std::uint32_t Count : Step.Failures_)
-      Row.add_failures(Count);
-    for (std::uint64_t Attempt : Step.FailedAttempts_)
-      Row.add_failed_attempts(Attempt);
+    for (const Failure &Each : Step.Failures_) {
+      pb::Failure &Entry = *Row.add_failures();
+      Entry.set_task(Each.Task_);
+      Entry.set_attempt(Each.Attempt_);
+    }
   }
   return Out.SerializeAsString();
 }
@@ -160,9 +161,8 @@
     Step.Occurrence_ = Row.occurrence();
     Step.Step_ = Row.step();
     Step.Done_ = unpackBits(Row.done());
-    Step.Failures_.assign(Row.failures().begin(), Row.failures().end());
-    Step.FailedAttempts_.assign(Row.failed_attempts().begin(),
-                                Row.failed_attempts().end());
+    for (const pb::Failure &Entry : Row.failures())
+      Step.Failures_.push_back({Entry.task(), Entry.attempt()});
   }
   return Out;
 }
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -37,13 +37,19 @@
   friend bool operator==(const JobRecord &, const JobRecord &) = default;
 };
 
+/// A run that has failed.
+struct Failure {
+  std::uint32_t Task_ = 0;
+  std::uint64_t Attempt_ = 0;
+  friend bool operator==(const Failure &, const Failure &) = default;
+};
+
 /// How far one step of one occurrence is.
 struct StepProgress {
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
   std::vector<bool> Done_;
-  std::vector<std::uint32_t> Failures_;
-  std::vector<std::uint64_t> FailedAttempts_;
+  std::vector<Failure> Failures_;
   friend bool operator==(const StepProgress &, const StepProgress &) = default;
 };
 
--- a/src/node/json_log.cc
+++ b/src/node/json_log.cc
@@ -1,5 +1,6 @@
 #include "node/json_log.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <ctime>
 
@@ -11,6 +12,8 @@
 
 /// Lines on decisions that one process writes in a second.
 constexpr int MaxLinesPerSecond = 2000;
+/// A pipe takes as many bytes at once, or none.
+constexpr std::size_t WriteBytes = 4000;
 constexpr std::size_t MaxUnwritten = 256 * 1024;
 
 void appendText(std::string &Out, std::string_view Text) {
@@ -98,10 +101,20 @@
 void JsonLog::flush() {
   if (Unwritten_.empty())
     return;
-  const ssize_t Written =
-      write(STDOUT_FILENO, Unwritten_.data(), Unwritten_.size());
-  if (Written > 0)
-    Unwritten_.erase(0, static_cast<std::size_t>(Written));
+  std::size_t Done = 0;
+  while (Done < Unwritten_.size()) {
+    // Whole lines, so that writers to one pipe do not mix within a line.
+    std::size_t Size = std::min(WriteBytes, Unwritten_.size() - Done);
+    const std::size_t LineEnd = Unwritten_.rfind('\n', Done + Size - 1);
+    if (LineEnd != std::string::npos && LineEnd >= Done)
+      Size = LineEnd + 1 - Done;
+    const ssize_t Written =
+        write(STDOUT_FILENO, Unwritten_.data() + Done, Size);
+    if (Written <= 0)
+      break;
+    Done += static_cast<std::size_t>(Written);
+  }
+  Unwritten_.erase(0, Done);
 }
 
 } // namespace oleandergauge::node
