--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -46,7 +46,8 @@
   if (On.KeptFor_ != nullptr && On.KeptFor_ != &For && Now_ < On.KeptUntil_ &&
       Priority >= priorityOf(*On.KeptFor_))
     return {};
-  if (Priority > FirstPriority_) {
+  // A step that is late takes the reserve too, so that none waits for ever.
+  if (Priority > FirstPriority_ && Now_ < For.LatestStart_) {
     const auto Kept = static_cast<std::int64_t>(
         UrgentShare * static_cast<double>(On.Capacity_.CpuMilli_));
     Free.CpuMilli_ -= std::max<std::int64_t>(0, Kept - On.UrgentCpu_);
--- /dev/null
+++ b/test/cell/cell_test.cc
@@ -0,0 +1,175 @@
+#include <gtest/gtest.h>
+
+#include "cell_world.h"
+
+namespace oleandergauge::cell::test {
+namespace {
+
+const std::string JobId = "00000000000000aa";
+
+TEST(Cell, RunsAJobToItsEnd) {
+  World Of(1);
+  Of.takeOver();
+  Of.run(300);
+  Of.submit(JobId, simpleJob(3, 1000));
+  Of.run(3000);
+  EXPECT_EQ(Of.Accepted_.count(JobId), 1U);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+  EXPECT_EQ(Of.starts(), 3U);
+}
+
+// Guards against a start before the acceptance of the job is stored.
+TEST(Cell, StartsNothingThatIsNotStored) {
+  World Of(1);
+  Of.takeOver();
+  Of.run(300);
+  Of.setStoreDown(true);
+  Of.submit(JobId, simpleJob(1, 1000));
+  Of.run(2000);
+  EXPECT_EQ(Of.starts(), 0U);
+  EXPECT_EQ(Of.Accepted_.count(JobId), 0U);
+  Of.setStoreDown(false);
+  Of.run(2000);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+}
+
+// Guards against counting failures by the highest run only: after a takeover
+// workers list the ends of earlier runs in any order.
+TEST(Cell, CountsFailedRunsListedInAnyOrderAfterATakeover) {
+  World Of(7, 2);
+  Of.Behaviour_ = [](const std::string &) {
+    return std::pair(Millis{100}, true);
+  };
+  Of.takeOver();
+  Of.run(300);
+  Of.submit(JobId, simpleJob(1, 1000));
+  Of.run(40); // Stored and started.
+  Of.setStoreDown(true);
+  Of.run(3000); // Both runs fail; no end can be stored.
+  const std::size_t Before = Of.starts();
+  EXPECT_EQ(Before, 2U);
+  Of.killOwner();
+  Of.setStoreDown(false);
+  Of.takeOver();
+  Of.run(3000);
+  EXPECT_EQ(Of.starts(), Before);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Failed);
+}
+
+// Guards against looks at a silent worker that renew the lease whose end is
+// waited for: its task would never run again.
+TEST(Cell, StartsTheTasksOfALostWorkerElsewhere) {
+  World Of(3, 2);
+  Of.Behaviour_ = [](const std::string &) {
+    return std::pair(Millis{1500}, false);
+  };
+  Of.takeOver();
+  Of.run(300);
+  Of.submit(JobId, simpleJob(2, 3000));
+  Of.run(300);
+  ASSERT_EQ(Of.starts(), 2U);
+  Of.worker(0).Cut_ = true;
+  Of.setListed("w0", false);
+  Of.run(12000);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+  EXPECT_TRUE(Of.violations().empty());
+}
+
+// A start without an answer is repeated with the same run number.
+TEST(Cell, RepeatsAnUnansweredStart) {
+  World Of(5);
+  Of.Faults_.LostAnswer_ = 0.5;
+  Of.takeOver();
+  Of.run(300);
+  Of.submit(JobId, simpleJob(4, 1000));
+  Of.run(6000);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+  EXPECT_TRUE(Of.violations().empty());
+}
+
+// An order under way when the owner dies is carried out seconds later.
+TEST(Cell, LateOrdersOfAFormerOwnerAreVoid) {
+  World Of(11);
+  Of.Faults_.LateOrder_ = 0.7;
+  Of.takeOver();
+  Of.run(300);
+  for (int At = 0; At < 8; ++At)
+    Of.submit("00000000000000b" + std::to_string(At), simpleJob(2, 1000));
+  Of.run(200);
+  Of.killOwner();
+  Of.run(1500);
+  Of.Faults_ = {};
+  Of.takeOver();
+  Of.run(20000);
+  EXPECT_TRUE(Of.violations().empty());
+  for (const std::string &Id : Of.Accepted_)
+    EXPECT_EQ(Of.stateOf(Id), JobState::Complete);
+}
+
+TEST(Cell, ACancelledJobStopsAndStaysCancelled) {
+  World Of(2);
+  Of.Behaviour_ = [](const std::string &) {
+    return std::pair(Millis{60000}, false);
+  };
+  Of.takeOver();
+  Of.run(300);
+  Of.submit(JobId, simpleJob(2, 1000));
+  Of.run(500);
+  Of.cancel(JobId);
+  Of.run(1000);
+  EXPECT_EQ(Of.CancelledAt_.count(JobId), 1U);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Cancelled);
+  for (std::size_t At = 0; At < Of.workerCount(); ++At)
+    EXPECT_TRUE(Of.worker(At).Runs_.empty());
+}
+
+// The same id reaches the owner again, as after an answer that was lost.
+TEST(Cell, ARepeatedSubmissionStaysOneJob) {
+  World Of(2);
+  Of.takeOver();
+  Of.run(300);
+  Of.submit(JobId, simpleJob(2, 1000));
+  Of.submit(JobId, simpleJob(2, 1000));
+  Of.run(3000);
+  Of.submit(JobId, simpleJob(2, 1000));
+  Of.run(3000);
+  EXPECT_EQ(Of.starts(), 2U);
+}
+
+// A worker starts anew under its id: its runs are gone and run again.
+TEST(Cell, StartsAgainWhatARestartedWorkerLost) {
+  World Of(4, 1);
+  Of.Behaviour_ = [](const std::string &) {
+    return std::pair(Millis{800}, false);
+  };
+  Of.takeOver();
+  Of.run(300);
+  Of.submit(JobId, simpleJob(1, 1000));
+  Of.run(300);
+  ASSERT_EQ(Of.starts(), 1U);
+  Of.worker(0).restart(Of.now());
+  Of.run(6000);
+  EXPECT_EQ(Of.starts(), 2U);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+}
+
+TEST(Cell, AGangStartsWholeOrNotAtAll) {
+  World Of(6, 2);
+  Of.takeOver();
+  Of.run(300);
+  JobSpec Gang = simpleJob(4, 2000);
+  Gang.Steps_[0].Gang_ = true;
+  Of.Behaviour_ = [](const std::string &) {
+    return std::pair(Millis{700}, false);
+  };
+  Of.submit("00000000000000c0", simpleJob(1, 1000));
+  Of.run(100);
+  Of.submit(JobId, Gang);
+  Of.run(300);
+  EXPECT_EQ(Of.starts(), 1U);
+  Of.run(6000);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+}
+
+} // namespace
+} // namespace oleandergauge::cell::test
--- /dev/null
+++ b/test/cell/cell_world.h
@@ -0,0 +1,528 @@
+#ifndef OLEANDERGAUGE_TEST_CELL_CELL_WORLD_H
+#define OLEANDERGAUGE_TEST_CELL_CELL_WORLD_H
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cell/cell.h"
+
+namespace oleandergauge::cell::test {
+
+/// What goes wrong in a World, as shares of calls.
+struct Faults {
+  double LostAnswer_ = 0; ///< Carried out, the answer does not come.
+  double LateOrder_ = 0;  ///< No answer, carried out 2 to 8 s later.
+  double FailedRun_ = 0;  ///< Runs that end as failed.
+};
+
+/// A job's task as the oracle sees it, over all owners.
+struct TaskHistory {
+  int RunningOn_ = 0;
+  bool Done_ = false;
+  std::set<std::uint64_t> FailedNoted_; ///< Failed runs taken note of.
+};
+
+/// A backend server that follows the rules for orders: the highest fence
+/// wins, run numbers rise, a lease ends everything.
+class FakeWorker {
+public:
+  struct Activity {
+    std::uint64_t Attempt_ = 0;
+    Resources Need_;
+    Millis Left_ = 0;
+    bool Fails_ = false;
+  };
+
+  std::string Id_;
+  std::string Address_;
+  std::string Domain_ = "d1";
+  Resources Capacity_{4000, 8000, 0, 0, 0};
+  Millis Born_ = 1000;
+  Millis BootedAt_ = 0;
+  bool Cut_ = false;
+  bool Draining_ = false;
+  std::uint64_t Fence_ = 0;
+  Millis Deadline_ = 0; ///< On its own clock.
+  std::map<std::string, Activity> Runs_;
+  std::deque<EndEntry> Ends_;
+  std::uint64_t LastEnd_ = 0;
+  std::map<std::string, std::uint64_t> Spent_; ///< Highest run over, by task.
+
+  Millis clock(Millis Now) const { return Now - BootedAt_ + 1; }
+
+  void restart(Millis Now) {
+    Fence_ = 0;
+    Deadline_ = 0;
+    Runs_.clear();
+    Ends_.clear();
+    LastEnd_ = 0;
+    Spent_.clear();
+    BootedAt_ = Now;
+    Born_ += Now + 1;
+  }
+
+  Resources used() const {
+    Resources Out;
+    for (const auto &[Name, Each] : Runs_)
+      Out = Out + Each.Need_;
+    return Out;
+  }
+
+  void end(const std::string &Task, EndKind Kind) {
+    const Activity Over = Runs_[Task];
+    Runs_.erase(Task);
+    Spent_[Task] = std::max(Spent_[Task], Over.Attempt_);
+    Ends_.push_back({++LastEnd_, Task, Over.Attempt_, Kind, ""});
+  }
+
+  void advance(Millis Now, Millis Step) {
+    std::vector<std::pair<std::string, EndKind>> Over;
+    const bool Lapsed = Deadline_ != 0 && clock(Now) > Deadline_;
+    for (auto &[Name, Each] : Runs_) {
+      Each.Left_ -= Step;
+      if (Lapsed)
+        Over.emplace_back(Name, EndKind::Lapsed);
+      else if (Each.Left_ <= 0)
+        Over.emplace_back(Name, Each.Fails_ ? EndKind::Failed : EndKind::Done);
+    }
+    for (const auto &[Name, Kind] : Over)
+      end(Name, Kind);
+  }
+};
+
+/// One cell with its store, workers and callers in virtual time, and an
+/// oracle that checks each start against what must always hold.
+class World {
+public:
+  explicit World(std::uint64_t Seed, std::size_t WorkerCount = 4)
+      : Random_(Seed) {
+    for (std::size_t At = 0; At < WorkerCount; ++At) {
+      FakeWorker Made;
+      Made.Id_ = "w" + std::to_string(At);
+      Made.Address_ = "10.0.0." + std::to_string(At) + ":1";
+      Made.Domain_ = At % 2 == 0 ? "d1" : "d2";
+      Workers_.push_back(Made);
+    }
+    auto State = std::make_shared<DesiredState>();
+    State->Version_ = 1;
+    Queue Fast{"fast", "h", "/f/", "svc", 0, 2, 2, 500, std::nullopt, false};
+    Queue Slow{"slow", "h", "/s/", "svc", 1, 2, 2, 500, std::nullopt, false};
+    State->Queues_ = {Fast, Slow};
+    State->Teams_ = {{"team", {"key"}, 100, {9000, 0, 0, 0, 0}}};
+    State_ = State;
+  }
+
+  /// Starts an owner from what is stored.
+  void takeOver() {
+    Cell_ = std::make_unique<Cell>("h" + std::to_string(Epoch_), ++Epoch_,
+                                   Bounds{});
+    StoredCell Stored;
+    for (const auto &[Key, Value] : Rows_) {
+      if (Key.first == JobTable)
+        Stored.Jobs_.emplace_back(Key.second, Value);
+      else if (Key.first == ProgressTable)
+        Stored.Progress_.emplace_back(Key.second, Value);
+      else if (Key.first == EndedTable)
+        Stored.Ended_.emplace_back(Key.second, Value);
+      else if (Key.first == WorkersTable)
+        Stored.Workers_ = decodeWorkers(Value).value();
+    }
+    Cell_->setDesiredState(Now_, State_);
+    Cell_->restore(Now_, wall(), Stored);
+    Cell_->addAgent("agent", 1);
+    listWorkers();
+    perform();
+  }
+
+  /// The owner's process is gone; its orders under way stay under way.
+  void killOwner() {
+    Cell_.reset();
+    ++Life_;
+    Holds_.clear();
+  }
+
+  void submit(const std::string &Id, const JobSpec &Spec,
+              const std::string &Queue = "slow") {
+    Specs_[Id] = Spec;
+    Queues_[Id] = Queue;
+    if (!Cell_)
+      return;
+    Cell_->submit(Now_, wall(), NextCaller_,
+                  {Access::Allowed, 1, Queue, "team", Id}, Spec);
+    Callers_[NextCaller_++] = Id;
+    perform();
+  }
+
+  void cancel(const std::string &Id) {
+    if (!Cell_)
+      return;
+    Cell_->cancel(Now_, NextCaller_, {Access::Allowed, 1, "", "team", Id});
+    Callers_[NextCaller_++] = Id;
+    perform();
+  }
+
+  std::optional<JobState> stateOf(const std::string &Id) {
+    Asked_.reset();
+    Cell_->query(Now_, QueryToken, {Access::Allowed, 1, "", "team", Id});
+    perform();
+    return Asked_;
+  }
+
+  void run(Millis Span) {
+    for (const Millis End = Now_ + Span; Now_ < End;) {
+      Now_ += Step;
+      for (FakeWorker &Each : Workers_)
+        advance(Each);
+      deliver();
+      if (!Cell_)
+        continue;
+      if (Now_ % 200 == 0)
+        listWorkers();
+      Cell_->tick(Now_, wall());
+      perform();
+    }
+  }
+
+  FakeWorker &worker(std::size_t At) { return Workers_[At]; }
+  std::size_t workerCount() const { return Workers_.size(); }
+  Millis now() const { return Now_; }
+  bool hasOwner() const { return Cell_ != nullptr; }
+  Cell &cell() { return *Cell_; }
+  const std::vector<std::string> &violations() const { return Violations_; }
+  std::size_t starts() const { return Starts_; }
+  void setStoreDown(bool Down) { StoreDown_ = Down; }
+  void setListed(const std::string &Id, bool Listed) {
+    if (Listed)
+      Unlisted_.erase(Id);
+    else
+      Unlisted_.insert(Id);
+  }
+  std::set<std::string> Accepted_;
+  std::map<std::string, Millis> CancelledAt_;
+  Faults Faults_;
+  /// Run time and failure of a task; the seed decides where it is empty.
+  std::function<std::pair<Millis, bool>(const std::string &Task)> Behaviour_;
+  /// Rows in the store, by table and key.
+  std::map<std::pair<std::string, std::string>, std::string> Rows_;
+
+private:
+  static constexpr Millis Step = 5;
+  static constexpr Token QueryToken = ~Token{0};
+
+  Millis wall() const { return 1000000 + Now_; }
+  bool chance(double Share) {
+    return std::uniform_real_distribution<>(0, 1)(Random_) < Share;
+  }
+  Millis between(Millis Low, Millis High) {
+    return std::uniform_int_distribution<Millis>(Low, High)(Random_);
+  }
+  void fail(const std::string &What) {
+    Violations_.push_back(std::to_string(Now_) + " ms: " + What);
+  }
+  void later(Millis Delay, std::function<void()> Work) {
+    Events_.emplace(Now_ + Delay, std::move(Work));
+  }
+  void deliver() {
+    while (!Events_.empty() && Events_.begin()->first <= Now_) {
+      const std::function<void()> Work = std::move(Events_.begin()->second);
+      Events_.erase(Events_.begin());
+      Work();
+    }
+    for (std::size_t At = 0; At < Holds_.size();) {
+      FakeWorker *On = find(Holds_[At].first.Worker_.Id_);
+      if (Now_ < Holds_[At].second && On->Ends_.empty()) {
+        ++At;
+        continue;
+      }
+      const SendHold Look = Holds_[At].first;
+      Holds_.erase(Holds_.begin() + static_cast<std::ptrdiff_t>(At));
+      answerHold(*On, Look);
+    }
+  }
+
+  FakeWorker *find(const std::string &Id) {
+    for (FakeWorker &Each : Workers_)
+      if (Each.Id_ == Id)
+        return &Each;
+    return nullptr;
+  }
+
+  void listWorkers() {
+    std::vector<WorkerEntry> Entries;
+    for (const FakeWorker &Each : Workers_)
+      if (Unlisted_.count(Each.Id_) == 0)
+        Entries.push_back({Each.Id_,
+                           "svc",
+                           Each.Address_,
+                           Each.Domain_,
+                           {},
+                           "r1",
+                           Each.Capacity_,
+                           Each.Draining_,
+                           Each.Born_});
+    Cell_->setWorkers(Now_, Entries, true);
+  }
+
+  void advance(FakeWorker &Each) {
+    const auto Before = Each.Ends_.size();
+    Each.advance(Now_, Step);
+    for (std::size_t At = Before; At < Each.Ends_.size(); ++At) {
+      TaskHistory &Of = Tasks_[Each.Ends_[At].Task_];
+      --Of.RunningOn_;
+      if (Each.Ends_[At].Kind_ == EndKind::Done)
+        Of.Done_ = true;
+    }
+  }
+
+  const StepSpec &specOf(const std::string &Task, std::string &Job,
+                         std::uint32_t &StepAt) {
+    Job = Task.substr(0, Task.find('.'));
+    const std::size_t Second = Task.find('.', Job.size() + 1);
+    StepAt = static_cast<std::uint32_t>(std::stoul(Task.substr(Second + 1)));
+    return Specs_.at(Job).Steps_[StepAt];
+  }
+
+  // --- Orders at a worker.
+  OrderOutcome carryOut(const SendStart &Order) {
+    FakeWorker &On = *find(Order.Worker_.Id_);
+    OrderOutcome Out{Order.Token_, OrderResult::Rejected, On.clock(Now_),
+                     On.Born_};
+    if (Order.Worker_.Fence_ < On.Fence_) {
+      Out.Result_ = OrderResult::Fenced;
+      return Out;
+    }
+    On.Fence_ = Order.Worker_.Fence_;
+    const auto Known = On.Runs_.find(Order.Task_);
+    if (Known != On.Runs_.end() && Known->second.Attempt_ == Order.Attempt_) {
+      Out.Result_ = OrderResult::Done;
+      return Out;
+    }
+    const bool Old = On.Spent_.count(Order.Task_) != 0 &&
+                     Order.Attempt_ <= On.Spent_[Order.Task_];
+    if (Old || Known != On.Runs_.end() || On.clock(Now_) > Order.Deadline_)
+      return Out;
+    On.Deadline_ = std::max(On.Deadline_,
+                            std::min(Order.Deadline_, On.clock(Now_) + 6000));
+    checkStart(On, Order);
+    std::string Job;
+    std::uint32_t StepAt = 0;
+    const StepSpec &Spec = specOf(Order.Task_, Job, StepAt);
+    FakeWorker::Activity Made{Order.Attempt_, Spec.Need_, between(50, 900),
+                              chance(Faults_.FailedRun_)};
+    if (Behaviour_)
+      std::tie(Made.Left_, Made.Fails_) = Behaviour_(Order.Task_);
+    On.Runs_[Order.Task_] = Made;
+    ++Tasks_[Order.Task_].RunningOn_;
+    ++Starts_;
+    Out.Result_ = OrderResult::Done;
+    return Out;
+  }
+
+  void checkStart(const FakeWorker &On, const SendStart &Order) {
+    TaskHistory &Of = Tasks_[Order.Task_];
+    std::string Job;
+    std::uint32_t StepAt = 0;
+    const StepSpec &Spec = specOf(Order.Task_, Job, StepAt);
+    if (Of.RunningOn_ > 0)
+      fail("two runs at once: " + Order.Task_);
+    if (Of.Done_ && NotedDone_.count(Order.Task_) != 0)
+      fail("started after its end was noted: " + Order.Task_);
+    if (Of.FailedNoted_.size() >= 2)
+      fail("started beyond its attempts: " + Order.Task_);
+    const Resources Sum = On.used() + Spec.Need_;
+    if (Sum.CpuMilli_ > On.Capacity_.CpuMilli_ ||
+        Sum.MemoryMib_ > On.Capacity_.MemoryMib_)
+      fail("worker over its capacity: " + On.Id_);
+    std::int64_t TeamCpu = Spec.Need_.CpuMilli_;
+    for (const FakeWorker &Each : Workers_)
+      TeamCpu += Each.used().CpuMilli_;
+    if (TeamCpu > 9900 + 4000)
+      fail("team above its limit");
+    for (std::uint32_t Earlier : Spec.After_)
+      for (std::uint32_t At = 0; At < Specs_[Job].Steps_[Earlier].Count_; ++At)
+        if (!Tasks_[Job + ".0." + std::to_string(Earlier) + "." +
+                    std::to_string(At)]
+                 .Done_)
+          fail("started before an earlier step was done: " + Order.Task_);
+    if (Accepted_.count(Job) == 0 && Rows_.count({JobTable, Job}) == 0)
+      fail("started a job that is not stored: " + Job);
+    const auto Cancelled = CancelledAt_.find(Job);
+    if (Cancelled != CancelledAt_.end() && Now_ > Cancelled->second + 9000)
+      fail("started long after its cancel: " + Order.Task_);
+  }
+
+  OrderOutcome carryOut(const SendStop &Order) {
+    FakeWorker &On = *find(Order.Worker_.Id_);
+    OrderOutcome Out{Order.Token_, OrderResult::Fenced, On.clock(Now_),
+                     On.Born_};
+    if (Order.Worker_.Fence_ < On.Fence_)
+      return Out;
+    On.Fence_ = Order.Worker_.Fence_;
+    Out.Result_ = OrderResult::Done;
+    const auto Known = On.Runs_.find(Order.Task_);
+    if (Known != On.Runs_.end() && Known->second.Attempt_ <= Order.Attempt_) {
+      --Tasks_[Order.Task_].RunningOn_;
+      On.end(Order.Task_, EndKind::Stopped);
+    }
+    On.Spent_[Order.Task_] = std::max(On.Spent_[Order.Task_], Order.Attempt_);
+    return Out;
+  }
+
+  template <typename Order> void sendOrder(const Order &Each) {
+    auto Answer = [this, Life = Life_](const OrderOutcome &Outcome) {
+      if (Cell_ && Life == Life_) {
+        Cell_->handle(Now_, Outcome);
+        perform();
+      }
+    };
+    const OrderOutcome None{Each.Token_, OrderResult::NoAnswer, 0, 0};
+    if (find(Each.Worker_.Id_)->Cut_) {
+      later(350, [Answer, None] { Answer(None); });
+    } else if (chance(Faults_.LateOrder_)) {
+      later(350, [Answer, None] { Answer(None); });
+      later(between(2000, 8000), [this, Each] { carryOut(Each); });
+    } else if (chance(Faults_.LostAnswer_)) {
+      later(between(1, 3), [this, Each] { carryOut(Each); });
+      later(350, [Answer, None] { Answer(None); });
+    } else {
+      later(between(1, 3), [this, Each, Answer] {
+        const OrderOutcome Outcome = carryOut(Each);
+        later(between(1, 2), [Answer, Outcome] { Answer(Outcome); });
+      });
+    }
+  }
+
+  void answerHold(FakeWorker &On, const SendHold &Look) {
+    HoldOutcome Out{
+        Look.Worker_.Id_, Look.Worker_.Fence_, OrderResult::Done, {}};
+    if (On.Cut_) {
+      Out.Result_ = OrderResult::NoAnswer;
+    } else if (Look.Worker_.Fence_ < On.Fence_) {
+      Out.Result_ = OrderResult::Fenced;
+    } else {
+      On.Fence_ = Look.Worker_.Fence_;
+      if (Look.Deadline_ > 0)
+        On.Deadline_ = std::max(
+            On.Deadline_, std::min(Look.Deadline_, On.clock(Now_) + 6000));
+      while (!On.Ends_.empty() && On.Ends_.front().Number_ <= Look.Taken_) {
+        const EndEntry &Noted = On.Ends_.front();
+        if (Noted.Kind_ == EndKind::Done)
+          NotedDone_.insert(Noted.Task_);
+        if (Noted.Kind_ == EndKind::Failed)
+          Tasks_[Noted.Task_].FailedNoted_.insert(Noted.Attempt_);
+        On.Ends_.pop_front();
+      }
+      Out.List_.ClockMs_ = On.clock(Now_);
+      Out.List_.Born_ = On.Born_;
+      for (const auto &[Name, Each] : On.Runs_)
+        Out.List_.Running_.push_back({Name, Each.Attempt_, "", 0, 0});
+      Out.List_.Ended_.assign(On.Ends_.begin(), On.Ends_.end());
+    }
+    later(between(1, 3), [this, Out, Life = Life_] {
+      if (Cell_ && Life == Life_) {
+        Cell_->handle(Now_, Out);
+        perform();
+      }
+    });
+  }
+
+  // --- Effects.
+  void perform() {
+    for (const Effect &Each : Cell_->takeEffects())
+      std::visit([this](const auto &Kind) { carry(Kind); }, Each);
+  }
+  void carry(const Reply &Each) {
+    if (Each.Token_ == QueryToken) {
+      if (Each.Answer_ == Answer::State)
+        Asked_ = Each.State_;
+      return;
+    }
+    if (Each.Answer_ == Answer::Accepted)
+      Accepted_.insert(Callers_[Each.Token_]);
+    if (Each.Answer_ == Answer::Cancelled)
+      CancelledAt_.emplace(Callers_[Each.Token_], Now_);
+  }
+  void carry(const SendStart &Each) { sendOrder(Each); }
+  void carry(const SendStop &Each) { sendOrder(Each); }
+  void carry(const SendHold &Each) {
+    later(1, [this, Each, Life = Life_] {
+      if (Life == Life_)
+        Holds_.emplace_back(Each, Now_ + (find(Each.Worker_.Id_)->Cut_
+                                              ? Each.Wait_ + 500
+                                              : Each.Wait_));
+    });
+  }
+  void carry(const AskAdvice &Each) {
+    AdviceOutcome Out{Each.Token_, true, {}, 1500};
+    for (const std::string &Id : Each.Workers_)
+      if (std::hash<std::string>()(Id + Each.Step_) % 2 == 0)
+        Out.Tickets_.emplace_back(Id, "t");
+    later(10, [this, Out, Life = Life_] {
+      if (Cell_ && Life == Life_)
+        Cell_->handle(Now_, Out);
+    });
+  }
+  void carry(const Commit &Each) {
+    later(8, [this, Each, Life = Life_] { commit(Each, Life); });
+  }
+  void commit(const Commit &Each, int Life) {
+    if (Life != Life_)
+      return; // The next owner's row is in the way.
+    if (StoreDown_) {
+      later(50, [this, Each, Life] { commit(Each, Life); });
+      return;
+    }
+    for (const RowChange &Row : Each.Changes_) {
+      if (Row.Value_)
+        Rows_[{Row.Table_, Row.Key_}] = *Row.Value_;
+      else
+        Rows_.erase({Row.Table_, Row.Key_});
+    }
+    if (Cell_) {
+      Cell_->committed(Now_, wall());
+      perform();
+    }
+  }
+  void carry(const Decision &) {}
+
+  std::mt19937_64 Random_;
+  Millis Now_ = 1000;
+  Epoch Epoch_ = 0;
+  int Life_ = 0;
+  bool StoreDown_ = false;
+  std::set<std::string> Unlisted_;
+  std::unique_ptr<Cell> Cell_;
+  std::shared_ptr<const DesiredState> State_;
+  std::vector<FakeWorker> Workers_;
+  std::multimap<Millis, std::function<void()>> Events_;
+  std::vector<std::pair<SendHold, Millis>> Holds_;
+  std::map<std::string, JobSpec> Specs_;
+  std::map<std::string, std::string> Queues_;
+  std::map<Token, std::string> Callers_;
+  Token NextCaller_ = 1;
+  std::optional<JobState> Asked_;
+  std::map<std::string, TaskHistory> Tasks_;
+  std::set<std::string> NotedDone_;
+  std::vector<std::string> Violations_;
+  std::size_t Starts_ = 0;
+};
+
+/// A job of one step.
+inline JobSpec simpleJob(std::uint32_t Count, std::int64_t Cpu) {
+  StepSpec Step;
+  Step.Count_ = Count;
+  Step.Need_ = {Cpu, 100, 0, 0, 0};
+  Step.Estimate_ = 400;
+  return {"payload", {Step}, 0, 0, 0};
+}
+
+} // namespace oleandergauge::cell::test
+
+#endif // OLEANDERGAUGE_TEST_CELL_CELL_WORLD_H
--- /dev/null
+++ b/test/cell/ownership_test.cc
@@ -0,0 +1,122 @@
+#include <gtest/gtest.h>
+
+#include "cell/directory.h"
+#include "cell/ownership.h"
+
+namespace oleandergauge::cell {
+namespace {
+
+const OwnerRow Self{3, 7, "h1", "10.0.0.1:7000", false};
+
+TEST(OwnerLog, GoesOnFromTheVersionThatTheStoreGave) {
+  OwnerLog Log(Self, 40);
+  EXPECT_EQ(Log.settle(TransactionResult::Done, 45, {}),
+            OwnerLog::Verdict::Committed);
+  EXPECT_EQ(Log.version(), 45U);
+  EXPECT_EQ(Log.row().Sequence_, 8U);
+}
+
+// The first copy was done and its answer lost: the repetition must not be
+// taken for another owner's doing.
+TEST(OwnerLog, TakesItsOwnRowForACommitWhoseAnswerWasLost) {
+  OwnerLog Log(Self, 40);
+  EXPECT_EQ(Log.settle(TransactionResult::Unknown, 0, {}),
+            OwnerLog::Verdict::Retry);
+  EXPECT_EQ(Log.settle(TransactionResult::Conflict, 0, {46, Self}),
+            OwnerLog::Verdict::Committed);
+  EXPECT_EQ(Log.version(), 46U);
+}
+
+TEST(OwnerLog, RepeatsWhereItsOwnEarlierRowIsThere) {
+  OwnerLog Log(Self, 40);
+  OwnerRow Earlier = Self;
+  Earlier.Sequence_ = 6;
+  EXPECT_EQ(Log.settle(TransactionResult::Conflict, 0, {44, Earlier}),
+            OwnerLog::Verdict::Retry);
+  EXPECT_EQ(Log.version(), 44U);
+}
+
+TEST(OwnerLog, IsDeposedByAnotherOwnersRow) {
+  OwnerLog Log(Self, 40);
+  EXPECT_EQ(Log.settle(TransactionResult::Conflict, 0,
+                       {50, {4, 0, "h2", "10.0.0.2:7000", false}}),
+            OwnerLog::Verdict::Deposed);
+  EXPECT_EQ(Log.settle(TransactionResult::Conflict, 0, {}),
+            OwnerLog::Verdict::Deposed);
+}
+
+class SuccessionTest : public ::testing::Test {
+protected:
+  Succession Next_{"h2", 100};
+  void observeUntil(Millis End, std::uint64_t Version) {
+    for (Millis At = 0; At <= End; At += 500)
+      Next_.observe(At, {Version, Self});
+  }
+};
+
+TEST_F(SuccessionTest, TakesOverFromASilentOwner) {
+  observeUntil(1000, 5);
+  EXPECT_FALSE(Next_.mayTakeOver(1000));
+  observeUntil(2000, 5);
+  EXPECT_TRUE(Next_.mayTakeOver(2000));
+}
+
+// A slow store keeps the row unchanged for seconds: the owner that answers
+// its peers and reaches the store stays.
+TEST_F(SuccessionTest, LeavesAHealthyOwnerAlone) {
+  Next_.setOwnerWell(true);
+  observeUntil(4000, 5);
+  EXPECT_FALSE(Next_.mayTakeOver(4000));
+  Next_.setOwnerWell(false);
+  EXPECT_TRUE(Next_.mayTakeOver(4000));
+}
+
+TEST_F(SuccessionTest, ActsSoonerWhereTheOwnersProcessIsGone) {
+  observeUntil(500, 5);
+  Next_.ownerLinkLost();
+  observeUntil(1000, 5);
+  EXPECT_TRUE(Next_.mayTakeOver(1000));
+}
+
+// After an outage of the store an old reading says nothing.
+TEST_F(SuccessionTest, AGapInTheReadingsShowsNothing) {
+  Next_.observe(0, {5, Self});
+  Next_.observe(9000, {5, Self});
+  EXPECT_FALSE(Next_.mayTakeOver(9000));
+  EXPECT_FALSE(Next_.mayTakeOver(20000));
+}
+
+TEST_F(SuccessionTest, FollowsAReleasedOwnerAtOnce) {
+  OwnerRow Released = Self;
+  Released.Released_ = true;
+  Next_.observe(0, {6, Released});
+  Next_.setPreferred(true);
+  EXPECT_TRUE(Next_.mayTakeOver(0));
+}
+
+TEST(Directory, FindsQueueAndTeam) {
+  DesiredState State;
+  State.Version_ = 4;
+  Queue Short;
+  Short.Name_ = "short";
+  Short.Host_ = "h";
+  Short.Prefix_ = "/a/";
+  Queue Long = Short;
+  Long.Name_ = "long";
+  Long.Prefix_ = "/a/b/";
+  State.Queues_ = {Short, Long};
+  State.Teams_ = {{"t", {"k1"}, 1, {}}};
+  const std::string Id = "0123456789abcdef";
+  EXPECT_EQ(resolve(&State, {"h", "/a/b/" + Id, "k1"}),
+            (Resolution{Access::Allowed, 4, "long", "t", Id}));
+  EXPECT_EQ(resolve(&State, {"h", "/a/", "k1"}).JobId_, "");
+  EXPECT_EQ(resolve(&State, {"h", "/a/" + Id, "k2"}).Access_,
+            Access::UnknownKey);
+  EXPECT_EQ(resolve(&State, {"h", "/a/" + Id, ""}).Access_, Access::UnknownKey);
+  EXPECT_EQ(resolve(&State, {"x", "/a/" + Id, "k1"}).Access_, Access::NoQueue);
+  EXPECT_EQ(resolve(&State, {"h", "/a/xyz", "k1"}).Access_, Access::BadJobId);
+  EXPECT_EQ(resolve(nullptr, {"h", "/a/", "k1"}).Access_, Access::NoState);
+}
+
+} // namespace
+} // namespace oleandergauge::cell
