Test the adapter and the whole path against a stand-in of the platform

Change: test/standin/platform_world.py speaks store, workers and advice with lost, slow and refused answers; a system test drives three real hosts through kills, cuts, outages, bad input, withdrawn keys and a graceful stop; unit tests and properties for every decoder. Pace of filling work follows the tail of the services beside it; services displace saved batch work.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -70,6 +70,16 @@
   friend bool operator==(const SendStop &, const SendStop &) = default;
 };
 
+/// Lets a run work, and disturb others, at a share of its usual speed.
+struct SendPace {
+  Token Token_ = 0;
+  WorkerAddress Worker_;
+  std::string Task_;
+  std::uint64_t Attempt_ = 0;
+  int Percent_ = 100;
+  friend bool operator==(const SendPace &, const SendPace &) = default;
+};
+
 /// Renews the lease of a worker's runs and asks what runs and what ended.
 struct SendHold {
   WorkerAddress Worker_;
@@ -104,8 +114,8 @@
   friend bool operator==(const Decision &, const Decision &) = default;
 };
 
-using Effect = std::variant<Reply, SendStart, SendStop, SendHold, AskAdvice,
-                            Commit, Decision>;
+using Effect = std::variant<Reply, SendStart, SendStop, SendPace, SendHold,
+                            AskAdvice, Commit, Decision>;
 
 // ---------------------------------------------------------------- Events
 
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -22,6 +22,7 @@
   std::uint64_t Attempt_ = 0;
   std::uint64_t Fence_ = 0;
   bool Start_ = false;
+  int Pace_ = -1; ///< Of an order on pace, else negative.
 };
 
 struct OpenAdvice {
@@ -121,6 +122,10 @@
   void adoptRun(Worker &On, const RunningEntry &Entry, StepRun &Step,
                 std::uint32_t Index);
 
+  // engine_pace.cc
+  void paceFillers(Worker &On);
+  void sendPaces(Worker &On);
+
   // engine_placement.cc
   bool usable(const Worker &On, const StepRun &For) const;
   Resources freeFor(const Worker &On, const StepRun &For) const;
@@ -131,6 +136,8 @@
   std::uint32_t makeRoom(Worker &On, StepRun &For, std::uint32_t Copies);
   bool underLimit(const StepRun &For, std::uint32_t Copies) const;
   bool yields(const Run &Victim) const;
+  int firstYielding(const StepRun &For) const;
+  bool serves(const Worker &On) const;
   void sumRuns();
   std::vector<Worker *> openWorkers(const StepRun &For);
   void placeStep(StepRun &Step);
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -37,6 +37,7 @@
   for (const RunningEntry &Entry : List.Running_)
     takeRunning(From, Entry, List.ClockMs_);
   dropMissing(From, List);
+  paceFillers(From);
   if (!From.Settled_) {
     From.Settled_ = true;
     Unsettled_.erase(From.Id_);
@@ -54,8 +55,11 @@
   Made.Attempt_ = Entry.Attempt_;
   Made.Phase_ = Run::Phase::Running;
   Made.Need_ = Step.spec().Need_;
+  Made.TeamNeed_ = Made.Need_;
   if (Step.spec().Fill_)
     Made.Need_.CpuMilli_ = 0;
+  if (Step.spec().Fill_)
+    Made.ConfirmedPace_ = -1; // The former owner may have changed it.
   Made.OrderedAt_ = Now_;
   Made.Checkpoint_ = Entry.Checkpoint_;
   Task &Of = Step.Tasks_[Index];
@@ -91,10 +95,7 @@
             Step.Tasks_[At].Checkpoint_ = Entry.Checkpoint_;
       }
     }
-    if (Entry.Percent_ != Of.Percent_) {
-      Of.Percent_ = Entry.Percent_;
-      Of.PercentSince_ = Now_;
-    }
+    Of.Usage_ = Entry.Usage_;
     return;
   }
   const auto Name = parseTaskName(Entry.Task_);
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -47,7 +47,8 @@
       Priority >= priorityOf(*On.KeptFor_))
     return {};
   // A step that is late takes the reserve too, so that none waits for ever.
-  if (Priority > FirstPriority_ && Now_ < For.LatestStart_) {
+  if (Priority > FirstPriority_ && !For.spec().Service_ &&
+      Now_ < For.LatestStart_) {
     const auto Kept = static_cast<std::int64_t>(
         UrgentShare * static_cast<double>(On.Capacity_.CpuMilli_));
     Free.CpuMilli_ -= std::max<std::int64_t>(0, Kept - On.UrgentCpu_);
@@ -63,8 +64,13 @@
   return Spec.Checkpointed_ && !Spec.Gang_ && !Spec.Service_;
 }
 
+/// The least priority number that yields; to a service all saved work does.
+int Cell::Engine::firstYielding(const StepRun &For) const {
+  return For.spec().Service_ ? FirstPriority_ : priorityOf(For) + 1;
+}
+
 bool Cell::Engine::preempts(const StepRun &For, const Run &Victim) const {
-  return Victim.Priority_ > priorityOf(For) && yields(Victim);
+  return Victim.Priority_ >= firstYielding(For) && yields(Victim);
 }
 
 void Cell::Engine::sumRuns() {
@@ -84,7 +90,7 @@
 /// What runs on the worker that \p For may displace, and what is ending.
 Resources Cell::Engine::victimRoom(const Worker &On, const StepRun &For) const {
   Resources Out = On.Ending_;
-  const auto First = On.Yielding_.upper_bound(priorityOf(For));
+  const auto First = On.Yielding_.lower_bound(firstYielding(For));
   for (auto It = First; It != On.Yielding_.end(); ++It)
     Out = Out + It->second;
   return Out;
@@ -170,6 +176,7 @@
   Made.Index_ = Index;
   Made.Attempt_ = Attempt;
   Made.Need_ = Step.spec().Need_;
+  Made.TeamNeed_ = Made.Need_;
   if (Step.spec().Fill_)
     Made.Need_.CpuMilli_ = 0;
   Made.OrderedAt_ = Now_;
@@ -220,6 +227,14 @@
   return Out;
 }
 
+/// True where a task with a goal for its tail runs.
+bool Cell::Engine::serves(const Worker &On) const {
+  return std::any_of(On.Runs_.begin(), On.Runs_.end(), [](const auto &Each) {
+    return Each.second.Step_ != nullptr &&
+           Each.second.Step_->spec().TailGoal_ > 0;
+  });
+}
+
 void Cell::Engine::placeTasks(StepRun &Step) {
   const std::vector<Worker *> Open = openWorkers(Step);
   const StepSpec &Spec = Step.spec();
@@ -236,8 +251,9 @@
     for (Worker *Each : Open) {
       if (copiesOn(*Each, Step, false) == 0)
         continue;
-      const bool Far =
-          !Spec.PreferredRack_.empty() && Each->Rack_ != Spec.PreferredRack_;
+      const bool Far = (!Spec.PreferredRack_.empty() &&
+                        Each->Rack_ != Spec.PreferredRack_) ||
+                       (Spec.Fill_ && serves(*Each));
       const std::pair Score{Far,
                             Each->Capacity_.CpuMilli_ - Each->Used_.CpuMilli_};
       if (Best == nullptr || Score < BestScore) {
@@ -334,7 +350,9 @@
   auto Key = [this](const StepRun *Each) {
     const Job &Of = *Each->Job_;
     int Class = 0;
-    if (Of.OverShare_ || Now_ > Of.Objective_ + 2 * Of.Span_)
+    if (Each->spec().Service_)
+      Class = -1; // Its users wait, however full the workers are.
+    else if (Of.OverShare_ || Now_ > Of.Objective_ + 2 * Of.Span_)
       Class = 2;
     else if (Now_ > Of.Objective_)
       Class = 1;
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -15,6 +15,8 @@
 constexpr Millis LeaseSlack = Lease * 3 / 100 + 100;
 /// Time that a worker may wait for an end before it answers a look.
 constexpr Millis HoldWait = 1500;
+/// The same where services have goals, so that a missed one is seen soon.
+constexpr Millis ServingWait = 400;
 constexpr Millis HoldRetry = 150;
 /// Time for which a silent worker's lease is still renewed.
 constexpr Millis RenewUnanswered = 700;
@@ -101,7 +103,7 @@
     Out.Deadline_ = clockOf(To) + Lease;
     To.LeaseEnd_ = std::max(To.LeaseEnd_, Now_ + Lease + LeaseSlack);
     if (To.Reachable_ && To.SeenEnd_ == To.StoredEnd_)
-      Out.Wait_ = HoldWait;
+      Out.Wait_ = serves(To) ? ServingWait : HoldWait;
   }
   To.HoldInFlight_ = true;
   Effects_.push_back(std::move(Out));
@@ -109,7 +111,7 @@
 
 void Cell::Engine::sendStart(Worker &To, const std::string &Name, Run &Of) {
   const Token Id = NextToken_++;
-  Orders_[Id] = {To.Id_, Name, Of.Attempt_, To.Fence_, true};
+  Orders_[Id] = {To.Id_, Name, Of.Attempt_, To.Fence_, true, -1};
   Of.OrderInFlight_ = true;
   Of.LastOrderAt_ = Now_;
   SendStart Out;
@@ -127,7 +129,7 @@
 
 void Cell::Engine::sendStop(Worker &To, const std::string &Name, Run &Of) {
   const Token Id = NextToken_++;
-  Orders_[Id] = {To.Id_, Name, Of.Attempt_, To.Fence_, false};
+  Orders_[Id] = {To.Id_, Name, Of.Attempt_, To.Fence_, false, -1};
   Of.OrderInFlight_ = true;
   Of.LastOrderAt_ = Now_;
   Effects_.push_back(
@@ -150,7 +152,7 @@
   if (Made.Step_ != nullptr) {
     Made.Priority_ = priorityOf(*Made.Step_);
     Resources &Use = TeamUse_[Made.Step_->Job_->Team_];
-    Use = Use + Made.Need_;
+    Use = Use + Made.TeamNeed_;
     ++Made.Step_->Job_->LiveRuns_;
     if (Made.Priority_ == FirstPriority_)
       On.UrgentCpu_ += Made.Need_.CpuMilli_;
@@ -172,7 +174,7 @@
     On.UrgentCpu_ -= Gone.Need_.CpuMilli_;
   Job &Of = *Gone.Step_->Job_;
   Resources &Use = TeamUse_[Of.Team_];
-  Use = Use - Gone.Need_;
+  Use = Use - Gone.TeamNeed_;
   --Of.LiveRuns_;
   if (Of.LiveRuns_ == 0 && Of.End_ && Ended_.count(Of.Id_) != 0)
     forgetJob(Of);
@@ -284,6 +286,12 @@
     changeLife(*On, Outcome.Born_);
     return;
   }
+  if (Order.Pace_ >= 0) {
+    Found->second.PaceOrder_ = 0;
+    if (Outcome.Result_ == OrderResult::Done)
+      Found->second.ConfirmedPace_ = Order.Pace_;
+    return;
+  }
   Found->second.OrderInFlight_ = false;
   settleOrder(*On, Order, Found->second, Outcome);
 }
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -32,8 +32,11 @@
   int Priority_ = 0;
   std::string Checkpoint_;
   std::string Ticket_;
-  int Percent_ = 0;
-  Millis PercentSince_ = 0;
+  Resources TeamNeed_; ///< Counted against its team's limit.
+  double Usage_ = 0;   ///< Of a service's task: its tail, in milliseconds.
+  int Pace_ = 100;     ///< Wanted speed, in percent.
+  int ConfirmedPace_ = 100;
+  Token PaceOrder_ = 0; ///< While one is under way.
 };
 
 struct Task {
@@ -134,6 +137,7 @@
   /// Its id is in the stored list of workers, so that a next owner waits for
   /// what may run there.
   bool Recorded_ = false;
+  Millis CalmSince_ = 0; ///< Services here are well below their goals since.
   /// Step that freed room is kept for, until KeptUntil_.
   StepRun *KeptFor_ = nullptr;
   Millis KeptUntil_ = 0;
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -261,6 +261,10 @@
   sendOrder(Each.Worker_, Each.Token_, platform::encodeStop(Each));
 }
 
+void Owner::perform(const cell::SendPace &Each) {
+  sendOrder(Each.Worker_, Each.Token_, platform::encodePace(Each));
+}
+
 void Owner::perform(const cell::SendHold &Each) {
   lanesOf(Each.Worker_)
       .Looks_->send(platform::encodeHold(Each), Each.Wait_ + LookSlack,
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -63,6 +63,7 @@
   void perform(const cell::Reply &Each);
   void perform(const cell::SendStart &Each);
   void perform(const cell::SendStop &Each);
+  void perform(const cell::SendPace &Each);
   void perform(const cell::SendHold &Each);
   void perform(const cell::AskAdvice &Each);
   void perform(const cell::Commit &Each);
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -171,5 +171,88 @@
   EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
 }
 
+// A service's tasks run until cancelled and start again however they end.
+TEST(Cell, StartsAServicesTaskAgain) {
+  World Of(8, 2);
+  Of.Behaviour_ = [](const std::string &) {
+    return std::pair(Millis{500}, true);
+  };
+  Of.takeOver();
+  Of.run(300);
+  JobSpec Service = simpleJob(1, 1000);
+  Service.Steps_[0].Service_ = true;
+  Of.submit(JobId, Service);
+  Of.run(4000);
+  EXPECT_GE(Of.starts(), 4U);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Running);
+}
+
+// Guards against a service that waits while saved batch work fills the cell.
+TEST(Cell, AServiceDisplacesSavedWork) {
+  World Of(9, 1);
+  Of.Behaviour_ = [](const std::string &) {
+    return std::pair(Millis{60000}, false);
+  };
+  Of.takeOver();
+  Of.run(300);
+  JobSpec Batch = simpleJob(1, 3500);
+  Batch.Steps_[0].Checkpointed_ = true;
+  Of.submit("00000000000000c1", Batch, "fast");
+  Of.run(300);
+  JobSpec Service = simpleJob(1, 2000);
+  Service.Steps_[0].Service_ = true;
+  Of.submit(JobId, Service);
+  Of.run(2000);
+  EXPECT_EQ(Of.worker(0).Runs_.count(JobId + ".0.0.0"), 1U);
+}
+
+// Work that fills stands still while a service misses its goal, and goes on.
+TEST(Cell, PacesFillersByTheServicesTail) {
+  World Of(10, 1);
+  Of.Behaviour_ = [](const std::string &) {
+    return std::pair(Millis{60000}, false);
+  };
+  double Tail = 20;
+  Of.Tail_ = [&](const std::string &Task) {
+    return Task[0] == '0' ? Tail : 0.0;
+  };
+  Of.takeOver();
+  Of.run(300);
+  JobSpec Service = simpleJob(1, 1000);
+  Service.Steps_[0].Service_ = true;
+  Service.Steps_[0].TailGoal_ = 100;
+  Of.submit(JobId, Service);
+  JobSpec Fill = simpleJob(1, 4000);
+  Fill.Steps_[0].Fill_ = true;
+  const std::string FillId = "f0000000000000aa";
+  Of.submit(FillId, Fill);
+  Of.run(1500);
+  Tail = 150;
+  Of.run(1000);
+  EXPECT_EQ(Of.Paces_[FillId + ".0.0.0"], 0);
+  Tail = 20;
+  Of.run(12000);
+  EXPECT_EQ(Of.Paces_[FillId + ".0.0.0"], 100);
+}
+
+// A scheduled job's occurrences start when they are due, not before.
+TEST(Cell, StartsOccurrencesWhenTheyAreDue) {
+  World Of(12);
+  Of.takeOver();
+  Of.run(300);
+  JobSpec Timed = simpleJob(1, 1000);
+  Timed.Occurrences_ = 2;
+  Timed.FirstDue_ = 1000000 + Of.now() + 1000;
+  Timed.Interval_ = 2000;
+  Of.submit(JobId, Timed);
+  Of.run(900);
+  EXPECT_EQ(Of.starts(), 0U);
+  Of.run(600);
+  EXPECT_EQ(Of.starts(), 1U);
+  Of.run(4000);
+  EXPECT_EQ(Of.starts(), 2U);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -209,6 +209,9 @@
   Faults Faults_;
   /// Run time and failure of a task; the seed decides where it is empty.
   std::function<std::pair<Millis, bool>(const std::string &Task)> Behaviour_;
+  /// Tail that a service's task reports.
+  std::function<double(const std::string &Task)> Tail_;
+  std::map<std::string, int> Paces_; ///< Last order, by task.
   /// Rows in the store, by table and key.
   std::map<std::pair<std::string, std::string>, std::string> Rows_;
 
@@ -422,7 +425,8 @@
       Out.List_.ClockMs_ = On.clock(Now_);
       Out.List_.Born_ = On.Born_;
       for (const auto &[Name, Each] : On.Runs_)
-        Out.List_.Running_.push_back({Name, Each.Attempt_, "", 0, 0});
+        Out.List_.Running_.push_back(
+            {Name, Each.Attempt_, "", 0, Tail_ ? Tail_(Name) : 0});
       Out.List_.Ended_.assign(On.Ends_.begin(), On.Ends_.end());
     }
     later(between(1, 3), [this, Out, Life = Life_] {
@@ -451,6 +455,15 @@
   }
   void carry(const SendStart &Each) { sendOrder(Each); }
   void carry(const SendStop &Each) { sendOrder(Each); }
+  void carry(const SendPace &Each) {
+    Paces_[Each.Task_] = Each.Percent_;
+    later(2, [this, Each, Life = Life_] {
+      if (Cell_ && Life == Life_)
+        Cell_->handle(Now_,
+                      OrderOutcome{Each.Token_, OrderResult::Done,
+                                   find(Each.Worker_.Id_)->clock(Now_), 0});
+    });
+  }
   void carry(const SendHold &Each) {
     later(1, [this, Each, Life = Life_] {
       if (Life == Life_)
--- /dev/null
+++ b/test/platform/wire_test.cc
@@ -0,0 +1,232 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "caller_calls.h"
+#include "host_settings.h"
+#include "json.h"
+#include "operator_rows.h"
+#include "store_calls.h"
+#include "worker_calls.h"
+
+namespace oleandergauge::platform {
+namespace {
+
+const std::string SettingsText = R"(node_name=edge-a-1
+ip=10.1.0.17
+zone=a
+listen.frontend=10.1.0.17:8183
+listen.ready=10.1.0.17:8184
+port_range=7420,7435
+limits.cpu_share=0.25
+platform.addr=10.200.1.7:8182
+hint=10.200.1.9:8182
+bounds.grace_s=6
+bounds.hold_max_ms=6000
+some.new.field=x
+)";
+
+TEST(HostSettings, ReadsWhatItNeedsAndIgnoresTheRest) {
+  const auto Read = decodeSettings(SettingsText);
+  ASSERT_TRUE(Read) << Read.error();
+  EXPECT_EQ(Read->Name_, "edge-a-1");
+  EXPECT_EQ(Read->PeerPort_, 7420);
+  EXPECT_DOUBLE_EQ(Read->Strength_, 0.25);
+  EXPECT_EQ(Read->Grace_, 6000);
+  EXPECT_EQ(Read->AdviceAddress_, "10.200.1.9:8182");
+}
+
+TEST(HostSettings, NamesTheFieldThatIsWrong) {
+  auto Without = [](const std::string &Line) {
+    std::string Text = SettingsText;
+    const std::size_t At = Text.find(Line);
+    return Text.erase(At, Text.find('\n', At) - At + 1);
+  };
+  EXPECT_NE(decodeSettings(Without("ip=")).error().find("ip"),
+            std::string::npos);
+  EXPECT_NE(
+      decodeSettings(Without("platform.addr")).error().find("platform.addr"),
+      std::string::npos);
+  EXPECT_NE(decodeSettings(Without("port_range")).error().find("port_range"),
+            std::string::npos);
+  EXPECT_NE(decodeSettings(SettingsText + "bounds.grace_s=soon\n")
+                .error()
+                .find("bounds.grace_s"),
+            std::string::npos);
+}
+
+TEST(StoreCalls, ATransactionIsConditionalOnTheOwnersRow) {
+  const cell::OwnerRow Owner{3, 9, "h", "10.0.0.1:7000", false};
+  const node::HttpCall Call = encodeTransaction(
+      Owner, 41, {{"jobs", "a", "bytes"}, {"jobs", "b", std::nullopt}});
+  const Json Body = parseJson(Call.Body_);
+  EXPECT_EQ(Body["expect_rev"][0]["ver"], 41);
+  EXPECT_EQ(Body["expect_rev"][0]["table"], cell::OwnerTable);
+  EXPECT_EQ(Body["writes"].size(), 2U);
+  EXPECT_EQ(Body["writes"][1]["value"], "Ynl0ZXM=");
+  EXPECT_EQ(Body["remove"][0]["key"], "b");
+}
+
+TEST(StoreCalls, TellsCertainFromUncertainAnswers) {
+  using Result = cell::TransactionResult;
+  EXPECT_EQ(decodeTransaction({200, R"({"ver":5})"}).Version_, 5U);
+  EXPECT_EQ(decodeTransaction({503, ""}).Result_, Result::Refused);
+  EXPECT_EQ(decodeTransaction({429, ""}).Result_, Result::Refused);
+  EXPECT_EQ(decodeTransaction({0, ""}).Result_, Result::Unknown);
+  EXPECT_EQ(decodeTransaction({500, ""}).Result_, Result::Unknown);
+  EXPECT_EQ(decodeTransaction({412, R"({"rows":[]})"}).Present_,
+            cell::StoredOwner{});
+}
+
+TEST(StoreCalls, AnUnreadablePageIsNoPage) {
+  EXPECT_FALSE(decodeRead({503, ""}));
+  EXPECT_FALSE(decodeRead({200, "not json"}));
+  EXPECT_FALSE(decodeRead({200, "{}"}));
+  const auto Page = decodeRead(
+      {200, R"({"rows":[{"key":"k","value":"YQ==","ver":3}],"ver":9})"});
+  ASSERT_TRUE(Page);
+  EXPECT_EQ(Page->Rows_[0].Value_, "a");
+  EXPECT_EQ(Page->Version_, 9U);
+}
+
+Row workerRow(const std::string &Value) {
+  return {"servers", "i-1", Value, 1, false};
+}
+
+// Entries of other writers name no worker to use; the rest holds.
+TEST(OperatorRows, SkipsForeignWorkerEntries) {
+  const std::string Good =
+      R"({"service":"s","addr":"10.0.0.9:80","zone":"z","state":"ready",)"
+      R"("capacity":{"cpu":1000,"mem_mb":2000,"gpu":1},"labels":["k","r1"],)"
+      R"("born":77})";
+  const auto Worker = decodeWorker(workerRow(Good));
+  ASSERT_TRUE(Worker);
+  EXPECT_EQ(Worker->Rack_, "r1");
+  EXPECT_EQ(Worker->Born_, 77);
+  EXPECT_EQ(Worker->Capacity_.Accelerators_, 1);
+  auto With = [&](const std::string &From, const std::string &To) {
+    std::string Text = Good;
+    return Text.replace(Text.find(From), From.size(), To);
+  };
+  EXPECT_FALSE(decodeWorker(workerRow("\xff\xfe")));
+  EXPECT_FALSE(decodeWorker(workerRow("[]")));
+  EXPECT_FALSE(decodeWorker(workerRow(With("\"ready\"", "\"odd\""))));
+  EXPECT_FALSE(decodeWorker(workerRow(With("\"s\"", "7"))));
+  EXPECT_FALSE(decodeWorker(workerRow(With("1000", "\"many\""))));
+  EXPECT_TRUE(
+      decodeWorker(workerRow(With("\"ready\"", "\"draining\"")))->Draining_);
+}
+
+TEST(OperatorRows, TheDesiredStateNeverGoesBack) {
+  OperatorRows Rows;
+  auto Config = [](int Version) {
+    return Row{"op", "config",
+               "{\"version\":" + std::to_string(Version) +
+                   R"(,"routes":[],"services":[],"tenants":[]})",
+               1, false};
+  };
+  EXPECT_TRUE(applyOperatorRow(Config(7), Rows));
+  EXPECT_TRUE(applyOperatorRow(Config(5), Rows));
+  EXPECT_EQ(Rows.State_->Version_, 7U);
+  EXPECT_FALSE(applyOperatorRow({"op", "config", "oops", 1, false}, Rows));
+  EXPECT_EQ(Rows.State_->Version_, 7U);
+  EXPECT_TRUE(applyOperatorRow({"op", "evacuate/z1", "{}", 1, false}, Rows));
+  EXPECT_EQ(Rows.Withdrawn_.count("z1"), 1U);
+  EXPECT_TRUE(applyOperatorRow({"op", "evacuate/z1", "", 2, true}, Rows));
+  EXPECT_TRUE(Rows.Withdrawn_.empty());
+}
+
+TEST(WorkerCalls, ReadsListsAndLeavesOutBrokenRows) {
+  const cell::SendHold Look{{"w", "10.0.0.1:1", 5}, 100, 3, 0};
+  const auto Outcome = decodeHold(
+      Look, {200, R"({"clock_ms":50,"born":9,"running":[["a.0.0.1",2,"ck",41],)"
+                  R"(["b"],7],"finished":[[58,"a.0.0.9",1,"done",""],)"
+                  R"([59,"x",1,"odd",""]]})"});
+  EXPECT_EQ(Outcome.Result_, cell::OrderResult::Done);
+  EXPECT_EQ(Outcome.Fence_, 5U);
+  ASSERT_EQ(Outcome.List_.Running_.size(), 1U);
+  EXPECT_EQ(Outcome.List_.Running_[0].Checkpoint_, "ck");
+  ASSERT_EQ(Outcome.List_.Ended_.size(), 1U);
+  EXPECT_EQ(Outcome.List_.Ended_[0].Kind_, cell::EndKind::Done);
+}
+
+TEST(WorkerCalls, TellsWhatWasCertainlyNotRun) {
+  using Result = cell::OrderResult;
+  EXPECT_EQ(decodeOrder(1, {200, "{}"}).Result_, Result::Done);
+  EXPECT_EQ(decodeOrder(1, {409, R"({"reason":"fence"})"}).Result_,
+            Result::Fenced);
+  EXPECT_EQ(decodeOrder(1, {409, R"({"reason":"ticket"})"}).Result_,
+            Result::BadTicket);
+  EXPECT_EQ(decodeOrder(1, {409, R"({"reason":"room"})"}).Result_,
+            Result::Rejected);
+  EXPECT_EQ(decodeOrder(1, {421, ""}).Result_, Result::OtherLife);
+  EXPECT_EQ(decodeOrder(1, {0, ""}).Result_, Result::NoAnswer);
+  EXPECT_EQ(decodeOrder(1, {502, ""}).Result_, Result::NoAnswer);
+}
+
+TEST(CallerCalls, ReadsAJob) {
+  const auto Job =
+      decodeJob(R"({"spec":"x","phases":[{"count":4,"cpu":500,"mem_mb":256,)"
+                R"("est_ms":900},{"count":2,"cpu":1,"after":[0],"gang":true,)"
+                R"("checkpointed":true,"unknown":1}],"times":3})");
+  ASSERT_TRUE(Job) << Job.error();
+  EXPECT_EQ(Job->Steps_.size(), 2U);
+  EXPECT_TRUE(Job->Steps_[1].Gang_);
+  EXPECT_EQ(Job->Steps_[1].After_, std::vector<std::uint32_t>{0});
+  EXPECT_EQ(Job->Occurrences_, 3U);
+}
+
+TEST(CallerCalls, RefusesWhatIsNoJob) {
+  EXPECT_FALSE(decodeJob(""));
+  EXPECT_FALSE(decodeJob("[]"));
+  EXPECT_FALSE(decodeJob(R"({"phases":[]})"));
+  EXPECT_FALSE(decodeJob(R"({"phases":[{"count":0}]})"));
+  EXPECT_FALSE(decodeJob(R"({"phases":[{"count":1,"cpu":-1}]})"));
+  EXPECT_FALSE(decodeJob(R"({"phases":[{"count":1,"after":[0]}]})"));
+  EXPECT_FALSE(decodeJob("{\"spec\":\"" + std::string(4001, 'x') +
+                         "\",\"phases\":[{\"count\":1}]}"));
+}
+
+TEST(CallerCalls, OnlyATrueRefusalInvitesARetry) {
+  EXPECT_TRUE(encodeAnswer({1, cell::Answer::Busy}).RetryLater_);
+  EXPECT_EQ(encodeAnswer({1, cell::Answer::Busy}).Status_, 503);
+  EXPECT_EQ(encodeAnswer({1, cell::Answer::NoJob}).Status_, 410);
+  EXPECT_EQ(encodeRefusal(cell::Access::UnknownKey).Status_, 401);
+  EXPECT_EQ(encodeRefusal(cell::Access::NoQueue).Status_, 404);
+  EXPECT_EQ(encodeRefusal(cell::Access::NoState).Status_, 503);
+}
+
+RC_GTEST_PROP(Wire, NoBytesBreakADecoder, (const std::string &Bytes)) {
+  decodeTransaction({412, Bytes});
+  decodeRead({200, Bytes});
+  decodeWorker(workerRow(Bytes));
+  OperatorRows Rows;
+  applyOperatorRow({"op", "config", Bytes, 1, false}, Rows);
+  decodeOrder(1, {409, Bytes});
+  decodeHold({}, {200, Bytes});
+  decodeAdvice({200, Bytes});
+  decodeJob(Bytes);
+  decodeSettings(Bytes);
+}
+
+RC_GTEST_PROP(Records, SurviveTheStore,
+              (const std::string &Payload, std::uint32_t Count,
+               const std::vector<bool> &Done)) {
+  cell::JobRecord Record;
+  Record.Spec_.Payload_ = "p" + std::to_string(Payload.size());
+  cell::StepSpec Step;
+  Step.Count_ = Count;
+  Step.Gang_ = true;
+  Step.PreferredRack_ = "r1";
+  Record.Spec_.Steps_ = {Step, Step};
+  Record.Queue_ = "q";
+  RC_ASSERT(cell::decodeJob(cell::encode(Record)) == Record);
+  const std::vector<cell::StepProgress> Progress = {{1, 2, Done, {{3, 9}}}};
+  const auto Back = cell::decodeProgress(cell::encode(Progress));
+  RC_ASSERT(Back.has_value());
+  for (std::size_t At = 0; At < Done.size(); ++At)
+    RC_ASSERT((*Back)[0].Done_[At] == Done[At]);
+  RC_ASSERT((*Back)[0].Failures_ == Progress[0].Failures_);
+}
+
+} // namespace
+} // namespace oleandergauge::platform
--- /dev/null
+++ b/test/standin/platform_world.py
@@ -0,0 +1,255 @@
+"""Stand-in for the platform, on loopback: store, workers, advice.
+
+Speaks the published calls, one thread a connection. Faults are set by
+attributes: Store.down, Store.delay_s, Store.lose (share of writes done without
+an answer), Worker.cut. The checks of a test read Worker.history.
+"""
+import base64
+import json
+import random
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlparse
+
+LEASE_MAX_MS = 6000
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def setup(self):
+        super().setup()
+        import socket
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def serve(self):
+        size = int(self.headers.get("Content-Length") or 0)
+        body = json.loads(self.rfile.read(size) or b"{}")
+        answer = self.server.owner.handle(self, urlparse(self.path), body)
+        if answer is None:
+            self.close_connection = True
+            return
+        status, payload = answer
+        data = json.dumps(payload).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    do_GET = do_POST = do_PUT = do_DELETE = serve
+
+
+class Service:
+    def __init__(self, ip, port):
+        class Server(ThreadingHTTPServer):
+            daemon_threads = True
+            request_queue_size = 128
+
+            def handle_error(self, *_):
+                pass  # The other end was killed.
+        self.server = Server((ip, port), Handler)
+        self.server.owner = self
+        self.address = "%s:%d" % (ip, self.server.server_address[1])
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def stop(self):
+        self.server.shutdown()
+
+
+class Store(Service):
+    def __init__(self, ip="127.0.0.1", port=0):
+        self.rows = {}
+        self.version = 0
+        self.changed = threading.Condition()
+        self.down = False
+        self.delay_s = 0.004
+        self.lose = 0.0
+        self.random = random.Random(1)
+        super().__init__(ip, port)
+
+    def put(self, table, key, value, part=""):
+        with self.changed:
+            self.version += 1
+            if value is None:
+                self.rows[(table, part, key)] = (None, self.version)
+            else:
+                text = base64.b64encode(json.dumps(value).encode()).decode()
+                self.rows[(table, part, key)] = (text, self.version)
+            self.changed.notify_all()
+
+    def row(self, name):
+        value, version = self.rows[name]
+        out = {"table": name[0], "part": name[1], "key": name[2], "ver": version}
+        if value is None:
+            out["tombstone"] = True
+        else:
+            out["value"] = value
+        return out
+
+    def handle(self, _, url, body):
+        if self.down:
+            return 503, {}
+        time.sleep(self.delay_s)
+        query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
+        if url.path == "/rows-tx":
+            return self.transact(body)
+        if url.path == "/rows-get":
+            with self.changed:
+                names = sorted(n for n in self.rows
+                               if n[0] == query["table"] and n[1] == query["part"]
+                               and n[2] >= query.get("from", "")
+                               and self.rows[n][0] is not None)
+                return 200, {"rows": [self.row(n) for n in names[:500]],
+                             "has_more": len(names) > 500, "ver": self.version}
+        return self.feed(query)
+
+    def feed(self, query):
+        end = time.monotonic() + int(query["wait_ms"]) / 1000
+        with self.changed:
+            while True:
+                rows = [self.row(n) for n in self.rows if n[0] == query["table"]
+                        and self.rows[n][1] > int(query["after"])]
+                left = end - time.monotonic()
+                if rows or left <= 0 or self.down:
+                    rows.sort(key=lambda r: r["ver"])
+                    return 200, {"rows": rows, "ver": self.version}
+                self.changed.wait(left)
+
+    def transact(self, body):
+        with self.changed:
+            for want in body["expect_rev"]:
+                name = (want["table"], want["part"], want["key"])
+                value, version = self.rows.get(name, (None, 0))
+                if (0 if value is None else version) != want["ver"]:
+                    present = [self.row(name)] if value is not None else []
+                    return 412, {"rows": present}
+            self.version += 1
+            for row in body["writes"]:
+                name = (row["table"], row["part"], row["key"])
+                self.rows[name] = (row["value"], self.version)
+            for row in body["remove"]:
+                self.rows.pop((row["table"], row["part"], row["key"]), None)
+            self.changed.notify_all()
+            if self.random.random() < self.lose:
+                return None
+            return 200, {"ver": self.version}
+
+
+class Worker(Service):
+    def __init__(self, ident, store, run_s, ip="127.0.0.1"):
+        self.ident = ident
+        self.run_s = run_s
+        self.born = int(time.time() * 1000)
+        self.started = time.monotonic()
+        self.lock = threading.Condition()
+        self.fence = 0
+        self.deadline = 0
+        self.runs = {}
+        self.ends = []
+        self.last_end = 0
+        self.spent = {}
+        self.history = []  # (task, attempt, "start" or how it ended, time)
+        self.cut = False
+        super().__init__(ip, 0)
+        store.put("servers", ident, {
+            "service": "svc", "addr": self.address, "zone": "z1",
+            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+            "capacity": {"cpu": 4000, "mem_mb": 8000, "gpu": 0},
+            "labels": ["a", "r1"], "born": self.born, "seq": 1})
+        threading.Thread(target=self.work, daemon=True).start()
+
+    def clock(self):
+        return int((time.monotonic() - self.started) * 1000) + 1
+
+    def end(self, task, how):
+        attempt, _ = self.runs.pop(task)
+        self.last_end += 1
+        self.ends.append([self.last_end, task, attempt, how, ""])
+        self.spent[task] = max(self.spent.get(task, 0), attempt)
+        self.history.append((task, attempt, how, time.monotonic()))
+        self.lock.notify_all()
+
+    def work(self):
+        while True:
+            time.sleep(0.01)
+            with self.lock:
+                lapsed = self.deadline and self.clock() > self.deadline
+                for task in list(self.runs):
+                    if lapsed:
+                        self.end(task, "lapsed")
+                    elif time.monotonic() > self.runs[task][1]:
+                        self.end(task, "done")
+
+    def handle(self, request, url, body):
+        if self.cut:
+            time.sleep(3)
+            return None
+        if request.headers.get("X-Target-Instance") != self.ident:
+            return 421, {}
+        with self.lock:
+            if body["fence"] < self.fence:
+                return 409, {"clock_ms": self.clock(), "reason": "fence"}
+            self.fence = body["fence"]
+            if "deadline_ms" in body:
+                self.deadline = max(self.deadline, min(
+                    body["deadline_ms"], self.clock() + LEASE_MAX_MS))
+            return getattr(self, url.path[1:].replace("-", "_"))(body)
+
+    def run_start(self, body):
+        task, attempt = body["task"], body["attempt"]
+        now = {"clock_ms": self.clock(), "born": self.born}
+        if task in self.runs and self.runs[task][0] == attempt:
+            return 200, now
+        if task in self.runs or attempt <= self.spent.get(task, 0):
+            return 409, dict(now, reason="old")
+        if body["deadline_ms"] < self.clock():
+            return 409, dict(now, reason="late")
+        self.runs[task] = (attempt, time.monotonic() + self.run_s)
+        self.history.append((task, attempt, "start", time.monotonic()))
+        return 200, now
+
+    def run_stop(self, body):
+        task = body["task"]
+        if task in self.runs and self.runs[task][0] <= body["attempt"]:
+            self.end(task, "stopped")
+        self.spent[task] = max(self.spent.get(task, 0), body["attempt"])
+        return 200, {"clock_ms": self.clock(), "born": self.born}
+
+    def pace(self, _):
+        return 200, {"clock_ms": self.clock(), "born": self.born}
+
+    def hold(self, body):
+        self.ends = [e for e in self.ends if e[0] > body["ack_seq"]]
+        end = time.monotonic() + body.get("wait_ms", 0) / 1000
+        while not self.ends and time.monotonic() < end:
+            self.lock.wait(end - time.monotonic())
+        return 200, {"clock_ms": self.clock(), "born": self.born,
+                     "running": [[t, a, "", 50] for t, (a, _) in self.runs.items()],
+                     "finished": self.ends[:500]}
+
+
+class AdviceService(Service):
+    def handle(self, _, url, body):
+        time.sleep(0.005)
+        return 200, {"allowed": [[w, "t-" + w] for w in body["workers"]],
+                     "valid_ms": 1500}
+
+
+def desired_state(version=1, keys=("key-1",)):
+    return {
+        "version": version,
+        "routes": [{"name": "r1", "host": "cell.example", "prefix": "/jobs/",
+                    "kind": "mutating", "timeout_ms": 3000, "slo_ms": 500,
+                    "priority": 0, "service": "svc", "attempts": 2,
+                    "slack_factor": 2.0, "public": False,
+                    "hint": {"decide_ms": 5, "period_ms": 0.1, "valid_ms": 1500}}],
+        "services": [{"name": "svc", "rejects_overload": False, "standby": False}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "t1", "api_keys": list(keys), "weight": 100,
+                     "max_count": {"cpu": 0, "mem_mb": 0, "gpu": 0}}]}
--- /dev/null
+++ b/test/system/platform_hosts.py
@@ -0,0 +1,121 @@
+"""Starts entry hosts as real processes beside the platform's stand-in."""
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin"))
+import platform_world as world  # noqa: E402
+
+CALLER_PORT = 18183
+READY_PORT = 18184
+PEER_PORT = 17420
+
+
+class Host:
+    def __init__(self, program, folder, number, store, advice):
+        self.ip = "127.0.0.%d" % (10 + number)
+        self.name = "host-%d" % number
+        self.program = program
+        self.settings = os.path.join(folder, self.name + ".conf")
+        self.log = os.path.join(folder, self.name + ".out")
+        with open(self.settings, "w") as out:
+            out.write("\n".join([
+                "node_name=" + self.name, "ip=" + self.ip, "zone=z1",
+                "listen.frontend=%s:%d" % (self.ip, CALLER_PORT),
+                "listen.ready=%s:%d" % (self.ip, READY_PORT),
+                "port_range=%d,%d" % (PEER_PORT, PEER_PORT + 15),
+                "limits.cpu_share=0.25", "platform.addr=" + store.address,
+                "hint=" + advice.address, "bounds.grace_s=6",
+                "bounds.hold_max_ms=6000", ""]))
+        self.process = None
+        self.start()
+
+    def start(self):
+        environment = dict(os.environ, OLEANDERGAUGE_NODE_FILE=self.settings)
+        self.process = subprocess.Popen([self.program, "host"],
+                                        stdout=open(self.log, "a"),
+                                        env=environment)
+
+    def kill(self):
+        self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+
+    def owns(self):
+        """True where the host's log says that it became, and is still, owner."""
+        with open(self.log) as lines:
+            text = lines.read()
+        return text.rfind('"owner of the cell"') > text.rfind('"started"') and \
+            text.rfind('"owner of the cell"') > text.rfind('"no longer owner"')
+
+    def call(self, method, path, body=None, key="key-1", host="cell.example", timeout=5):
+        link = http.client.HTTPConnection(self.ip, CALLER_PORT, timeout=timeout)
+        try:
+            headers = {"Host": host, "X-Deadline-Ms": "3000"}
+            if key:
+                headers["Api-Key"] = key
+            link.request(method, path, body, headers)
+            answer = link.getresponse()
+            return answer.status, answer.read().decode()
+        finally:
+            link.close()
+
+    def ready(self):
+        link = http.client.HTTPConnection(self.ip, READY_PORT, timeout=1)
+        try:
+            link.request("GET", "/readyz")
+            return link.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            link.close()
+
+
+class Cell:
+    """Three hosts, four workers, one store, one advice service."""
+
+    def __init__(self, build, run_s=0.3):
+        self.folder = tempfile.mkdtemp(prefix="oleandergauge-")
+        self.store = world.Store()
+        self.store.put("op", "config", world.desired_state())
+        self.advice = world.AdviceService("127.0.0.1", 0)
+        self.workers = [world.Worker("i-%d" % n, self.store, run_s) for n in range(4)]
+        program = os.path.join(build, "oleandergauge")
+        self.hosts = [Host(program, self.folder, n, self.store, self.advice)
+                      for n in range(3)]
+        wait_for(lambda: all(h.ready() for h in self.hosts), 15, "hosts ready")
+
+    def owner(self):
+        wait_for(lambda: any(h.process.poll() is None and h.owns() for h in self.hosts),
+                 10, "an owner")
+        return next(h for h in self.hosts if h.process.poll() is None and h.owns())
+
+    def stop(self):
+        for host in self.hosts:
+            if host.process.poll() is None:
+                host.kill()
+
+
+def wait_for(holds, seconds, what):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if holds():
+            return
+        time.sleep(0.05)
+    raise AssertionError("not within %s s: %s" % (seconds, what))
+
+
+def job(count=2, cpu=500, steps=1):
+    phases = [{"count": count, "cpu": cpu, "mem_mb": 100, "est_ms": 300}]
+    for step in range(1, steps):
+        phases.append(dict(phases[0], after=[step - 1]))
+    return json.dumps({"spec": "work", "phases": phases})
+
+
+def state(host, ident):
+    status, body = host.call("GET", "/jobs/" + ident)
+    return json.loads(body).get("state") if status == 200 else str(status)
--- /dev/null
+++ b/test/system/platform_test.py
@@ -0,0 +1,209 @@
+#!/usr/bin/env python3
+"""The whole path on the platform, with real processes and their failures.
+
+Each check says which failure it guards against.
+"""
+import http.client
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from platform_hosts import CALLER_PORT, Cell, job, state, wait_for  # noqa: E402
+
+
+def submit(host, ident, **spec):
+    status, body = host.call("POST", "/jobs/" + ident, job(**spec))
+    assert status == 200, (status, body)
+
+
+def all_complete(cell, idents, seconds):
+    live = next(h for h in cell.hosts if h.process.poll() is None)
+    for ident in idents:
+        wait_for(lambda: state(live, ident) == "complete", seconds, ident + " complete")
+
+
+def no_double_runs(cell):
+    """No task runs twice at once, nor after it was done."""
+    events = sorted((e[3], e[0], e[2]) for w in cell.workers for e in w.history)
+    running, done = set(), set()
+    for _, task, what in events:
+        if what == "start":
+            assert task not in running and task not in done, task
+            running.add(task)
+        else:
+            running.discard(task)
+            if what == "done":
+                done.add(task)
+
+
+def calm_path(cell):
+    idents = ["%016x" % n for n in range(12)]
+    for n, ident in enumerate(idents):
+        submit(cell.hosts[n % 3], ident, count=3, steps=2)
+    all_complete(cell, idents, 10)
+    submit(cell.hosts[0], idents[0], count=3, steps=2)  # A late repetition.
+    no_double_runs(cell)
+
+
+def bad_input(cell):
+    host = cell.hosts[1]
+    ident = "/jobs/00000000000000ff"
+    assert host.call("POST", ident, job(), key="wrong")[0] == 401
+    assert host.call("POST", ident, job(), key=None)[0] == 401
+    assert host.call("POST", "/other/00000000000000ff", job())[0] == 404
+    assert host.call("POST", ident, job(), host="other.example")[0] == 404
+    assert host.call("POST", ident, "{")[0] == 400
+    assert host.call("POST", ident, '{"phases":[]}')[0] == 400
+    assert host.call("POST", ident, " " * 200000)[0] == 413
+    assert host.call("POST", "/jobs/xyz", job())[0] == 400
+    assert host.call("GET", ident)[0] == 410
+    assert host.call("DELETE", ident)[0] == 410
+    assert host.call("GET", "/jobs/") == (200, '{"queued_count":0}')
+    # More connections at once than the usual accept queue of ten.
+    links = [http.client.HTTPConnection(host.ip, CALLER_PORT, timeout=2) for _ in range(200)]
+    for link in links:
+        link.connect()
+    for link in links:
+        link.close()
+
+
+def foreign_rows(cell):
+    """Entries by other writers name no worker; the rest holds."""
+    cell.store.put("servers", "i-odd", {"service": 7, "state": "odd"})
+    cell.store.put("op", "odd/row", [1, 2])
+    submit(cell.hosts[2], "00000000000000f1")
+    all_complete(cell, ["00000000000000f1"], 5)
+
+
+def cancel(cell):
+    for worker in cell.workers:
+        worker.run_s = 30
+    submit(cell.hosts[0], "00000000000000f2")
+    wait_for(lambda: any(w.runs for w in cell.workers), 3, "a start")
+    assert cell.hosts[1].call("DELETE", "/jobs/00000000000000f2")[0] == 200
+    wait_for(lambda: not any(w.runs for w in cell.workers), 3, "the stop")
+    assert state(cell.hosts[2], "00000000000000f2") == "canceled"
+    for worker in cell.workers:
+        worker.run_s = 0.3
+
+
+def withdrawn_key(cell):
+    from platform_hosts import world
+    cell.store.put("op", "config", world.desired_state(2, keys=("key-2",)))
+    wait_for(lambda: cell.hosts[0].call("GET", "/jobs/", key="key-1")[0] == 401,
+             2, "the key's end")
+    for host in cell.hosts:
+        assert host.call("GET", "/jobs/", key="key-2")[0] == 200
+    cell.store.put("op", "config", world.desired_state(3, keys=("key-1",)))
+    wait_for(lambda: all(h.call("GET", "/jobs/")[0] == 200 for h in cell.hosts), 2, "key back")
+
+
+def owner_killed(cell):
+    """Accepted jobs go on under the next owner; no task runs twice."""
+    owner = cell.owner()
+    idents = ["%016x" % (0x1000 + n) for n in range(10)]
+    for n, ident in enumerate(idents):
+        submit(cell.hosts[n % 3], ident, count=3, steps=2)
+    owner.kill()
+    all_complete(cell, idents, 15)
+    no_double_runs(cell)
+    owner.start()
+    wait_for(owner.ready, 5, "the host back")
+
+
+def lost_answers(cell):
+    """A write that was done without an answer is not done twice."""
+    cell.store.lose = 0.3
+    idents = ["%016x" % (0x2000 + n) for n in range(6)]
+    for ident in idents:
+        submit(cell.hosts[0], ident)
+    cell.store.lose = 0
+    all_complete(cell, idents, 10)
+    no_double_runs(cell)
+
+
+def store_away(cell):
+    """Nothing is accepted, and nothing lost, while the store is away."""
+    submit(cell.hosts[0], "0000000000003000", steps=2)
+    cell.store.down = True
+    assert cell.hosts[1].call("POST", "/jobs/0000000000003001", job())[0] in (503, 504)
+    cell.store.down = False
+    all_complete(cell, ["0000000000003000"], 10)
+
+
+def worker_cut(cell):
+    """Tasks of a worker that is cut off run elsewhere once its lease ended."""
+    for worker in cell.workers:
+        worker.run_s = 6  # Longer than a lease: nothing ends behind the cut.
+    submit(cell.hosts[0], "0000000000004000", count=8, cpu=900)
+    wait_for(lambda: cell.workers[0].runs, 3, "a start on the worker")
+    cell.workers[0].cut = True
+    all_complete(cell, ["0000000000004000"], 20)
+    no_double_runs(cell)
+    cell.workers[0].cut = False
+    for worker in cell.workers:
+        worker.run_s = 0.3
+
+
+def graceful_stop(cell):
+    """SIGTERM of the owner cuts off no request and ends with exit code 0."""
+    owner = cell.owner()
+    failures = []
+    stopping = threading.Event()
+
+    def poll(host):
+        link = http.client.HTTPConnection(host.ip, CALLER_PORT, timeout=5)
+        while not stopping.is_set():
+            try:
+                link.request("GET", "/jobs/", headers={"Host": "cell.example",
+                                                       "Api-Key": "key-1"})
+                answer = link.getresponse()
+                answer.read()
+                if answer.getheader("Connection") == "close":
+                    return
+            except OSError as problem:
+                failures.append((host.name, problem))
+                return
+    threads = [threading.Thread(target=poll, args=(h,)) for h in cell.hosts]
+    for thread in threads:
+        thread.start()
+    owner.process.send_signal(signal.SIGTERM)
+    assert owner.process.wait(10) == 0
+    stopping.set()
+    for thread in threads:
+        thread.join()
+    assert not failures, failures
+    live = next(h for h in cell.hosts if h.process.poll() is None)
+    wait_for(lambda: live.call("GET", "/jobs/")[0] == 200, 5, "the next owner")
+
+
+def bad_settings(build):
+    path = "/tmp/oleandergauge-bad-settings-%d" % os.getpid()
+    with open(path, "w") as out:
+        out.write("node_name=x\nip=127.0.0.1\n")
+    done = subprocess.run([os.path.join(build, "oleandergauge"), "host", "--settings", path],
+                          capture_output=True, text=True)
+    os.remove(path)
+    assert done.returncode == 2 and "zone" in done.stderr, done
+
+
+def main():
+    build = sys.argv[1]
+    bad_settings(build)
+    cell = Cell(build)
+    try:
+        for check in (calm_path, bad_input, foreign_rows, cancel, withdrawn_key,
+                      owner_killed, lost_answers, store_away, worker_cut, graceful_stop):
+            begin = time.monotonic()
+            check(cell)
+            print("%-15s ok, %.1f s" % (check.__name__, time.monotonic() - begin), flush=True)
+    finally:
+        cell.stop()
+
+
+if __name__ == "__main__":
+    main()
