Refuse at once while the store stalls; follow an own former life at once

Cause: submissions that were in no transaction waited for the store to their callers' time limits, and after a power loss of all hosts everybody waited 1.5 s for an owner that was the host itself. Ruled out: shorter waits for every commit (a slow store would refuse all). Change: what no transaction carries is refused 0.9 s after the one under way was sent; a host whose own row it is takes over at once; fronts wait 0.5 s for an owner instead of 1.2 s; recovery waits for this program's lease.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -7,6 +7,13 @@
 
 using namespace detail;
 
+/// Lease that each renewal asks for: covers a takeover with room, and ends
+/// soon enough that work of a lost worker starts again.
+constexpr Millis Lease = 4800;
+/// Real time that a lease may take longer, since a worker's clock may be slow
+/// by 2%, and the slack of the estimate of that clock.
+constexpr Millis LeaseSlack = Lease * 3 / 100 + 100;
+
 /// A host that asks for advice; its calls are served one after another.
 struct Agent {
   std::string Host_;
@@ -45,6 +52,8 @@
   void taskEnded(StepRun &Step, std::uint32_t Index, const EndEntry &End,
                  Worker *Where);
   void endJob(Job &Ended, EndState State);
+  void detach(Job &Of);
+  void refuseUnsent();
   void advanceJobs();
 
   // Workers (engine_workers.cc, engine_lists.cc).
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -13,6 +13,11 @@
 constexpr double TypicalAsked = 30;
 /// Time of commits, orders and hops that a step needs besides its work.
 constexpr Millis StepOverhead = 60;
+/// Longest way of a former owner's last renewal.
+constexpr Millis OrderDelay = 400;
+/// Age of a transaction without an answer from which on submissions that are
+/// not part of it are refused: they would wait for the store as long.
+constexpr Millis StoreStall = 900;
 constexpr Millis AdvanceInterval = 40;
 
 } // namespace
@@ -198,7 +203,7 @@
   }
   RecordedWorkers_ = Stored.Workers_;
   Unsettled_ = Stored.Workers_;
-  RecoveryEnd_ = Now_ + Limits_.MaxLease_ * 102 / 100 + 500;
+  RecoveryEnd_ = Now_ + Lease + LeaseSlack + OrderDelay;
 }
 
 void Cell::Engine::submit(Token Caller, const Resolution &Where,
@@ -214,6 +219,10 @@
       Known->Callers_.push_back(Caller);
     return;
   }
+  if (CommitInFlight_ && Now_ - LastCommit_ > StoreStall) {
+    Effects_.push_back(Reply{Caller, Answer::Busy});
+    return;
+  }
   JobRecord Record{Spec, Where.Queue_, Where.Team_, Wall_};
   Job &Made = makeJob(Where.JobId_, Record);
   Made.Callers_.push_back(Caller);
@@ -373,9 +382,6 @@
   Ended.End_ = State;
   EndingJobs_.push_back(&Ended);
   for (const auto &Step : Ended.Steps_) {
-    Step->Ready_ = false;
-    if (Step->AdviceToken_ != 0)
-      OpenAdvice_[Step->AdviceToken_].Step_ = nullptr;
     for (std::uint32_t Index = 0; Index < Step->Tasks_.size(); ++Index) {
       Worker *On = Step->Tasks_[Index].Where_;
       if (On == nullptr || State == EndState::Complete)
@@ -386,15 +392,43 @@
         stopRun(*On, Name, It->second, "job ended");
     }
   }
-  Ready_.erase(
-      std::remove_if(Ready_.begin(), Ready_.end(),
-                     [&](const StepRun *Each) { return Each->Job_ == &Ended; }),
-      Ready_.end());
+  detach(Ended);
+}
+
+/// Takes a job's steps out of placement and advice.
+void Cell::Engine::detach(Job &Of) {
+  for (const auto &Step : Of.Steps_) {
+    Step->Ready_ = false;
+    const auto Open = OpenAdvice_.find(Step->AdviceToken_);
+    if (Open != OpenAdvice_.end())
+      Open->second.Step_ = nullptr;
+  }
+  const auto Own = [&](const StepRun *Each) { return Each->Job_ == &Of; };
+  Ready_.erase(std::remove_if(Ready_.begin(), Ready_.end(), Own), Ready_.end());
   for (const auto &[Id, Each] : Workers_)
-    if (Each->KeptFor_ != nullptr && Each->KeptFor_->Job_ == &Ended)
+    if (Each->KeptFor_ != nullptr && Own(Each->KeptFor_))
       Each->KeptFor_ = nullptr;
 }
 
+/// Refuses what is in no transaction yet while the store does not answer.
+void Cell::Engine::refuseUnsent() {
+  if (!CommitInFlight_ || Now_ - LastCommit_ <= StoreStall)
+    return;
+  for (Job *Each : NewJobs_) {
+    for (Token Caller : Each->Callers_)
+      Effects_.push_back(Reply{Caller, Answer::Busy});
+    for (Token Caller : Each->Cancellers_)
+      Effects_.push_back(Reply{Caller, Answer::NoJob});
+    Effects_.push_back(Decision{"job_refused", Each->Id_, "store stalled",
+                                Now_ - LastCommit_});
+    detach(*Each);
+    EndingJobs_.erase(std::remove(EndingJobs_.begin(), EndingJobs_.end(), Each),
+                      EndingJobs_.end());
+    forgetJob(*Each);
+  }
+  NewJobs_.clear();
+}
+
 /// Removes a job whose end is stored and of which nothing runs any more.
 void Cell::Engine::forgetJob(Job &Ended) {
   const std::string Id = Ended.Id_;
@@ -402,6 +436,7 @@
 }
 
 void Cell::Engine::advanceJobs() {
+  refuseUnsent();
   if (Now_ < NextAdvance_)
     return;
   NextAdvance_ = Now_ + AdvanceInterval;
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -7,12 +7,6 @@
 namespace oleandergauge::cell {
 namespace {
 
-/// Lease that each renewal asks for: covers a takeover with room, and ends
-/// soon enough that work of a lost worker starts again.
-constexpr Millis Lease = 4800;
-/// Real time that a lease may take longer, since a worker's clock may be slow
-/// by 2%, and the slack of the estimate of that clock.
-constexpr Millis LeaseSlack = Lease * 3 / 100 + 100;
 /// Time that a worker may wait for an end before it answers a look.
 constexpr Millis HoldWait = 1500;
 /// The same where services have goals, so that a missed one is seen soon.
--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -28,6 +28,9 @@
 bool Succession::mayTakeOver(Millis Now) const {
   if (LastRead_ < 0 || Now - LastRead_ > MaxReadGap)
     return false;
+  // The row is of a former life of this host, which is certainly over.
+  if (Last_.Version_ != 0 && Last_.Row_.Host_ == Self_)
+    return true;
   const Millis Delay = Preferred_ ? 0 : Spread_;
   if (Last_.Version_ == 0 || Last_.Row_.Released_)
     return Now - UnchangedSince_ >= Delay;
--- a/src/node/advice_client.cc
+++ b/src/node/advice_client.cc
@@ -18,8 +18,7 @@
     Lane_ = std::make_unique<HttpLane>(Events, Address, Connections);
 }
 
-void AdviceClient::ask(const cell::AskAdvice &Question,
-                       std::function<void(cell::AdviceOutcome Outcome)> Then) {
+void AdviceClient::ask(const cell::AskAdvice &Question, const Handler &Then) {
   const cell::Token Id = Question.Token_;
   if (!Lane_) {
     Events_.after(0, [Id, Then] { Then({Id, false, {}, 0}); });
@@ -30,7 +29,7 @@
                 cell::AdviceOutcome Out = platform::decodeAdvice(Reply);
                 Out.Token_ = Id;
                 Out.Valid_ -= TicketMargin;
-                Then(std::move(Out));
+                Then(Out);
               });
 }
 
--- a/src/node/advice_client.h
+++ b/src/node/advice_client.h
@@ -10,9 +10,9 @@
 /// after another.
 class AdviceClient {
 public:
+  using Handler = std::function<void(const cell::AdviceOutcome &Outcome)>;
   AdviceClient(Loop &Events, const std::string &Address);
-  void ask(const cell::AskAdvice &Question,
-           std::function<void(cell::AdviceOutcome Outcome)> Then);
+  void ask(const cell::AskAdvice &Question, const Handler &Then);
 
 private:
   Loop &Events_;
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -11,7 +11,7 @@
 
 /// Time for which a request waits for an owner before it is refused: a new
 /// owner is usually there sooner than the caller would be back.
-constexpr Millis OwnerWait = 1200;
+constexpr Millis OwnerWait = 500;
 constexpr Millis UsualPatience = 3000;
 /// Part of the caller's patience after which a request that may have been
 /// accepted is answered as undecided.
--- a/src/node/json_log.cc
+++ b/src/node/json_log.cc
@@ -14,7 +14,7 @@
 constexpr int MaxLinesPerSecond = 2000;
 /// A pipe takes as many bytes at once, or none.
 constexpr std::size_t WriteBytes = 4000;
-constexpr std::size_t MaxUnwritten = 256 * 1024;
+constexpr std::size_t MaxUnwritten = 1U << 18;
 
 void appendText(std::string &Out, std::string_view Text) {
   Out += '"';
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -285,13 +285,13 @@
 
 void Owner::perform(const cell::AskAdvice &Each) {
   if (Each.Agent_ == Log_.row().Host_) {
-    Shared_.Advice_.ask(Each,
-                        [this, Alive = Alive_](cell::AdviceOutcome Outcome) {
-                          if (!*Alive || Over_)
-                            return;
-                          Cell_->handle(bootTime(), Outcome);
-                          drain();
-                        });
+    Shared_.Advice_.ask(
+        Each, [this, Alive = Alive_](const cell::AdviceOutcome &Outcome) {
+          if (!*Alive || Over_)
+            return;
+          Cell_->handle(bootTime(), Outcome);
+          drain();
+        });
     return;
   }
   const auto Host = Hosts_.find(Each.Agent_);
--- a/src/node/store_client.cc
+++ b/src/node/store_client.cc
@@ -57,28 +57,29 @@
 
 void StoreClient::readPage(platform::Space Where, const std::string &Table,
                            const std::string &From,
-                           std::shared_ptr<platform::RowPage> Sofar,
+                           const std::shared_ptr<platform::RowPage> &Sofar,
                            TableHandler Then) {
   ++Calls_;
-  Reads_.send(
-      platform::encodeRead(Where, Table, From), ReadTimeout,
-      [this, Where, Table, Sofar, Then = std::move(Then)](HttpReply Reply) {
-        note(Reply);
-        auto Page = platform::decodeRead(Reply);
-        if (!Page) {
-          Then(std::nullopt);
-          return;
-        }
-        if (Sofar->Version_ == 0)
-          Sofar->Version_ = Page->Version_;
-        for (platform::Row &Each : Page->Rows_)
-          Sofar->Rows_.push_back(std::move(Each));
-        if (Page->More_ && !Sofar->Rows_.empty())
-          readPage(Where, Table, platform::keyAfter(Sofar->Rows_.back().Key_),
-                   Sofar, Then);
-        else
-          Then(std::move(*Sofar));
-      });
+  Reads_.send(platform::encodeRead(Where, Table, From), ReadTimeout,
+              [this, Where, Table, Sofar,
+               Then = std::move(Then)](const HttpReply &Reply) {
+                note(Reply);
+                auto Page = platform::decodeRead(Reply);
+                if (!Page) {
+                  Then(std::nullopt);
+                  return;
+                }
+                if (Sofar->Version_ == 0)
+                  Sofar->Version_ = Page->Version_;
+                for (platform::Row &Each : Page->Rows_)
+                  Sofar->Rows_.push_back(std::move(Each));
+                if (Page->More_ && !Sofar->Rows_.empty())
+                  readPage(Where, Table,
+                           platform::keyAfter(Sofar->Rows_.back().Key_), Sofar,
+                           Then);
+                else
+                  Then(std::move(*Sofar));
+              });
 }
 
 void StoreClient::waitForOperator(std::uint64_t After, Millis Wait,
--- a/src/node/store_client.h
+++ b/src/node/store_client.h
@@ -40,7 +40,8 @@
 private:
   void readPage(platform::Space Where, const std::string &Table,
                 const std::string &From,
-                std::shared_ptr<platform::RowPage> Sofar, TableHandler Then);
+                const std::shared_ptr<platform::RowPage> &Sofar,
+                TableHandler Then);
   void note(const HttpReply &Reply);
 
   HttpLane Writes_;
--- a/test/cell/cell_fuzz_test.cc
+++ b/test/cell/cell_fuzz_test.cc
@@ -19,7 +19,8 @@
   for (int At = 0; At < Steps; ++At) {
     StepSpec Step;
     Step.Count_ = static_cast<std::uint32_t>(Draw(1, 4));
-    Step.Need_ = {Draw(2, 15) * 100, Draw(1, 20) * 50, 0, 0, 0};
+    Step.Need_ = {std::int64_t{100} * Draw(2, 15),
+                  std::int64_t{50} * Draw(1, 20), 0, 0, 0};
     Step.Estimate_ = 400;
     Step.Checkpointed_ = Draw(0, 1) == 1;
     if (At > 0)
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -33,6 +33,25 @@
   EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
 }
 
+// Guards against callers held to their time limit while the store is away:
+// what no transaction carries is refused, and never runs.
+TEST(Cell, RefusesAtOnceWhatAStalledStoreWouldHold) {
+  World Of(1);
+  Of.takeOver();
+  Of.run(300);
+  Of.setStoreDown(true);
+  Of.submit("00000000000000a1", simpleJob(1, 1000));
+  Of.run(1200);
+  Of.submit("00000000000000a2", simpleJob(1, 1000));
+  EXPECT_EQ(Of.Refused_.count("00000000000000a2"), 1U);
+  Of.run(500);
+  EXPECT_EQ(Of.Refused_.count("00000000000000a1"), 0U); // May be stored.
+  Of.setStoreDown(false);
+  Of.run(3000);
+  EXPECT_EQ(Of.stateOf("00000000000000a1"), JobState::Complete);
+  EXPECT_EQ(Of.stateOf("00000000000000a2"), std::nullopt);
+}
+
 // Guards against counting failures by the highest run only: after a takeover
 // workers list the ends of earlier runs in any order.
 TEST(Cell, CountsFailedRunsListedInAnyOrderAfterATakeover) {
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -205,6 +205,7 @@
       Unlisted_.insert(Id);
   }
   std::set<std::string> Accepted_;
+  std::set<std::string> Refused_;
   std::map<std::string, Millis> CancelledAt_;
   Faults Faults_;
   /// Run time and failure of a task; the seed decides where it is empty.
@@ -450,6 +451,8 @@
     }
     if (Each.Answer_ == Answer::Accepted)
       Accepted_.insert(Callers_[Each.Token_]);
+    if (Each.Answer_ == Answer::Busy)
+      Refused_.insert(Callers_[Each.Token_]);
     if (Each.Answer_ == Answer::Cancelled)
       CancelledAt_.emplace(Callers_[Each.Token_], Now_);
   }
--- a/test/cell/ownership_test.cc
+++ b/test/cell/ownership_test.cc
@@ -86,6 +86,13 @@
   EXPECT_FALSE(Next_.mayTakeOver(20000));
 }
 
+// After a power loss of all hosts the one that owned the cell is back first.
+TEST_F(SuccessionTest, AHostFollowsItsOwnFormerLifeAtOnce) {
+  Succession Same("h1", 300);
+  Same.observe(0, {5, Self});
+  EXPECT_TRUE(Same.mayTakeOver(0));
+}
+
 TEST_F(SuccessionTest, FollowsAReleasedOwnerAtOnce) {
   OwnerRow Released = Self;
   Released.Released_ = true;
