Find a takeover whose answer was lost; miss an owner sooner

Cause: with a slow store the takeover's answer came after its time limit, and the host took over from itself again with ever higher epochs for two seconds. Orders on six connections a worker were closed idle and opened again. Change: the next read of the row shows whether the takeover was done; the time limit of writes follows the time of reads too; beats every 0.2 s, links given up after 0.9 s; two order connections a worker.

--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -5,10 +5,10 @@
 
 /// Silence of an owner after which others take over: three of its pauses
 /// between writes and a slow answer.
-constexpr Millis UnchangedLimit = 1500;
+constexpr Millis UnchangedLimit = 1100;
 /// The same where the owner's process is known to be gone.
 constexpr Millis UnchangedLimitLinkLost = 500;
-constexpr Millis MaxReadGap = 1200;
+constexpr Millis MaxReadGap = 1000;
 
 } // namespace
 
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -17,17 +17,17 @@
 
 constexpr Millis OwnerTick = 10;
 constexpr Millis HostTick = 50;
-constexpr Millis BeatPause = 300;
+constexpr Millis BeatPause = 200;
 /// Silence after which a link between hosts is given up.
-constexpr Millis LinkSilence = 1300;
+constexpr Millis LinkSilence = 900;
 /// An owner that has had no answer from the store for longer is replaced by a
 /// host that has.
 constexpr Millis StoreSilence = 1800;
-constexpr Millis RowPoll = 450;
+constexpr Millis RowPoll = 300;
 constexpr Millis FeedWait = 1200;
 constexpr Millis FeedRetry = 150;
 /// Hosts that see the same silent owner act this far apart.
-constexpr Millis SuccessionSpread = 350;
+constexpr Millis SuccessionSpread = 250;
 /// A host without an owner for longer takes no new callers.
 constexpr Millis ReadyGrace = 4000;
 /// Least time after SIGTERM in which open connections are still served.
@@ -104,6 +104,8 @@
   std::vector<HostLink> Links_;
   bool Polling_ = false;
   bool TakingOver_ = false;
+  /// Written by a takeover whose answer is missing.
+  std::optional<cell::OwnerRow> Attempted_;
   Millis DrainingSince_ = 0;
 };
 
@@ -219,7 +221,14 @@
                      Polling_ = false;
                      if (!Page || Owner_)
                        return;
-                     Succession_.observe(bootTime(), platform::ownerOf(*Page));
+                     const cell::StoredOwner Seen = platform::ownerOf(*Page);
+                     Succession_.observe(bootTime(), Seen);
+                     if (Attempted_ && Seen.Row_ == *Attempted_ &&
+                         DrainingSince_ == 0) {
+                       // The takeover was done and its answer lost.
+                       becomeOwner(Seen.Row_, Seen.Version_);
+                       return;
+                     }
                      followOwner();
                    });
 }
@@ -268,6 +277,7 @@
       !Succession_.mayTakeOver(bootTime()))
     return;
   TakingOver_ = true;
+  Attempted_.reset();
   cell::OwnerRow Row;
   const cell::StoredOwner Seen = Succession_.last();
   Row.Epoch_ = Seen.Row_.Epoch_ + 1;
@@ -281,10 +291,13 @@
                     Succession_.restart(bootTime());
                     if (Answer.Result_ == cell::TransactionResult::Done)
                       becomeOwner(Row, Answer.Version_);
+                    else if (Answer.Result_ == cell::TransactionResult::Unknown)
+                      Attempted_ = Row;
                   });
 }
 
 void EntryHost::becomeOwner(const cell::OwnerRow &Row, std::uint64_t Version) {
+  Attempted_.reset();
   OwnerLink_.reset();
   OwnerEpoch_ = Row.Epoch_;
   Owner_ = std::make_unique<Owner>(
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -7,7 +7,7 @@
 namespace oleandergauge::node {
 namespace {
 
-constexpr std::size_t OrderConnections = 6;
+constexpr std::size_t OrderConnections = 2;
 constexpr Millis OrderTimeout = 350;
 constexpr Millis LookSlack = 500;
 constexpr Millis WorkersPause = 700;
--- a/src/node/store_client.cc
+++ b/src/node/store_client.cc
@@ -11,6 +11,8 @@
 constexpr Millis MostWriteTimeout = 2500;
 constexpr double WriteTimeoutFactor = 8;
 constexpr double SmoothingWeight = 0.2;
+/// A read tells of a slow store before the first write does.
+constexpr double ReadWeight = 0.5;
 constexpr Millis ReadTimeout = 1200;
 constexpr Millis FeedSlack = 500;
 constexpr std::size_t ReadConnections = 4;
@@ -32,21 +34,23 @@
                            TransactionHandler Then) {
   ++Calls_;
   const Millis SentAt = bootTime();
-  Writes_.send(
-      platform::encodeTransaction(Owner, Version, Changes), WriteTimeout_,
-      [this, SentAt, Then = std::move(Then)](const HttpReply &Reply) {
-        note(Reply);
-        if (Reply.Status_ == 0) {
-          WriteTimeout_ = std::min(MostWriteTimeout, WriteTimeout_ * 2);
-        } else {
-          const auto Took = static_cast<double>(bootTime() - SentAt);
-          WriteTime_ += SmoothingWeight * (Took - WriteTime_);
-          WriteTimeout_ =
-              std::clamp(static_cast<Millis>(WriteTimeoutFactor * WriteTime_),
-                         LeastWriteTimeout, MostWriteTimeout);
-        }
-        Then(platform::decodeTransaction(Reply));
-      });
+  const auto Expected = static_cast<Millis>(WriteTimeoutFactor * ReadTime_);
+  Writes_.send(platform::encodeTransaction(Owner, Version, Changes),
+               std::clamp(Expected, WriteTimeout_, MostWriteTimeout),
+               [this, SentAt, Then = std::move(Then)](const HttpReply &Reply) {
+                 note(Reply);
+                 if (Reply.Status_ == 0) {
+                   WriteTimeout_ =
+                       std::min(MostWriteTimeout, WriteTimeout_ * 2);
+                 } else {
+                   const auto Took = static_cast<double>(bootTime() - SentAt);
+                   WriteTime_ += SmoothingWeight * (Took - WriteTime_);
+                   WriteTimeout_ = std::clamp(
+                       static_cast<Millis>(WriteTimeoutFactor * WriteTime_),
+                       LeastWriteTimeout, MostWriteTimeout);
+                 }
+                 Then(platform::decodeTransaction(Reply));
+               });
 }
 
 void StoreClient::readTable(platform::Space Where, const std::string &Table,
@@ -60,26 +64,29 @@
                            const std::shared_ptr<platform::RowPage> &Sofar,
                            TableHandler Then) {
   ++Calls_;
-  Reads_.send(platform::encodeRead(Where, Table, From), ReadTimeout,
-              [this, Where, Table, Sofar,
-               Then = std::move(Then)](const HttpReply &Reply) {
-                note(Reply);
-                auto Page = platform::decodeRead(Reply);
-                if (!Page) {
-                  Then(std::nullopt);
-                  return;
-                }
-                if (Sofar->Version_ == 0)
-                  Sofar->Version_ = Page->Version_;
-                for (platform::Row &Each : Page->Rows_)
-                  Sofar->Rows_.push_back(std::move(Each));
-                if (Page->More_ && !Sofar->Rows_.empty())
-                  readPage(Where, Table,
-                           platform::keyAfter(Sofar->Rows_.back().Key_), Sofar,
-                           Then);
-                else
-                  Then(std::move(*Sofar));
-              });
+  const Millis SentAt = bootTime();
+  Reads_.send(
+      platform::encodeRead(Where, Table, From), ReadTimeout,
+      [this, SentAt, Where, Table, Sofar,
+       Then = std::move(Then)](const HttpReply &Reply) {
+        note(Reply);
+        auto Page = platform::decodeRead(Reply);
+        ReadTime_ +=
+            ReadWeight * (static_cast<double>(bootTime() - SentAt) - ReadTime_);
+        if (!Page) {
+          Then(std::nullopt);
+          return;
+        }
+        if (Sofar->Version_ == 0)
+          Sofar->Version_ = Page->Version_;
+        for (platform::Row &Each : Page->Rows_)
+          Sofar->Rows_.push_back(std::move(Each));
+        if (Page->More_ && !Sofar->Rows_.empty())
+          readPage(Where, Table, platform::keyAfter(Sofar->Rows_.back().Key_),
+                   Sofar, Then);
+        else
+          Then(std::move(*Sofar));
+      });
 }
 
 void StoreClient::waitForOperator(std::uint64_t After, Millis Wait,
--- a/src/node/store_client.h
+++ b/src/node/store_client.h
@@ -49,6 +49,7 @@
   HttpLane Feed_;
   Millis WriteTimeout_;
   double WriteTime_ = 0; ///< Smoothed, in milliseconds.
+  double ReadTime_ = 0;  ///< Smoothed, in milliseconds.
   Millis LastFailure_ = 0;
   Millis LastSuccess_ = 0;
   std::uint64_t Calls_ = 0;
