--- a/src/cell/cell.cc
+++ b/src/cell/cell.cc
@@ -125,6 +125,10 @@
   Engine_->pump();
 }
 
+void Cell::setStoreReachable(bool Reachable) {
+  Engine_->StoreReachable_ = Reachable;
+}
+
 void Cell::tick(Millis Now, Millis Wall) {
   Engine_->Now_ = Now;
   Engine_->Wall_ = Wall;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -207,6 +207,9 @@
   void handle(Millis Now, const AdviceOutcome &Outcome);
   /// The transaction in flight is stored.
   void committed(Millis Now, Millis Wall);
+  /// Whether the store answers at present, be it slowly. While it does not,
+  /// submissions that are in no transaction are refused.
+  void setStoreReachable(bool Reachable);
   void tick(Millis Now, Millis Wall);
 
   std::vector<Effect> takeEffects();
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -53,6 +53,7 @@
                  Worker *Where);
   void endJob(Job &Ended, EndState State);
   void detach(Job &Of);
+  bool storeStalled() const;
   void refuseUnsent();
   void advanceJobs();
 
@@ -82,6 +83,7 @@
   Millis Now_ = 0;
   Millis Wall_ = 0;
   std::vector<Effect> Effects_;
+  bool StoreReachable_ = true;
 
 private:
   // engine_jobs.cc
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -15,9 +15,9 @@
 constexpr Millis StepOverhead = 60;
 /// Longest way of a former owner's last renewal.
 constexpr Millis OrderDelay = 400;
-/// Age of a transaction without an answer from which on submissions that are
-/// not part of it are refused: they would wait for the store as long.
-constexpr Millis StoreStall = 900;
+/// Least age of a transaction without an answer for which submissions that are
+/// not part of it are refused.
+constexpr Millis StoreStall = 400;
 constexpr Millis AdvanceInterval = 40;
 
 } // namespace
@@ -219,7 +219,7 @@
       Known->Callers_.push_back(Caller);
     return;
   }
-  if (CommitInFlight_ && Now_ - LastCommit_ > StoreStall) {
+  if (storeStalled()) {
     Effects_.push_back(Reply{Caller, Answer::Busy});
     return;
   }
@@ -410,9 +410,13 @@
       Each->KeptFor_ = nullptr;
 }
 
+bool Cell::Engine::storeStalled() const {
+  return !StoreReachable_ && CommitInFlight_ && Now_ - LastCommit_ > StoreStall;
+}
+
 /// Refuses what is in no transaction yet while the store does not answer.
 void Cell::Engine::refuseUnsent() {
-  if (!CommitInFlight_ || Now_ - LastCommit_ <= StoreStall)
+  if (!storeStalled())
     return;
   for (Job *Each : NewJobs_) {
     for (Token Caller : Each->Callers_)
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -22,7 +22,7 @@
 constexpr Millis LinkSilence = 900;
 /// An owner that has had no answer from the store for longer is replaced by a
 /// host that has.
-constexpr Millis StoreSilence = 1800;
+constexpr Millis StoreSilence = 1200;
 constexpr Millis RowPoll = 300;
 constexpr Millis FeedWait = 1200;
 constexpr Millis FeedRetry = 150;
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -173,6 +173,7 @@
   if (!Ready_ || Over_)
     return;
   readWorkers();
+  Cell_->setStoreReachable(Shared_.Store_.reachable());
   Cell_->tick(bootTime(), wallTime());
   drain();
 }
--- a/src/node/store_client.cc
+++ b/src/node/store_client.cc
@@ -13,6 +13,10 @@
 constexpr double SmoothingWeight = 0.2;
 /// A read tells of a slow store before the first write does.
 constexpr double ReadWeight = 0.5;
+/// Time without a served call after which the store counts as away: where
+/// calls fail, and where they stay without an answer.
+constexpr Millis FailingLimit = 600;
+constexpr Millis SilenceLimit = 1100;
 constexpr Millis ReadTimeout = 1200;
 constexpr Millis FeedSlack = 500;
 constexpr std::size_t ReadConnections = 4;
@@ -29,6 +33,11 @@
   (Failed ? LastFailure_ : LastSuccess_) = bootTime();
 }
 
+bool StoreClient::reachable() const {
+  const Millis Since = bootTime() - LastSuccess_;
+  return Since < (LastFailure_ > LastSuccess_ ? FailingLimit : SilenceLimit);
+}
+
 void StoreClient::transact(const cell::OwnerRow &Owner, std::uint64_t Version,
                            const std::vector<cell::RowChange> &Changes,
                            TransactionHandler Then) {
--- a/src/node/store_client.h
+++ b/src/node/store_client.h
@@ -34,6 +34,9 @@
 
   /// Moment of the last answer that was missing or refused.
   Millis lastFailure() const { return LastFailure_; }
+  /// False where the store refuses calls or leaves them without an answer; a
+  /// slow store is reachable.
+  bool reachable() const;
   Millis lastSuccess() const { return LastSuccess_; }
   std::uint64_t calls() const { return Calls_; }
 
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -185,6 +185,7 @@
         continue;
       if (Now_ % 200 == 0)
         listWorkers();
+      Cell_->setStoreReachable(!StoreDown_);
       Cell_->tick(Now_, wall());
       perform();
     }
