--- a/test/core/partition_fuzz_world.h
+++ b/test/core/partition_fuzz_world.h
@@ -14,16 +14,15 @@
 #include "oleandergauge/partition.h"
 
 namespace oleandergauge {
-namespace {
 
 using std::chrono::milliseconds;
 
-constexpr unsigned HostCount = 3;
-constexpr unsigned WorkerCount = 6;
-constexpr Duration TickLength = milliseconds(10);
-const std::vector<PartitionId> Partitions = {PartitionId("p0"),
-                                             PartitionId("p1")};
-const std::vector<TeamId> Teams = {TeamId("red"), TeamId("blue")};
+inline constexpr unsigned HostCount = 3;
+inline constexpr unsigned WorkerCount = 6;
+inline constexpr Duration TickLength = milliseconds(10);
+inline const std::vector<PartitionId> Partitions = {PartitionId("p0"),
+                                                    PartitionId("p1")};
+inline const std::vector<TeamId> Teams = {TeamId("red"), TeamId("blue")};
 
 class FuzzWorld;
 
@@ -146,7 +145,7 @@
 
 // -------------------------------------------------------------- Process
 
-Process::Process(FuzzWorld &World, unsigned Index, unsigned RatePermille)
+inline Process::Process(FuzzWorld &World, unsigned Index, unsigned RatePermille)
     : World_(World), Index_(Index), RatePermille_(RatePermille) {
   for (const PartitionId &Id : Partitions)
     Parts_.emplace(Id, Partition(Id, HostId("h" + std::to_string(Index)), "a"));
@@ -154,17 +153,23 @@
   BoundUntil_ = clock() + EvidenceBound;
 }
 
-TimePoint Process::clock() const {
+inline TimePoint Process::clock() const {
   return TimePoint(World_.Time_.now().time_since_epoch() * RatePermille_ /
                    1000);
 }
 
-void Process::pause(Duration Span) { PausedUntil_ = World_.Time_.now() + Span; }
-void Process::cut(Duration Span) { CutUntil_ = World_.Time_.now() + Span; }
-bool Process::paused() const { return World_.Time_.now() < PausedUntil_; }
-bool Process::isCut() const { return World_.Time_.now() < CutUntil_; }
+inline void Process::pause(Duration Span) {
+  PausedUntil_ = World_.Time_.now() + Span;
+}
+inline void Process::cut(Duration Span) {
+  CutUntil_ = World_.Time_.now() + Span;
+}
+inline bool Process::paused() const {
+  return World_.Time_.now() < PausedUntil_;
+}
+inline bool Process::isCut() const { return World_.Time_.now() < CutUntil_; }
 
-void Process::tick() {
+inline void Process::tick() {
   if (paused())
     return;
   const auto Sending = std::move(Outbox_);
@@ -181,7 +186,7 @@
     handle(Id, Tick());
 }
 
-void Process::readHead() {
+inline void Process::readHead() {
   NextRead_ = clock() + milliseconds(500);
   if (clock() >= NextList_) {
     NextList_ = clock() + milliseconds(1000);
@@ -205,7 +210,7 @@
   postAll(Evidence_);
 }
 
-void Process::vouchOutage() {
+inline void Process::vouchOutage() {
   BoundUntil_ = clock() + EvidenceBound;
   Evidence_.OutageUntil_ = clock() + EvidenceBound;
   Evidence_.MayActUntil_ = Evidence_.OutageUntil_;
@@ -213,12 +218,14 @@
   postAll(Evidence_);
 }
 
-void Process::handle(const PartitionId &Id, const PartitionEvent &Event) {
+inline void Process::handle(const PartitionId &Id,
+                            const PartitionEvent &Event) {
   for (const auto &Effect : Parts_.at(Id).handle(clock(), Event))
     std::visit([&](const auto &Is) { perform(Id, Is); }, Effect);
 }
 
-void Process::answer(const PartitionId &Id, const PartitionEvent &Event) {
+inline void Process::answer(const PartitionId &Id,
+                            const PartitionEvent &Event) {
   for (int Copy = World_.chance(World_.LinkFaults_) ? 2 : 1; Copy > 0; --Copy)
     World_.Time_.after(World_.millis(1, Copy == 2 ? 3000 : 6),
                        [Self = weak_from_this(), Id, Event] {
@@ -227,7 +234,7 @@
                        });
 }
 
-void Process::perform(const PartitionId &Id, const SendTable &Effect) {
+inline void Process::perform(const PartitionId &Id, const SendTable &Effect) {
   const auto Done = [Self = weak_from_this(), Id,
                      Sent = Effect.Token_](const TableReply &Reply) {
     if (const auto Alive = Self.lock())
@@ -241,7 +248,8 @@
     World_.Table_.send(Effect.Request_, Done);
 }
 
-void Process::perform(const PartitionId &Id, const StartOnWorker &Effect) {
+inline void Process::perform(const PartitionId &Id,
+                             const StartOnWorker &Effect) {
   Outbox_.push_back([this, Id, Effect] {
     const bool Call = Effect.Spec_->Class_ == WorkClass::Direct;
     const auto Tell = [Self = weak_from_this(), Id, Effect,
@@ -280,7 +288,8 @@
   });
 }
 
-void Process::perform(const PartitionId &Id, const ExchangeWithWorker &Effect) {
+inline void Process::perform(const PartitionId &Id,
+                             const ExchangeWithWorker &Effect) {
   Outbox_.push_back([this, Id, Effect] {
     if (clock() >= Effect.ValidUntil_)
       return;
@@ -304,7 +313,7 @@
   });
 }
 
-void Process::perform(const PartitionId &, const StopOnWorker &Effect) {
+inline void Process::perform(const PartitionId &, const StopOnWorker &Effect) {
   FakeWorker &Worker = World_.Workers_.at(Effect.Worker_);
   if (!World_.chance(World_.LinkFaults_))
     World_.Time_.after(World_.millis(1, 6), [&Worker, Effect] {
@@ -313,13 +322,14 @@
     });
 }
 
-void Process::perform(const PartitionId &, const ReplyToCaller &Effect) {
+inline void Process::perform(const PartitionId &, const ReplyToCaller &Effect) {
   World_.noteReply(Effect);
 }
 
 // ---------------------------------------------------------------- World
 
-FuzzWorld::FuzzWorld(std::uint64_t Seed) : Random_(Seed), Table_(Time_, Seed) {
+inline FuzzWorld::FuzzWorld(std::uint64_t Seed)
+    : Random_(Seed), Table_(Time_, Seed) {
   for (const auto &[Team, Limit] : Limits_)
     Checks_.noteLimit(Time_.now(), Team, Limit);
   changeView();
@@ -331,7 +341,7 @@
 }
 
 /// Every partition has a worker in each of three failure domains.
-void FuzzWorld::addWorkers() {
+inline void FuzzWorld::addWorkers() {
   const Resources Capacity{4000, 4096, 0, 4, 16};
   for (unsigned Rack = 0; Workers_.size() < WorkerCount; ++Rack) {
     const auto Home = View_->partitionOf(
@@ -355,7 +365,7 @@
   }
 }
 
-void FuzzWorld::changeView() {
+inline void FuzzWorld::changeView() {
   std::vector<Record> Records;
   for (unsigned Stripe = 0; Stripe < Partitions.size(); ++Stripe)
     Records.push_back({Partitions[Stripe].str(), 2,
@@ -367,11 +377,11 @@
   View_ = std::make_shared<const ConfigView>(++Version_, Records);
 }
 
-void FuzzWorld::replace(unsigned Index) {
+inline void FuzzWorld::replace(unsigned Index) {
   Hosts_[Index] = std::make_shared<Process>(*this, Index, 960 + Random_() % 81);
 }
 
-void FuzzWorld::noteReply(const ReplyToCaller &Reply) {
+inline void FuzzWorld::noteReply(const ReplyToCaller &Reply) {
   Checks_.noteReply(Reply);
   if (Reply.Answer_ && Reply.Answer_->Ended_)
     Ended_.insert(Reply.Answer_->Job_);
@@ -385,7 +395,7 @@
 }
 
 /// All hosts say that they cannot reach the store; none is missing.
-void FuzzWorld::vouch() {
+inline void FuzzWorld::vouch() {
   const bool Unanimous =
       std::all_of(Hosts_.begin(), Hosts_.end(), [this](const auto &Each) {
         return !Each->paused() && Each->applied() == View_->headVersion();
@@ -397,7 +407,7 @@
     Each->vouchOutage();
 }
 
-void FuzzWorld::run(Duration Span) {
+inline void FuzzWorld::run(Duration Span) {
   for (const TimePoint End = Time_.now() + Span; Time_.now() < End;) {
     Time_.advance(TickLength);
     for (auto &[Id, Worker] : Workers_)
@@ -418,14 +428,14 @@
   }
 }
 
-Process &FuzzWorld::hostOf(const PartitionId &Home, bool Anywhere) {
+inline Process &FuzzWorld::hostOf(const PartitionId &Home, bool Anywhere) {
   for (const auto &Each : Hosts_)
     if (!Anywhere && Each->owns(Home) && !Each->paused())
       return *Each;
   return *Hosts_[Random_() % HostCount];
 }
 
-void FuzzWorld::submit(const Step &Value) {
+inline void FuzzWorld::submit(const Step &Value) {
   JobSpec Spec;
   Spec.Request_ = RequestId("j" + std::to_string(Jobs_.size()));
   Spec.Id_ = JobId(Spec.Request_.str());
@@ -446,7 +456,7 @@
   send(Spec, Value.Who_ == 0);
 }
 
-void FuzzWorld::send(const JobSpec &Spec, bool Anywhere) {
+inline void FuzzWorld::send(const JobSpec &Spec, bool Anywhere) {
   const Token Sent = NextToken_++;
   const PartitionId Home = homeOf(Spec);
   Submissions_[Sent] = Spec;
@@ -454,13 +464,13 @@
   hostOf(Home, Anywhere).post(Home, Submitted{Sent, Spec});
 }
 
-void FuzzWorld::cancel(const JobSpec &Spec) {
+inline void FuzzWorld::cancel(const JobSpec &Spec) {
   const PartitionId Home = homeOf(Spec);
   hostOf(Home, false)
       .post(Home, CancelRequested{NextToken_++, Spec.Team_, Spec.Id_});
 }
 
-void FuzzWorld::changeRecords(const Step &Value) {
+inline void FuzzWorld::changeRecords(const Step &Value) {
   // The operator's change needs the store, and waits for vouches to end.
   if (TableOut_ || Time_.now() < LastVouch_ + milliseconds(3300))
     return;
@@ -480,7 +490,7 @@
   changeView();
 }
 
-void FuzzWorld::apply(const Step &Value) {
+inline void FuzzWorld::apply(const Step &Value) {
   Process &Host = *Hosts_[Value.Who_];
   FakeWorker &Worker =
       std::next(Workers_.begin(), Value.Amount_ % WorkerCount)->second;
@@ -535,7 +545,7 @@
 }
 
 /// All faults stop, all hosts are replaced one after the other.
-void FuzzWorld::heal() {
+inline void FuzzWorld::heal() {
   Table_.setFaultRate(0);
   Table_.setOut(TableOut_ = false);
   LinkFaults_ = 0;
@@ -558,7 +568,7 @@
   run(milliseconds(8000));
 }
 
-void FuzzWorld::finish() {
+inline void FuzzWorld::finish() {
   heal();
   for (int Round = 0; Round < 40; ++Round) {
     for (const JobSpec &Spec : Jobs_) {
@@ -585,14 +595,13 @@
       throw std::runtime_error("accepted job has not ended: " + Id.str());
 }
 
-void play(FuzzWorld &World, const std::vector<Step> &Steps) {
+inline void play(FuzzWorld &World, const std::vector<Step> &Steps) {
   World.run(milliseconds(4500));
   for (const Step &Value : Steps)
     World.apply(Value);
   World.finish();
 }
 
-} // namespace
 } // namespace oleandergauge
 
 #endif // OLEANDERGAUGE_TEST_CORE_PARTITION_FUZZ_WORLD_H
