Remove unused members; drop links between hosts in one place

Cause: a read-through of the whole change: members that nothing reads, and the removal of a host's link written twice. Change: those members are gone, dropLink() serves both callers. Behaviour is the same.

--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -73,7 +73,6 @@
   Token AdviceToken_ = 0;                          ///< While one is asked for.
   Millis AdviceNotBefore_ = 0;
   std::uint32_t GangStarts_ = 0;
-  Millis HeldSince_ = 0; ///< Room is kept for this gang since then.
 
   const StepSpec &spec() const;
   std::uint32_t waiting() const {
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -42,7 +42,6 @@
   /// True where this host should write itself into the row now.
   bool mayTakeOver(Millis Now) const;
   const StoredOwner &last() const { return Last_; }
-  bool known() const { return LastRead_ >= 0; }
   /// Forgets how long the row was unchanged, as after a failed attempt.
   void restart(Millis Now);
 
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -66,6 +66,7 @@
   void handleFromOwner(const Frame &Received);
   void answerAdvice(const cell::pb::AdviceRequest &Request);
   void sendBeats();
+  void dropLink(std::size_t At);
   void dropSilentLinks();
   bool sendToOwner(const cell::pb::Forward &Request);
   bool ownerReachable() const;
@@ -348,10 +349,7 @@
       for (std::size_t At = 0; At < Links_.size(); ++At) {
         if (Links_[At].Link_.get() != Raw)
           continue;
-        const HostLink Gone = Links_[At];
-        Links_.erase(Links_.begin() + static_cast<std::ptrdiff_t>(At));
-        if (Owner_ && !Gone.Host_.empty())
-          Owner_->removeHost(Gone.Host_);
+        dropLink(At);
         return;
       }
     });
@@ -495,6 +493,13 @@
     Each.Link_->send(Out);
 }
 
+void EntryHost::dropLink(std::size_t At) {
+  const HostLink Gone = Links_[At];
+  Links_.erase(Links_.begin() + static_cast<std::ptrdiff_t>(At));
+  if (Owner_ && !Gone.Host_.empty())
+    Owner_->removeHost(Gone.Host_);
+}
+
 void EntryHost::dropSilentLinks() {
   const Millis Now = bootTime();
   if (OwnerLink_ && Now - OwnerLink_->lastHeard() > LinkSilence)
@@ -502,10 +507,7 @@
   for (std::size_t At = Links_.size(); At-- > 0;) {
     if (Now - Links_[At].Link_->lastHeard() <= LinkSilence)
       continue;
-    const HostLink Gone = Links_[At];
-    Links_.erase(Links_.begin() + static_cast<std::ptrdiff_t>(At));
-    if (Owner_ && !Gone.Host_.empty())
-      Owner_->removeHost(Gone.Host_);
+    dropLink(At);
   }
 }
 
--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -84,7 +84,6 @@
 
 void HttpLane::start(Connection &On, Pending Next) {
   On.Busy_ = true;
-  ++Busy_;
   On.Then_ = std::move(Next.Then_);
   const timeval Span = {static_cast<time_t>(Next.Timeout_ / 1000),
                         static_cast<suseconds_t>(Next.Timeout_ % 1000 * 1000)};
@@ -122,7 +121,6 @@
   if (!On.Busy_)
     return;
   On.Busy_ = false;
-  --Busy_;
   const ReplyHandler Then = std::move(On.Then_);
   On.Then_ = nullptr;
   if (Reply.Status_ == 0) {
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -32,7 +32,6 @@
   /// \p Then gets the answer, or status 0 after \p Timeout from the moment of
   /// sending or where the connection broke.
   void send(HttpCall Call, Millis Timeout, ReplyHandler Then);
-  bool idle() const { return Busy_ == 0 && Waiting_.empty(); }
 
 private:
   struct Connection;
@@ -50,7 +49,6 @@
   std::string Address_;
   unsigned short Port_ = 0;
   std::size_t MaxConnections_;
-  std::size_t Busy_ = 0;
   std::vector<std::unique_ptr<Connection>> Connections_;
   std::deque<Pending> Waiting_;
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
--- a/src/node/http_server.h
+++ b/src/node/http_server.h
@@ -24,7 +24,6 @@
   std::string body() const;
   void answer(int Status, const std::string &Body,
               const std::vector<std::pair<std::string, std::string>> &Headers);
-  bool answered() const { return Raw_ == nullptr; }
 
 private:
   evhttp_request *Raw_;
--- a/src/node/store_client.cc
+++ b/src/node/store_client.cc
@@ -41,7 +41,6 @@
 void StoreClient::transact(const cell::OwnerRow &Owner, std::uint64_t Version,
                            const std::vector<cell::RowChange> &Changes,
                            TransactionHandler Then) {
-  ++Calls_;
   const Millis SentAt = bootTime();
   const auto Expected = static_cast<Millis>(WriteTimeoutFactor * ReadTime_);
   Writes_.send(platform::encodeTransaction(Owner, Version, Changes),
@@ -72,7 +71,6 @@
                            const std::string &From,
                            const std::shared_ptr<platform::RowPage> &Sofar,
                            TableHandler Then) {
-  ++Calls_;
   const Millis SentAt = bootTime();
   Reads_.send(
       platform::encodeRead(Where, Table, From), ReadTimeout,
@@ -100,7 +98,6 @@
 
 void StoreClient::waitForOperator(std::uint64_t After, Millis Wait,
                                   std::function<void(FeedAnswer Answer)> Then) {
-  ++Calls_;
   Feed_.send(
       platform::encodeOperatorFeed(After, Wait), Wait + FeedSlack,
       [this, Then = std::move(Then)](const HttpReply &Reply) {
--- a/src/node/store_client.h
+++ b/src/node/store_client.h
@@ -38,7 +38,6 @@
   /// slow store is reachable.
   bool reachable() const;
   Millis lastSuccess() const { return LastSuccess_; }
-  std::uint64_t calls() const { return Calls_; }
 
 private:
   void readPage(platform::Space Where, const std::string &Table,
@@ -55,7 +54,6 @@
   double ReadTime_ = 0;  ///< Smoothed, in milliseconds.
   Millis LastFailure_ = 0;
   Millis LastSuccess_ = 0;
-  std::uint64_t Calls_ = 0;
 };
 
 } // namespace oleandergauge::node
