Keep a lowered limit beside unseen grants; tell a cancel once stored

One partition knew only its own grant and used the whole new limit, the other used its proportional part of both grants: four ran. Neither could end its excess or read the row while the table was away. A team now starts only beside all that others may still run: the grants in the row, or the former limit until a read that is older than any host's old view shows them. The excess that is stopped is computed as before. Ruled out: the scheduler's count and the bound of the check.

Verdict: a query during a cancel whose row was not stored yet was answered "not run"; the owner was lost and the next one ran the job. Queries and repetitions now wait for the cancel to be stored.

--- a/include/oleandergauge/allotment.h
+++ b/include/oleandergauge/allotment.h
@@ -66,8 +66,11 @@
   bool fenced() const { return Fenced_; }
 
   /// How many more tasks the team may start: grant less running, and zero
-  /// where the grant was not read yet or the limit fell below.
+  /// where the grant was not read yet or what others may run leaves no room
+  /// under a lowered limit.
   std::uint32_t headroomOf(const TeamId &Team) const;
+  /// Whether all tasks that were noted as started may run at present.
+  bool mayStartCounted(const TeamId &Team) const;
   std::uint32_t grantOf(const TeamId &Team) const;
   std::uint32_t runningOf(const TeamId &Team) const;
   /// How many running tasks the team has above its part of the limit.
@@ -89,6 +92,12 @@
   };
   struct Team {
     std::uint32_t Limit_ = 0;
+    /// A former limit up to which others may have been granted unseen, or
+    /// zero once a read shows what they have.
+    std::uint32_t Ceiling_ = 0;
+    /// Reads from then on see all that hosts granted under Ceiling_; set by
+    /// the first read under the lowered limit.
+    std::optional<TimePoint> TrustedFrom_;
     std::uint32_t Running_ = 0;
     std::uint32_t Demand_ = 0;
     bool Known_ = false; ///< The row was read in this epoch.
@@ -103,6 +112,7 @@
   std::uint32_t rowGrantOf(const AllotmentRow &Row) const;
   std::uint32_t usableOf(const Team &State) const;
   std::uint32_t partOf(const Team &State) const;
+  std::uint32_t startableOf(const Team &State) const;
   std::uint32_t targetOf(const Team &State) const;
   bool othersWant(const AllotmentRow &Row) const;
   std::optional<AllotmentRow> wantedRow(const Team &State) const;
--- a/src/core/allotment.cc
+++ b/src/core/allotment.cc
@@ -1,6 +1,9 @@
 #include "oleandergauge/allotment.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "oleandergauge/config.h"
 
 namespace oleandergauge {
 namespace {
@@ -31,16 +34,26 @@
   Pending_ = Pending::None;
   for (auto &[Id, State] : Teams_) {
     const std::uint32_t Limit = State.Limit_;
+    const std::uint32_t Ceiling = State.Ceiling_;
     State = Team();
     State.Limit_ = Limit;
+    State.Ceiling_ = Ceiling;
   }
 }
 
 void Allotments::setLimits(const std::map<TeamId, std::uint32_t> &Limits) {
+  std::map<TeamId, std::uint32_t> Former;
   for (auto &[Id, State] : Teams_)
-    State.Limit_ = 0;
+    Former[Id] = std::exchange(State.Limit_, 0);
   for (const auto &[Id, Limit] : Limits)
     Teams_[Id].Limit_ = Limit;
+  for (const auto &[Id, Limit] : Former) {
+    Team &State = Teams_[Id];
+    if (Limit <= State.Limit_)
+      continue;
+    State.Ceiling_ = std::max(State.Ceiling_, Limit);
+    State.TrustedFrom_.reset();
+  }
 }
 
 void Allotments::setDemand(const TeamId &Team, std::uint32_t Waiting) {
@@ -78,12 +91,30 @@
   return std::min(Usable, static_cast<std::uint32_t>(Part));
 }
 
+/// A lowered limit leaves room only beside all that others may still run: an
+/// owner without the table can neither end its excess nor see what was granted.
+std::uint32_t Allotments::startableOf(const Team &State) const {
+  const std::uint64_t Granted =
+      std::max<std::uint64_t>(sumOf(State.Row_), State.Ceiling_);
+  const std::uint64_t Others = Granted - rowGrantOf(State.Row_);
+  if (Others >= State.Limit_)
+    return 0;
+  return std::min(usableOf(State),
+                  static_cast<std::uint32_t>(State.Limit_ - Others));
+}
+
 std::uint32_t Allotments::headroomOf(const TeamId &Id) const {
   const auto Found = Teams_.find(Id);
   if (!Open_ || Found == Teams_.end())
     return 0;
-  const std::uint32_t Part = partOf(Found->second);
-  return Part - std::min(Part, Found->second.Running_);
+  const std::uint32_t Most = startableOf(Found->second);
+  return Most - std::min(Most, Found->second.Running_);
+}
+
+bool Allotments::mayStartCounted(const TeamId &Id) const {
+  const auto Found = Teams_.find(Id);
+  return Open_ && Found != Teams_.end() &&
+         Found->second.Running_ <= startableOf(Found->second);
 }
 
 std::uint32_t Allotments::grantOf(const TeamId &Id) const {
@@ -259,6 +290,10 @@
   State.Version_ = Read.Version_;
   State.Known_ = true;
   State.Fresh_ = true;
+  if (!State.TrustedFrom_)
+    State.TrustedFrom_ = Now + EvidenceBound;
+  else if (Now >= *State.TrustedFrom_)
+    State.Ceiling_ = 0;
   if (State.Row_.Wanting_.contains(Self_))
     State.NextRead_ = Now + AllotmentWantRefresh;
 }
--- a/src/core/partition_jobs.cc
+++ b/src/core/partition_jobs.cc
@@ -30,6 +30,12 @@
       Change);
 }
 
+/// The cancel is not stored yet: a next owner may still run the job, so its
+/// state is not told.
+bool cancelPending(const detail::JobEntry &Job) {
+  return Job.Journaled_ && Job.CancelledFor_ && !Job.CancelCommitted_;
+}
+
 /// A retry may differ in how long it waits, not in the work.
 bool sameWork(const JobSpec &A, const JobSpec &B) {
   return A.Queue_ == B.Queue_ && A.Class_ == B.Class_ &&
@@ -62,6 +68,10 @@
                   "the request_id belongs to other work", Duration(0)));
     return;
   }
+  if (cancelPending(Job)) {
+    Job.UntilCancelled_.push_back(Event.Token_);
+    return;
+  }
   if (Job.Ended_ || (!Job.direct() && Job.Committed_)) {
     answer(Event.Token_, Job);
     return;
@@ -219,7 +229,9 @@
            notRun(RefusalReason::NotFound, "no such job", Duration(0)));
     return;
   }
-  if (Event.WaitForEnd_ && !Job->Ended_)
+  if (cancelPending(*Job))
+    Job->UntilCancelled_.push_back(Event.Token_);
+  else if (Event.WaitForEnd_ && !Job->Ended_)
     Job->UntilEnded_.push_back(Event.Token_);
   else
     answer(Event.Token_, *Job);
--- a/test/core/partition_fuzz_test.cc
+++ b/test/core/partition_fuzz_test.cc
@@ -43,5 +43,34 @@
   play(World, {{3, 1, 0}, {12, 1, 0}, {11, 0, 99}, {0, 0, 99}, {0, 0, 99}});
 }
 
+// Guards against a team above its upper limit after an outage of the table,
+// when one partition could not see what another one had been granted.
+TEST(PartitionReplayTest, TheLimitHoldsAcrossAnOutage) {
+  FuzzWorld World(867489964);
+  play(World, {{3, 0, 0},
+               {3, 0, 0},
+               {12, 0, 87},
+               {3, 0, 0},
+               {3, 0, 11},
+               {3, 0, 59},
+               {11, 0, 79},
+               {0, 0, 64},
+               {0, 0, 93}});
+}
+
+// Guards against a state that says "not run" of a job that ran: the cancel was
+// told before it was stored, and the next owner ran the job.
+TEST(PartitionReplayTest, CancelIsToldOnlyOnceItIsStored) {
+  FuzzWorld World(14178541113);
+  play(World, {{3, 0, 1},
+               {8, 0, 0},
+               {3, 0, 0},
+               {0, 0, 51},
+               {6, 0, 0},
+               {7, 0, 2},
+               {3, 0, 0},
+               {8, 1, 55}});
+}
+
 } // namespace
 } // namespace oleandergauge
