Store jobs that end together in one row; time orders out after 150 ms

A commit behind a slow store takes half a second and holds 90 rows; an ended job took three. The ended states of one transaction now share a row, and a progress row is removed only where one was written. Rows of the earlier form are read. An order without an answer is repeated after 150 ms instead of 350 ms: the same run number makes the repetition harmless, and a quote has half a second to spare.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -40,6 +40,12 @@
   Millis GiveUpAt_ = 0;
 };
 
+/// A stored row of ended jobs.
+struct EndedRow {
+  std::string Key_;
+  std::vector<std::string> Jobs_;
+};
+
 class Cell::Engine {
 public:
   Engine(std::string Self, Epoch OwnEpoch, Bounds Limits);
@@ -203,7 +209,9 @@
 
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs_;
   std::unordered_map<std::string, EndedRecord> Ended_;
-  std::multimap<Millis, std::string> EndedByTime_;
+  std::multimap<Millis, EndedRow> EndedByTime_;
+  std::uint64_t EndedRows_ = 0; ///< Written by this owner.
+  std::string CommitEndedKey_;  ///< Of the transaction in flight.
   std::map<std::string, Resources> TeamUse_;
   std::map<std::string, std::pair<double, Millis>> TeamTokens_;
 
@@ -236,7 +244,7 @@
   std::vector<Job *> NewJobs_;
   std::vector<Job *> DirtyJobs_;
   std::vector<Job *> EndingJobs_;
-  std::vector<std::string> ExpiredJobs_;
+  std::vector<std::string> ExpiredRows_; ///< Of ended jobs.
   bool WorkersDirty_ = false;
   std::set<std::string> RecordedWorkers_;
   std::set<std::string> CommitWorkers_;
--- a/src/cell/engine_commit.cc
+++ b/src/cell/engine_commit.cc
@@ -56,11 +56,13 @@
       continue;
     std::string Value = encodeProgress(Each);
     Bytes += Value.size();
+    Each.ProgressStored_ = true;
     Out.push_back({ProgressTable, Each.Id_, std::move(Value)});
   }
   DirtyJobs_.erase(DirtyJobs_.begin(),
                    DirtyJobs_.begin() + static_cast<std::ptrdiff_t>(Taken));
   std::vector<Job *> Later; // Written by this transaction; one row once.
+  EndedBatch Ended;
   for (Taken = 0; Taken < EndingJobs_.size() && Room(); ++Taken) {
     Job &Each = *EndingJobs_[Taken];
     if (!Each.Stored_) {
@@ -69,9 +71,14 @@
     }
     CommitEnding_.push_back(&Each);
     Out.push_back({JobTable, Each.Id_, std::nullopt});
-    Out.push_back({ProgressTable, Each.Id_, std::nullopt});
-    Out.push_back({EndedTable, Each.Id_,
-                   encode(EndedRecord{*Each.End_, Wall_, Each.Queue_})});
+    if (Each.ProgressStored_)
+      Out.push_back({ProgressTable, Each.Id_, std::nullopt});
+    Ended.emplace_back(Each.Id_, EndedRecord{*Each.End_, Wall_, Each.Queue_});
+  }
+  if (!Ended.empty()) {
+    CommitEndedKey_ = EndedBatchPrefix + std::to_string(Epoch_) + "." +
+                      std::to_string(++EndedRows_);
+    Out.push_back({EndedTable, CommitEndedKey_, encode(Ended)});
   }
   EndingJobs_.erase(EndingJobs_.begin(),
                     EndingJobs_.begin() + static_cast<std::ptrdiff_t>(Taken));
@@ -93,7 +100,7 @@
   if (recovering())
     Used.insert(Unsettled_.begin(), Unsettled_.end());
   WorkersDirty_ = Used != RecordedWorkers_;
-  if (!somethingToStore() && ExpiredJobs_.size() < MaxRows / 2 &&
+  if (!somethingToStore() && ExpiredRows_.size() < MaxRows / 2 &&
       Now_ < LastCommit_ + BeatPause)
     return;
   Commit Out;
@@ -104,9 +111,9 @@
   }
   addWaveChanges(Out.Changes_);
   addJobChanges(Out.Changes_);
-  while (!ExpiredJobs_.empty() && Out.Changes_.size() < MaxRows) {
-    Out.Changes_.push_back({EndedTable, ExpiredJobs_.back(), std::nullopt});
-    ExpiredJobs_.pop_back();
+  while (!ExpiredRows_.empty() && Out.Changes_.size() < MaxRows) {
+    Out.Changes_.push_back({EndedTable, ExpiredRows_.back(), std::nullopt});
+    ExpiredRows_.pop_back();
   }
   // Ends are taken note of only where all that they changed is written.
   CommitAll_ = DirtyJobs_.empty() && EndingJobs_.empty();
@@ -142,9 +149,10 @@
     Effects_.push_back(Decision{"job_accepted", Each->Id_, Each->Queue_, 0});
   }
   CommitNew_.clear();
+  EndedRow Stored{CommitEndedKey_, {}};
   for (Job *Each : CommitEnding_) {
     Ended_[Each->Id_] = {*Each->End_, Wall_, Each->Queue_};
-    EndedByTime_.emplace(Wall_, Each->Id_);
+    Stored.Jobs_.push_back(Each->Id_);
     for (Token Caller : Each->Cancellers_)
       Effects_.push_back(Reply{Caller, Answer::Cancelled});
     constexpr const char *States[] = {"complete", "failed", "cancelled"};
@@ -153,6 +161,8 @@
     if (Each->LiveRuns_ == 0)
       forgetJob(*Each);
   }
+  if (!Stored.Jobs_.empty())
+    EndedByTime_.emplace(Wall_, std::move(Stored));
   CommitEnding_.clear();
 }
 
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -190,13 +190,23 @@
       Effects_.push_back(Decision{"row_unreadable", Id, "progress", 0});
     else
       applyProgress(*Of, *Progress);
+    if (Of != nullptr)
+      Of->ProgressStored_ = true;
   }
   for (const auto &[Id, Bytes] : Stored.Ended_) {
-    const auto Record = decodeEnded(Bytes);
-    if (!Record)
+    const auto Batch = decodeEndedBatch(Id, Bytes);
+    if (!Batch) {
+      Effects_.push_back(Decision{"row_unreadable", Id, "ended", 0});
       continue;
-    Ended_[Id] = *Record;
-    EndedByTime_.emplace(Record->EndedAt_, Id);
+    }
+    EndedRow Row{Id, {}};
+    Millis Newest = 0;
+    for (const auto &[Job, Record] : *Batch) {
+      Ended_[Job] = Record;
+      Row.Jobs_.push_back(Job);
+      Newest = std::max(Newest, Record.EndedAt_);
+    }
+    EndedByTime_.emplace(Newest, std::move(Row));
   }
   for (const auto &[Id, Each] : Jobs_) {
     refreshReady(*Each);
@@ -465,8 +475,9 @@
   while (!EndedByTime_.empty() &&
          EndedByTime_.begin()->first + Limits_.StatusRetention_ * 3 / 2 <
              Wall_) {
-    ExpiredJobs_.push_back(EndedByTime_.begin()->second);
-    Ended_.erase(EndedByTime_.begin()->second);
+    ExpiredRows_.push_back(EndedByTime_.begin()->second.Key_);
+    for (const std::string &Job : EndedByTime_.begin()->second.Jobs_)
+      Ended_.erase(Job);
     EndedByTime_.erase(EndedByTime_.begin());
   }
 }
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -100,6 +100,7 @@
   std::vector<Token> Callers_;    ///< Wait for the job to be stored.
   std::vector<Token> Cancellers_; ///< Wait for the cancel to be stored.
   bool Dirty_ = false;            ///< Progress is not stored yet.
+  bool ProgressStored_ = false;   ///< It has a row of its own.
 };
 
 struct Worker {
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -167,23 +167,59 @@
   return Out;
 }
 
-std::string encode(const EndedRecord &Record) {
+namespace {
+
+pb::Ended toMessage(const EndedRecord &Record) {
   pb::Ended Out;
   Out.set_state(EndStateNames[static_cast<int>(Record.State_)]);
   Out.set_ended_ms(Record.EndedAt_);
   Out.set_queue(Record.Queue_);
-  return Out.SerializeAsString();
+  return Out;
+}
+
+std::optional<EndedRecord> fromMessage(const pb::Ended &In) {
+  for (int State = 0; State < 3; ++State)
+    if (In.state() == EndStateNames[State])
+      return EndedRecord{static_cast<EndState>(State), In.ended_ms(),
+                         In.queue()};
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string encode(const EndedRecord &Record) {
+  return toMessage(Record).SerializeAsString();
 }
 
 std::optional<EndedRecord> decodeEnded(const std::string &Bytes) {
   const auto Read = parse<pb::Ended>(Bytes);
+  return Read ? fromMessage(*Read) : std::nullopt;
+}
+
+std::string encode(const EndedBatch &Batch) {
+  pb::EndedBatch Out;
+  for (const auto &[Job, Record] : Batch) {
+    pb::EndedBatch::Entry &Entry = *Out.add_entries();
+    Entry.set_job(Job);
+    *Entry.mutable_ended() = toMessage(Record);
+  }
+  return Out.SerializeAsString();
+}
+
+std::optional<EndedBatch> decodeEndedBatch(const std::string &Key,
+                                           const std::string &Bytes) {
+  if (Key.empty() || Key.front() != EndedBatchPrefix) {
+    const auto Single = decodeEnded(Bytes);
+    return Single ? std::optional(EndedBatch{{Key, *Single}}) : std::nullopt;
+  }
+  const auto Read = parse<pb::EndedBatch>(Bytes);
   if (!Read)
     return std::nullopt;
-  for (int State = 0; State < 3; ++State)
-    if (Read->state() == EndStateNames[State])
-      return EndedRecord{static_cast<EndState>(State), Read->ended_ms(),
-                         Read->queue()};
-  return std::nullopt;
+  EndedBatch Out;
+  for (const pb::EndedBatch::Entry &Each : Read->entries())
+    if (const auto Record = fromMessage(Each.ended()))
+      Out.emplace_back(Each.job(), *Record);
+  return Out;
 }
 
 std::string encode(const std::set<std::string> &WorkerIds) {
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -73,6 +73,15 @@
 decodeProgress(const std::string &Bytes);
 std::string encode(const EndedRecord &Record);
 std::optional<EndedRecord> decodeEnded(const std::string &Bytes);
+
+/// The jobs that ended with one transaction, by id. They share a row, whose
+/// key begins with EndedBatchPrefix; a row of an earlier version holds one
+/// job and has its id as key.
+using EndedBatch = std::vector<std::pair<std::string, EndedRecord>>;
+inline constexpr char EndedBatchPrefix = '#';
+std::string encode(const EndedBatch &Batch);
+std::optional<EndedBatch> decodeEndedBatch(const std::string &Key,
+                                           const std::string &Bytes);
 std::string encode(const std::set<std::string> &WorkerIds);
 std::optional<std::set<std::string>> decodeWorkers(const std::string &Bytes);
 
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t OrderConnections = 2;
-constexpr Millis OrderTimeout = 350;
+constexpr Millis OrderTimeout = 150;
 constexpr Millis LookSlack = 500;
 constexpr Millis WorkersPause = 700;
 /// Time for which a transaction proves that no other host is owner.
