Store ends before progress in a transaction

Behind a slow store a transaction's rows are scarce. Callers wait for acceptances and ends; progress rows only let workers forget ends, and are written last. A job that ends leaves the list of progress to write.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -196,6 +196,9 @@
 
   // engine_commit.cc
   void addJobChanges(std::vector<RowChange> &Out);
+  void addNewJobs(std::vector<RowChange> &Out);
+  void addEndedJobs(std::vector<RowChange> &Out);
+  void addProgress(std::vector<RowChange> &Out);
   bool somethingToStore() const;
 
   std::string Self_;
--- a/src/cell/engine_commit.cc
+++ b/src/cell/engine_commit.cc
@@ -16,6 +16,14 @@
 /// Bytes of one transaction before it is closed; the store takes 1 MB.
 constexpr std::size_t MaxBytes = 400000;
 
+/// Whether a job's rows and the row of ended jobs still fit.
+bool hasRoom(const std::vector<RowChange> &Rows) {
+  std::size_t Bytes = 0;
+  for (const RowChange &Each : Rows)
+    Bytes += Each.Value_ ? Each.Value_->size() : 0;
+  return Rows.size() + 3 < MaxRows && Bytes < MaxBytes;
+}
+
 std::string encodeProgress(const Job &Of) {
   std::vector<StepProgress> Out;
   for (const auto &Step : Of.Steps_) {
@@ -36,34 +44,31 @@
 
 } // namespace
 
+/// Callers wait for acceptances and ends; progress only lets workers forget.
 void Cell::Engine::addJobChanges(std::vector<RowChange> &Out) {
-  std::size_t Bytes = 0;
-  auto Room = [&] { return Out.size() + 3 < MaxRows && Bytes < MaxBytes; };
-  while (!NewJobs_.empty() && Room()) {
-    Job &Each = *NewJobs_.front();
-    NewJobs_.erase(NewJobs_.begin());
-    CommitNew_.push_back(&Each);
-    std::string Value = encode(
-        JobRecord{*Each.Spec_, Each.Queue_, Each.Team_, Each.AcceptedWall_});
-    Bytes += Value.size();
-    Out.push_back({JobTable, Each.Id_, std::move(Value)});
-  }
+  addNewJobs(Out);
+  addEndedJobs(Out);
+  addProgress(Out);
+}
+
+void Cell::Engine::addNewJobs(std::vector<RowChange> &Out) {
   std::size_t Taken = 0;
-  for (; Taken < DirtyJobs_.size() && Room(); ++Taken) {
-    Job &Each = *DirtyJobs_[Taken];
-    Each.Dirty_ = false;
-    if (Each.End_)
-      continue;
-    std::string Value = encodeProgress(Each);
-    Bytes += Value.size();
-    Each.ProgressStored_ = true;
-    Out.push_back({ProgressTable, Each.Id_, std::move(Value)});
+  for (; Taken < NewJobs_.size() && hasRoom(Out); ++Taken) {
+    Job &Each = *NewJobs_[Taken];
+    CommitNew_.push_back(&Each);
+    Out.push_back({JobTable, Each.Id_,
+                   encode(JobRecord{*Each.Spec_, Each.Queue_, Each.Team_,
+                                    Each.AcceptedWall_})});
   }
-  DirtyJobs_.erase(DirtyJobs_.begin(),
-                   DirtyJobs_.begin() + static_cast<std::ptrdiff_t>(Taken));
+  NewJobs_.erase(NewJobs_.begin(),
+                 NewJobs_.begin() + static_cast<std::ptrdiff_t>(Taken));
+}
+
+void Cell::Engine::addEndedJobs(std::vector<RowChange> &Out) {
   std::vector<Job *> Later; // Written by this transaction; one row once.
   EndedBatch Ended;
-  for (Taken = 0; Taken < EndingJobs_.size() && Room(); ++Taken) {
+  std::size_t Taken = 0;
+  for (; Taken < EndingJobs_.size() && hasRoom(Out); ++Taken) {
     Job &Each = *EndingJobs_[Taken];
     if (!Each.Stored_) {
       Later.push_back(&Each);
@@ -85,6 +90,20 @@
   EndingJobs_.insert(EndingJobs_.end(), Later.begin(), Later.end());
 }
 
+void Cell::Engine::addProgress(std::vector<RowChange> &Out) {
+  // An ended job is forgotten once its end is stored.
+  std::erase_if(DirtyJobs_, [](const Job *Each) { return Each->End_; });
+  std::size_t Taken = 0;
+  for (; Taken < DirtyJobs_.size() && hasRoom(Out); ++Taken) {
+    Job &Each = *DirtyJobs_[Taken];
+    Each.Dirty_ = false;
+    Each.ProgressStored_ = true;
+    Out.push_back({ProgressTable, Each.Id_, encodeProgress(Each)});
+  }
+  DirtyJobs_.erase(DirtyJobs_.begin(),
+                   DirtyJobs_.begin() + static_cast<std::ptrdiff_t>(Taken));
+}
+
 bool Cell::Engine::somethingToStore() const {
   return !NewJobs_.empty() || !DirtyJobs_.empty() || !EndingJobs_.empty() ||
          WorkersDirty_;
