--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -100,6 +100,8 @@
   std::unique_ptr<Owner> Owner_;
   std::unique_ptr<PeerLink> OwnerLink_;
   std::string OwnerAddress_;
+  std::string RefusedAddress_; ///< Where nothing listened at RefusedAt_.
+  Millis RefusedAt_ = 0;
   Epoch OwnerEpoch_ = 0;
   bool OwnerSaysReady_ = false;
   Millis OwnerSeen_ = 0;
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -10,6 +10,8 @@
 constexpr Millis AnnounceTime = 1000;
 /// Pause before a link that the owner closed is made again.
 constexpr Millis LinkRetry = 30;
+/// Pause before an address at which nothing listens is tried again.
+constexpr Millis RefusedPause = 200;
 /// An owner without contact to the store for longer gives way to a host
 /// that says it had one within StoreHealthy.
 constexpr Millis CutOffTime = 600;
@@ -48,6 +50,10 @@
 void EntryHost::follow(Epoch OfOwner, const std::string &Address) {
   if (OfOwner < OwnerEpoch_ || Address.empty())
     return;
+  const bool JustRefused =
+      Address == RefusedAddress_ && bootTime() - RefusedAt_ < RefusedPause;
+  if (JustRefused)
+    return;
   if (OwnerLink_ && OwnerAddress_ == Address) {
     OwnerEpoch_ = OfOwner; // A later ownership of the same process.
     return;
@@ -84,6 +90,10 @@
   if (How == PeerLink::End::Silent)
     return;
   Succession_.ownerLinkLost();
+  if (How == PeerLink::End::Refused) {
+    RefusedAddress_ = OwnerAddress_;
+    RefusedAt_ = bootTime();
+  }
   // A live owner takes a new link; where nothing listens, it has ended.
   if (How == PeerLink::End::Refused)
     Succession_.ownerGone(bootTime(), OwnerEpoch_);
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -346,6 +346,7 @@
     return; // Nothing further is told, so nothing is lost.
   Changes_ = Each.Changes_;
   CommitWanted_ = true;
+  CommitWantedAt_ = bootTime();
   sendCommit();
 }
 
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -53,7 +53,8 @@
   /// Whether a transaction has been under way without contact to the store,
   /// for \p Limit.
   bool cutOff(Millis Limit) const {
-    return CommitWanted_ && Shared_.Store_.silence() > Limit;
+    return CommitWanted_ && bootTime() - CommitWantedAt_ > Limit &&
+           Shared_.Store_.silence() > Limit;
   }
 
 private:
@@ -107,6 +108,7 @@
   std::unordered_map<cell::Token, ReplyHandler> Replies_;
   cell::Token NextCaller_ = 1;
   bool CommitWanted_ = false;
+  Millis CommitWantedAt_ = 0; ///< When it was first sent.
   std::vector<cell::RowChange> Changes_;
   ReleaseHandler Released_;
   std::set<std::string> BadEntries_;
