Give up starts on vanished workers; settle orders that find a new life

The time after which an unanswered start is given up counted from the last order, stops included, so that it never came. It now counts from the last start.

The test for it showed a second fault: where the answer to an order was the first sign of a worker's new life, the order stayed counted as under way, and its task waited for ever.

Tests: StartsElsewhereWhatAVanishedWorkerNeverAnswered, StartsAgainWhereAnOrderFindsANewLife; both failed before.

--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -108,6 +108,7 @@
   Orders_[Id] = {To.Id_, Name, Of.Attempt_, To.Fence_, true, -1};
   Of.OrderInFlight_ = true;
   Of.LastOrderAt_ = Now_;
+  Of.LastStartAt_ = Now_;
   SendStart Out;
   Out.Token_ = Id;
   Out.Worker_ = {To.Id_, To.Address_, To.Fence_};
@@ -234,7 +235,7 @@
 void Cell::Engine::expireLease(Worker &Of) {
   std::vector<std::string> Lost;
   for (const auto &[Name, Each] : Of.Runs_)
-    if (!Each.Unanswered_ || Now_ > Each.LastOrderAt_ + LateOrderLimit)
+    if (!Each.Unanswered_ || Now_ > Each.LastStartAt_ + LateOrderLimit)
       Lost.push_back(Name);
   for (const std::string &Name : Lost)
     loseRun(Of, Name, "lease ended");
@@ -277,6 +278,7 @@
   if (Found == On->Runs_.end() || Found->second.Attempt_ != Order.Attempt_)
     return;
   if (Outcome.Born_ > On->Born_ && On->Born_ != 0) {
+    Found->second.OrderInFlight_ = false; // Settled by the lists that follow.
     changeLife(*On, Outcome.Born_);
     return;
   }
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -23,6 +23,7 @@
   Resources Need_;
   Millis OrderedAt_ = 0;
   Millis LastOrderAt_ = 0;
+  Millis LastStartAt_ = 0; ///< Of the orders to start it.
   /// Worker's clock when it confirmed the start, or the stop.
   Millis ConfirmedClock_ = 0;
   bool StopConfirmed_ = false;
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -71,6 +71,39 @@
   }
 }
 
+// Guards against a task that waits for ever on a worker that left for good as
+// the start was under way: the stops sent there must not prolong the wait.
+TEST(Cell, StartsElsewhereWhatAVanishedWorkerNeverAnswered) {
+  World Of(1, 1);
+  Of.takeOver();
+  Of.run(300);
+  Of.worker(0).Cut_ = true;
+  Of.submit(JobId, simpleJob(1, 3000));
+  Of.run(100);
+  Of.setListed("w0", false);
+  Of.run(20000);
+  EXPECT_EQ(Of.cell().stats(Of.now()).Running_, 0U);
+}
+
+// Guards against a task that waits for ever where the answer to an order is the
+// first sign of a worker's new life.
+TEST(Cell, StartsAgainWhereAnOrderFindsANewLife) {
+  // Whether an order or a look comes first depends on the moment.
+  for (Millis Away = 3000; Away < 3400; Away += 10) {
+    World Of(1, 1);
+    Of.takeOver();
+    Of.run(300);
+    Of.worker(0).Cut_ = true;
+    Of.submit(JobId, simpleJob(1, 3000));
+    Of.run(Away);
+    Of.worker(0).Cut_ = false;
+    Of.worker(0).restart(Of.now());
+    Of.run(10000);
+    EXPECT_EQ(Of.stateOf(JobId), JobState::Complete) << Away;
+    EXPECT_TRUE(Of.violations().empty()) << Of.violations().front();
+  }
+}
+
 // Guards against callers held to their time limit while the store is away:
 // what no transaction carries is refused, and never runs.
 TEST(Cell, RefusesAtOnceWhatAStalledStoreWouldHold) {
