Know the occurrences that run; rank each occurrence by its own objective

TWICE: a next owner opened an occurrence only 40 ms after it was ready, so that the workers' lists showed runs of no known step; they were stopped, and started elsewhere before they had ended. What is due is now open before the first list, and an occurrence that a worker names is opened on the spot.

LOST: later occurrences were ranked by the objective of the whole job, as work that earns nothing any more, behind work that no worker can do; that took all looks for workers of each pass. Each occurrence has its objective, and work without any worker is looked at less and less often, to once a second.

Tests: ANextOwnerKnowsTheOccurrencesThatRun, HopelessWorkLeavesLooksToOtherWork; both failed before.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -104,6 +104,8 @@
 private:
   // engine_jobs.cc
   Job &makeJob(const std::string &Id, const JobRecord &Record);
+  void openNamed(const TaskName &Name);
+  void openDue(Job &Of);
   void openOccurrence(Job &Of, std::uint32_t Occurrence);
   void applyProgress(Job &Of, const std::vector<StepProgress> &Progress);
   void refreshReady(Job &Of);
--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -28,8 +28,10 @@
 /// Time beyond a call's own time-out after which its answer counts as lost.
 constexpr Millis LostAnswer = 500;
 constexpr Millis RetryPause = 40;
-/// Pause before a step without room anywhere is looked at again.
+/// Pause before a step without room anywhere is looked at again. It doubles,
+/// so that work that fits no worker leaves the looks to other work.
 constexpr Millis NoRoomPause = 60;
+constexpr Millis LongestNoRoomPause = 1000;
 /// Steps for which one pass chooses workers to ask about.
 constexpr std::size_t MaxAskChoices = 16;
 
@@ -154,9 +156,12 @@
   ++AskChoices_;
   const std::vector<Worker *> Asked = chooseAsked(Step);
   if (Asked.empty()) {
-    Step.AdviceNotBefore_ = Now_ + NoRoomPause;
+    Step.NoRoomPause_ =
+        std::clamp(2 * Step.NoRoomPause_, NoRoomPause, LongestNoRoomPause);
+    Step.AdviceNotBefore_ = Now_ + Step.NoRoomPause_;
     return;
   }
+  Step.NoRoomPause_ = 0;
   const double Cost =
       Rates.Base_ + Rates.PerWorker_ * static_cast<double>(Asked.size());
   Agent *Through = chooseAgent(Cost);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -41,6 +41,34 @@
   return nullptr;
 }
 
+/// A worker runs or ran an occurrence that is not open here yet: a former
+/// owner, whose time of day may be ahead, found it due.
+void Cell::Engine::openNamed(const TaskName &Name) {
+  Job *Of = findJob(Name.Job_);
+  if (Of == nullptr || Name.Occurrence_ >= Of->Spec_->Occurrences_)
+    return;
+  const std::size_t Open = Of->Steps_.size() / Of->Spec_->Steps_.size();
+  for (auto At = static_cast<std::uint32_t>(Open); At <= Name.Occurrence_; ++At)
+    openOccurrence(*Of, At);
+  if (Open <= Name.Occurrence_)
+    refreshReady(*Of);
+}
+
+void Cell::Engine::openDue(Job &Of) {
+  if (Of.Spec_->Occurrences_ == 0 || Of.End_)
+    return;
+  std::size_t Open = Of.Steps_.size() / Of.Spec_->Steps_.size();
+  bool Opened = false;
+  while (Open < Of.Spec_->Occurrences_ &&
+         Wall_ >= Of.Spec_->FirstDue_ +
+                      static_cast<Millis>(Open) * Of.Spec_->Interval_) {
+    openOccurrence(Of, static_cast<std::uint32_t>(Open++));
+    Opened = true;
+  }
+  if (Opened)
+    refreshReady(Of);
+}
+
 const Queue *Cell::Engine::queueOf(const Job &Of) const {
   const auto It = Queues_.find(Of.Queue_);
   return It == Queues_.end() ? nullptr : &It->second;
@@ -119,6 +147,7 @@
     Made->Name_ =
         Of.Id_ + "." + std::to_string(Occurrence) + "." + std::to_string(Step);
     Made->Tasks_.resize(Of.Spec_->Steps_[Step].Count_);
+    Made->Objective_ = Objective;
     Made->LatestStart_ =
         Objective - StepOverhead - chainOf(*Of.Spec_, queueOf(Of), Step, false);
     Of.Steps_.push_back(std::move(Made));
@@ -209,6 +238,7 @@
     EndedByTime_.emplace(Newest, std::move(Row));
   }
   for (const auto &[Id, Each] : Jobs_) {
+    openDue(*Each); // Workers may run what is due.
     refreshReady(*Each);
     checkComplete(*Each);
   }
@@ -458,20 +488,8 @@
   NextAdvance_ = Now_ + AdvanceInterval;
   PlaceWanted_ = true; // Tickets and pauses run out without an event.
   expireAdvice();
-  for (const auto &[Id, Each] : Jobs_) {
-    if (Each->Spec_->Occurrences_ == 0 || Each->End_)
-      continue;
-    std::size_t Open = Each->Steps_.size() / Each->Spec_->Steps_.size();
-    bool Opened = false;
-    while (Open < Each->Spec_->Occurrences_ &&
-           Wall_ >= Each->Spec_->FirstDue_ +
-                        static_cast<Millis>(Open) * Each->Spec_->Interval_) {
-      openOccurrence(*Each, static_cast<std::uint32_t>(Open++));
-      Opened = true;
-    }
-    if (Opened)
-      refreshReady(*Each);
-  }
+  for (const auto &[Id, Each] : Jobs_)
+    openDue(*Each);
   while (!EndedByTime_.empty() &&
          EndedByTime_.begin()->first + Limits_.StatusRetention_ * 3 / 2 <
              Wall_) {
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -100,6 +100,8 @@
     return;
   }
   const auto Name = parseTaskName(Entry.Task_);
+  if (Name)
+    openNamed(*Name);
   StepRun *Step = Name ? findStep(*Name) : nullptr;
   const bool Wanted = Step != nullptr && !Step->Job_->End_ && Step->Ready_ &&
                       Step->Tasks_[Name->Index_].Phase_ == Task::Phase::Waiting;
@@ -125,6 +127,8 @@
     return;
   From.SeenEnd_ = End.Number_;
   const auto Name = parseTaskName(End.Task_);
+  if (Name)
+    openNamed(*Name);
   StepRun *Step = Name ? findStep(*Name) : nullptr;
   const auto Known = From.Runs_.find(End.Task_);
   const bool Own =
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -353,9 +353,9 @@
     int Class = 0;
     if (Each->spec().Service_)
       Class = -1; // Its users wait, however full the workers are.
-    else if (Of.OverShare_ || Now_ > Of.Objective_ + 2 * Of.Span_)
+    else if (Of.OverShare_ || Now_ > Each->Objective_ + 2 * Of.Span_)
       Class = 2;
-    else if (Now_ > Of.Objective_)
+    else if (Now_ > Each->Objective_)
       Class = 1;
     return std::tuple(Class, Each->LatestStart_, std::string_view(Each->Name_));
   };
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -69,11 +69,14 @@
   std::uint32_t DoneCount_ = 0;
   std::uint32_t ActiveCount_ = 0;
   bool Ready_ = false; ///< All earlier steps are done and it is due.
+  /// When the occurrence should be done.
+  Millis Objective_ = 0;
   /// When its first task should start for the job to meet its objective.
   Millis LatestStart_ = 0;
   std::unordered_map<std::string, Advice> Advice_; ///< By worker id.
   Token AdviceToken_ = 0;                          ///< While one is asked for.
   Millis AdviceNotBefore_ = 0;
+  Millis NoRoomPause_ = 0; ///< Grows while no worker is worth asking about.
   std::uint32_t GangStarts_ = 0;
 
   const StepSpec &spec() const;
@@ -89,8 +92,8 @@
   std::string Queue_;
   std::string Team_;
   Millis AcceptedWall_ = 0;
-  Millis Objective_ = 0; ///< Moment at which it should be done.
-  Millis Span_ = 0;      ///< From its arrival to Objective_.
+  Millis Objective_ = 0; ///< When it should be done, if not scheduled.
+  Millis Span_ = 0;      ///< From arrival or due time to the objective.
   bool Stored_ = false;
   bool Started_ = false;
   bool Inherited_ = false; ///< Accepted by a former owner.
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -431,5 +431,52 @@
   EXPECT_TRUE(Of.violations().empty()) << Of.violations().front();
 }
 
+// Guards against a second run of an occurrence that ran at a takeover, before
+// any of its progress was stored.
+TEST(Cell, ANextOwnerKnowsTheOccurrencesThatRun) {
+  World Of(4, 4);
+  Of.Behaviour_ = [](const std::string &) {
+    return std::pair(Millis{3000}, false);
+  };
+  Of.takeOver();
+  Of.run(300);
+  JobSpec Scheduled = simpleJob(6, 700);
+  Scheduled.Occurrences_ = 3;
+  Scheduled.FirstDue_ = 1000000 + Of.now() + 200;
+  Scheduled.Interval_ = 1000;
+  Of.submit(JobId, Scheduled, "fast");
+  Of.run(2500);
+  const std::size_t Before = Of.starts();
+  EXPECT_GE(Before, 12U);
+  Of.killOwner();
+  Of.takeOver();
+  Of.run(300);
+  EXPECT_LE(Of.starts(), 18U);
+  Of.run(9000);
+  EXPECT_EQ(Of.starts(), 18U);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+  EXPECT_TRUE(Of.violations().empty()) << Of.violations().front();
+}
+
+// Guards against a late occurrence that waits for ever behind work that no
+// worker can do: looks for workers to ask about are few in each pass.
+TEST(Cell, HopelessWorkLeavesLooksToOtherWork) {
+  World Of(4, 4);
+  Of.takeOver();
+  Of.run(300);
+  JobSpec Hopeless = simpleJob(1, 500);
+  Hopeless.Steps_[0].RequiredLabel_ = "nowhere";
+  for (int At = 100; At < 700; ++At)
+    Of.submit("0000000000000" + std::to_string(At), Hopeless, "advised");
+  Of.run(10000);
+  JobSpec Scheduled = simpleJob(1, 500);
+  Scheduled.Occurrences_ = 4;
+  Scheduled.FirstDue_ = 1000000 + Of.now();
+  Scheduled.Interval_ = 2500;
+  Of.submit(JobId, Scheduled, "advised");
+  Of.run(10000);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
