--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -133,9 +133,17 @@
   friend bool operator==(const Decision &, const Decision &) = default;
 };
 
-using Effect =
-    std::variant<Reply, SendStart, SendStop, SendPace, SendHold, AskAdvice,
-                 Commit, ListMachines, OrderUpkeep, TellWave, Decision>;
+/// A time for the histograms, by team and queue.
+struct Measured {
+  std::string_view What_;
+  std::string Class_; ///< "team/queue"
+  Millis Took_ = 0;
+  friend bool operator==(const Measured &, const Measured &) = default;
+};
+
+using Effect = std::variant<Reply, SendStart, SendStop, SendPace, SendHold,
+                            AskAdvice, Commit, ListMachines, OrderUpkeep,
+                            TellWave, Measured, Decision>;
 
 // ---------------------------------------------------------------- Events
 
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -110,6 +110,7 @@
   void applyProgress(Job &Of, const std::vector<StepProgress> &Progress);
   void refreshReady(Job &Of);
   void checkComplete(Job &Of);
+  void measure(std::string_view What, const Job &Of);
   void requeue(StepRun &Step, std::uint32_t Index);
   void gangDone(StepRun &Step);
   void markDirty(Job &Of);
--- a/src/cell/engine_commit.cc
+++ b/src/cell/engine_commit.cc
@@ -176,7 +176,9 @@
       Effects_.push_back(Reply{Caller, Answer::Cancelled});
     constexpr const char *States[] = {"complete", "failed", "cancelled"};
     Effects_.push_back(Decision{"job_ended", Each->Id_,
-                                States[static_cast<int>(*Each->End_)], 0});
+                                States[static_cast<int>(*Each->End_)],
+                                Wall_ - Each->AcceptedWall_});
+    measure("job_time", *Each);
     if (Each->LiveRuns_ == 0)
       forgetJob(*Each);
   }
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -171,6 +171,8 @@
   Of.Phase_ = Task::Phase::Active;
   Of.Where_ = &On;
   ++Step.ActiveCount_;
+  if (!Step.Job_->Started_)
+    measure("job_wait", *Step.Job_);
   Step.Job_->Started_ = true;
   Run Made;
   Made.Step_ = &Step;
--- a/src/node/counters.cc
+++ b/src/node/counters.cc
@@ -23,7 +23,7 @@
 
 void Counters::set(const char *Name, double Value) { Gauges_[Name] = Value; }
 
-void Counters::observe(const char *Name, const std::string &Label,
+void Counters::observe(const std::string &Name, const std::string &Label,
                        cell::Millis Sample) {
   Histogram &To = Histograms_[{Name, Label}];
   const auto Value = static_cast<std::uint64_t>(Sample < 0 ? 0 : Sample);
--- a/src/node/counters.h
+++ b/src/node/counters.h
@@ -18,7 +18,8 @@
              std::uint64_t Amount = 1);
   void set(const char *Name, double Value);
   /// \p Sample in milliseconds, by team or class.
-  void observe(const char *Name, const std::string &Label, cell::Millis Sample);
+  void observe(const std::string &Name, const std::string &Label,
+               cell::Millis Sample);
   /// In the Prometheus text format.
   std::string exposition() const;
 
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -496,6 +496,10 @@
       });
 }
 
+void Owner::perform(const cell::Measured &Each) {
+  Shared_.Counters_.observe(std::string(Each.What_), Each.Class_, Each.Took_);
+}
+
 void Owner::perform(const cell::Decision &Each) {
   Shared_.Counters_.count("decisions", std::string(Each.What_));
   Shared_.Log_.decision(
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -87,6 +87,7 @@
   void perform(const cell::ListMachines &Each);
   void perform(const cell::OrderUpkeep &Each);
   void perform(const cell::TellWave &Each);
+  void perform(const cell::Measured &Each);
   void perform(const cell::Decision &Each);
   void listMachines(const std::string &Page);
   void tellWave(std::uint64_t Wave);
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -633,6 +633,7 @@
         fail("wave told as complete before " + Machine);
     WaveStates_[Each.Wave_] = Each.Complete_;
   }
+  void carry(const Measured &) {}
   void carry(const Decision &) {}
 
   std::mt19937_64 Random_;
--- a/test/system/platform_hosts.py
+++ b/test/system/platform_hosts.py
@@ -14,6 +14,7 @@
 CALLER_PORT = 18183
 READY_PORT = 18184
 PEER_PORT = 17420
+METRICS_PORT = 9464
 
 
 class Host:
@@ -66,6 +67,14 @@
         finally:
             link.close()
 
+    def metrics(self):
+        link = http.client.HTTPConnection(self.ip, METRICS_PORT, timeout=2)
+        try:
+            link.request("GET", "/metrics")
+            return link.getresponse().read().decode()
+        finally:
+            link.close()
+
     def ready(self):
         link = http.client.HTTPConnection(self.ip, READY_PORT, timeout=1)
         try:
--- a/test/system/platform_test.py
+++ b/test/system/platform_test.py
@@ -5,6 +5,7 @@
 """
 import http.client
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -46,6 +47,9 @@
         submit(cell.hosts[n % 3], ident, count=3, steps=2)
     all_complete(cell, idents, 10)
     submit(cell.hosts[0], idents[0], count=3, steps=2)  # A late repetition.
+    metrics = cell.owner().metrics()
+    for name in ("job_wait", "job_time"):
+        assert re.search(name + r'.*/r1"', metrics), metrics
     no_double_runs(cell)
 
 
