Look at late and hopeless work less often

Work that no worker can do, or that is late, doubles its pause between looks for workers up to a second; other work looks every 60 ms as before.

--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -28,9 +28,10 @@
 /// Time beyond a call's own time-out after which its answer counts as lost.
 constexpr Millis LostAnswer = 500;
 constexpr Millis RetryPause = 40;
-/// Pause before a step without room anywhere is looked at again. It doubles,
-/// so that work that fits no worker leaves the looks to other work.
+/// Pause before a step without room anywhere is looked at again.
 constexpr Millis NoRoomPause = 60;
+/// Longest pause of work that no worker can do, or that is late. The pause
+/// doubles, so that such work leaves the looks to other work.
 constexpr Millis LongestNoRoomPause = 1000;
 /// Steps for which one pass chooses workers to ask about.
 constexpr std::size_t MaxAskChoices = 16;
@@ -156,8 +157,9 @@
   ++AskChoices_;
   const std::vector<Worker *> Asked = chooseAsked(Step);
   if (Asked.empty()) {
-    Step.NoRoomPause_ =
-        std::clamp(2 * Step.NoRoomPause_, NoRoomPause, LongestNoRoomPause);
+    const bool Pressing = !Step.Advice_.empty() && Now_ <= Step.Objective_;
+    const Millis Longest = Pressing ? NoRoomPause : LongestNoRoomPause;
+    Step.NoRoomPause_ = std::clamp(2 * Step.NoRoomPause_, NoRoomPause, Longest);
     Step.AdviceNotBefore_ = Now_ + Step.NoRoomPause_;
     return;
   }
