Serve by priority within a class of placement

Within what can still meet its objective, within late work and within the rest, steps now go by priority and then by latest start.

Test: UrgentWorkGoesBeforeOlderWork, failed before.

--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -348,8 +348,9 @@
                                 return Each->DoneCount_ == Each->Tasks_.size();
                               }),
                Ready_.end());
-  // Work that can still meet its objective goes first, the most pressing
-  // first; then what is late; then what earns nothing any more.
+  // Work that can still meet its objective goes first, then what is late, then
+  // what earns nothing any more; within each by priority, so that a cell with
+  // too much work serves the urgent, and then the most pressing first.
   auto Key = [this](const StepRun *Each) {
     const Job &Of = *Each->Job_;
     int Class = 0;
@@ -359,7 +360,8 @@
       Class = 2;
     else if (Now_ > Each->Objective_)
       Class = 1;
-    return std::tuple(Class, Each->LatestStart_, std::string_view(Each->Name_));
+    return std::tuple(Class, priorityOf(*Each), Each->LatestStart_,
+                      std::string_view(Each->Name_));
   };
   std::sort(
       Ready_.begin(), Ready_.end(),
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -369,6 +369,25 @@
   EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
 }
 
+// Guards against urgent work that waits behind older work of a lower priority
+// in a cell with too much to do.
+TEST(Cell, UrgentWorkGoesBeforeOlderWork) {
+  World Of(1, 1);
+  Of.Behaviour_ = [](const std::string &) {
+    return std::pair(Millis{800}, false);
+  };
+  Of.takeOver();
+  Of.run(300);
+  for (int At = 0; At < 6; ++At)
+    Of.submit("00000000000000b" + std::to_string(At), simpleJob(1, 3500));
+  Of.run(200);
+  JobSpec Urgent = simpleJob(1, 3500);
+  Urgent.Steps_[0].Estimate_ = 800; // Its latest start is the last.
+  Of.submit(JobId, Urgent, "fast");
+  Of.run(1900);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+}
+
 // Guards against a second run of an occurrence that ran at a takeover, before
 // any of its progress was stored.
 TEST(Cell, ANextOwnerKnowsTheOccurrencesThatRun) {
