--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -104,6 +104,30 @@
   delete static_cast<SharedExchange *>(Data);
 }
 
+/// Connections that may wait to be accepted; a full queue drops the opening
+/// packet, which is sent again only after a second.
+constexpr int AcceptQueue = 1024;
+
+/// Listens with a longer accept queue than the server's own ten.
+bool listenOn(SoupServer *Server, const std::string &Address, GError **Error) {
+  GSocketAddress *Where = parseAddress(Address);
+  GSocket *Socket =
+      g_socket_new(g_socket_address_get_family(Where), G_SOCKET_TYPE_STREAM,
+                   G_SOCKET_PROTOCOL_TCP, Error);
+  bool Bound = Socket != nullptr;
+  if (Bound) {
+    g_socket_set_listen_backlog(Socket, AcceptQueue);
+    Bound = g_socket_bind(Socket, Where, TRUE, Error) != FALSE &&
+            g_socket_listen(Socket, Error) != FALSE &&
+            soup_server_listen_socket(Server, Socket,
+                                      static_cast<SoupServerListenOptions>(0),
+                                      Error) != FALSE;
+    g_object_unref(Socket);
+  }
+  g_object_unref(Where);
+  return Bound;
+}
+
 } // namespace
 
 struct HttpServer::State {
@@ -168,13 +192,8 @@
                                 State_.get(), nullptr);
   soup_server_add_handler(State_->Server_, nullptr, State::onRequest,
                           State_.get(), nullptr);
-  GSocketAddress *Where = parseAddress(Address);
   GError *Error = nullptr;
-  bool Bound = soup_server_listen(State_->Server_, Where,
-                                  static_cast<SoupServerListenOptions>(0),
-                                  &Error) != FALSE;
-  g_object_unref(Where);
-  if (Bound)
+  if (listenOn(State_->Server_, Address, &Error))
     return;
   std::string Message = "cannot listen on " + Address + ": " + Error->message;
   g_error_free(Error);
