--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -139,8 +139,9 @@
 
   /// Starts an owner from what is stored.
   void takeOver() {
-    Cell_ = std::make_unique<Cell>("h" + std::to_string(Epoch_), ++Epoch_,
-                                   Bounds{});
+    ++Epoch_;
+    Cell_ =
+        std::make_unique<Cell>("h" + std::to_string(Epoch_), Epoch_, Bounds{});
     StoredCell Stored;
     for (const auto &[Key, Value] : Rows_) {
       if (Key.first == JobTable)
@@ -364,7 +365,7 @@
     std::uint32_t StepAt = 0;
     const StepSpec &Spec = specOf(Order.Task_, Job, StepAt);
     FakeWorker::Activity Made{Order.Attempt_, Spec.Need_, between(50, 900),
-                              chance(Faults_.FailedRun_)};
+                              chance(Faults_.FailedRun_), std::nullopt};
     if (Behaviour_)
       std::tie(Made.Left_, Made.Fails_) = Behaviour_(Order.Task_);
     On.Runs_[Order.Task_] = Made;
