Log run numbers, attempts of gangs and a slow owner

'owner is slow' and the histogram owner_tick_gap show an owner's own delay. The placement of gangs moves to a file of its own and is split; it decides as before.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -129,7 +129,8 @@
   std::string_view What_;
   std::string Subject_;
   std::string Reason_;
-  Millis Age_ = 0; ///< Of the inputs.
+  Millis Age_ = 0;            ///< Of the inputs.
+  std::uint64_t Attempt_ = 0; ///< Of the run; zero where it is about none.
   friend bool operator==(const Decision &, const Decision &) = default;
 };
 
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -40,6 +40,12 @@
   Millis GiveUpAt_ = 0;
 };
 
+/// Members of a gang that one worker takes.
+struct GangShare {
+  Worker *On_ = nullptr;
+  std::uint32_t Members_ = 0;
+};
+
 /// A stored row of ended jobs.
 struct EndedRow {
   std::string Key_;
@@ -152,6 +158,14 @@
   void adoptRun(Worker &On, const RunningEntry &Entry, StepRun &Step,
                 std::uint32_t Index);
 
+  // engine_gangs.cc
+  std::vector<GangShare> divideGang(const StepRun &Step,
+                                    const std::vector<Worker *> &Workers,
+                                    bool WithVictims) const;
+  void placeGang(StepRun &Step);
+  void startGang(StepRun &Step, const std::vector<GangShare> &Shares);
+  void confirmStart(Run &Of);
+
   // engine_pace.cc
   void paceFillers(Worker &On);
   void sendPaces(Worker &On);
@@ -185,7 +199,6 @@
   std::vector<Worker *> openWorkers(const StepRun &For);
   void placeStep(StepRun &Step);
   void placeTasks(StepRun &Step);
-  void placeGang(StepRun &Step);
   void startTask(StepRun &Step, std::uint32_t Index, Worker &On,
                  std::uint64_t Attempt);
   void collectReady();
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -80,11 +80,9 @@
     if (Of.Attempt_ != Entry.Attempt_)
       return; // A later list shows one of them only.
     Of.ConfirmedClock_ = std::max(Of.ConfirmedClock_, Clock);
-    if (Of.Phase_ == Run::Phase::Ordered)
-      Of.Phase_ = Run::Phase::Running;
-    else if (Of.Phase_ == Run::Phase::Stopping && Of.StopConfirmed_ &&
-             !Of.OrderInFlight_ &&
-             Now_ > Of.LastOrderAt_ + 2 * Limits_.StopTime_)
+    confirmStart(Of);
+    if (Of.Phase_ == Run::Phase::Stopping && Of.StopConfirmed_ &&
+        !Of.OrderInFlight_ && Now_ > Of.LastOrderAt_ + 2 * Limits_.StopTime_)
       Of.StopConfirmed_ = false; // It runs on: the stop is sent again.
     if (!Entry.Checkpoint_.empty() && Entry.Checkpoint_ != Of.Checkpoint_) {
       Of.Checkpoint_ = Entry.Checkpoint_;
@@ -108,7 +106,7 @@
   if (Step != nullptr) {
     adoptRun(From, Entry, *Step, Name->Index_);
     Effects_.push_back(Decision{Wanted ? "task_adopted" : "task_unexpected",
-                                Entry.Task_, From.Id_, 0});
+                                Entry.Task_, From.Id_, 0, Entry.Attempt_});
   } else {
     // What it needs is not known, so that nothing starts beside it.
     Run Stray;
@@ -136,9 +134,9 @@
   if (Step != nullptr) {
     constexpr const char *Kinds[] = {"done",   "failed", "stopped",
                                      "lapsed", "broken", "alone"};
-    Effects_.push_back(Decision{"task_ended", End.Task_,
-                                Kinds[static_cast<int>(End.Kind_)],
-                                Own ? Now_ - Known->second.OrderedAt_ : 0});
+    Effects_.push_back(
+        Decision{"task_ended", End.Task_, Kinds[static_cast<int>(End.Kind_)],
+                 Own ? Now_ - Known->second.OrderedAt_ : 0, End.Attempt_});
     noteHealth(From, End.Kind_, *Step->Job_);
     ++Step->Job_->LiveRuns_; // Keeps the job while its run is dropped.
     taskEnded(*Step, Name->Index_, End, &From);
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -21,11 +21,6 @@
 /// Attempts of one epoch; a next owner numbers above them.
 constexpr std::uint64_t AttemptsPerEpoch = 1U << 16;
 
-struct Candidate {
-  Worker *On_ = nullptr;
-  std::uint32_t Copies_ = 0;
-};
-
 } // namespace
 
 bool Cell::Engine::usable(const Worker &On, const StepRun &For) const {
@@ -189,7 +184,8 @@
     Made.Ticket_ = Known->second.Ticket_;
   const std::string Name = taskName(Step, Index);
   addRun(On, Name, std::move(Made));
-  Effects_.push_back(Decision{"task_start", Name, On.Id_, Now_ - On.ClockAt_});
+  Effects_.push_back(
+      Decision{"task_start", Name, On.Id_, Now_ - On.ClockAt_, Attempt});
   sendStart(On, Name, On.Runs_[Name]);
 }
 
@@ -286,50 +282,6 @@
     wantAdvice(Step);
 }
 
-void Cell::Engine::placeGang(StepRun &Step) {
-  const auto Size = static_cast<std::uint32_t>(Step.Tasks_.size());
-  if (Step.waiting() < Size || !underLimit(Step, Size))
-    return; // Members of the last attempt are still ending.
-  for (const Task &Each : Step.Tasks_)
-    if (Now_ < Each.NotBefore_)
-      return;
-  std::map<std::string, std::vector<Candidate>> Racks;
-  for (Worker *Each : openWorkers(Step))
-    Racks[Step.spec().SameRack_ ? Each->Rack_ : ""].push_back({Each, 0});
-  for (const bool WithVictims : {false, true}) {
-    for (auto &[Rack, Candidates] : Racks) {
-      std::uint32_t Room = 0;
-      for (Candidate &Each : Candidates) {
-        Each.Copies_ = copiesOn(*Each.On_, Step, WithVictims);
-        Room += Each.Copies_;
-      }
-      if (Room < Size)
-        continue;
-      std::sort(Candidates.begin(), Candidates.end(),
-                [](const Candidate &A, const Candidate &B) {
-                  return A.Copies_ > B.Copies_;
-                });
-      std::uint32_t Left = Size;
-      std::uint32_t Index = 0;
-      const std::uint64_t Attempt =
-          WithVictims ? 0 : nextAttempt(Step.Tasks_[0], Step.GangStarts_);
-      for (const Candidate &Each : Candidates) {
-        const std::uint32_t Here = std::min(Left, Each.Copies_);
-        Left -= Here;
-        if (WithVictims && Here > 0)
-          makeRoom(*Each.On_, Step, Here);
-        else
-          for (std::uint32_t Copy = 0; Copy < Here; ++Copy)
-            startTask(Step, Index++, *Each.On_, Attempt);
-        if (!WithVictims && Each.On_->KeptFor_ == &Step)
-          Each.On_->KeptFor_ = nullptr;
-      }
-      return;
-    }
-  }
-  wantAdvice(Step);
-}
-
 void Cell::Engine::placeStep(StepRun &Step) {
   if (!Step.Job_->Stored_ || (Step.Job_->Inherited_ && recovering())) {
     if (!Step.Job_->Stored_)
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -137,8 +137,8 @@
     return;
   Of.Phase_ = Run::Phase::Stopping;
   Of.StopConfirmed_ = false;
-  Effects_.push_back(
-      Decision{"task_stopping", Name, std::string(Why), Now_ - Of.OrderedAt_});
+  Effects_.push_back(Decision{"task_stopping", Name, std::string(Why),
+                              Now_ - Of.OrderedAt_, Of.Attempt_});
   sendStop(On, Name, Of);
 }
 
@@ -181,8 +181,8 @@
   if (It == On.Runs_.end())
     return;
   const Run Gone = It->second;
-  Effects_.push_back(
-      Decision{"task_lost", Name, std::string(Why), Now_ - Gone.OrderedAt_});
+  Effects_.push_back(Decision{"task_lost", Name, std::string(Why),
+                              Now_ - Gone.OrderedAt_, Gone.Attempt_});
   if (Gone.Step_ != nullptr) {
     Task &Of = Gone.Step_->Tasks_[Gone.Index_];
     if (Of.Where_ == &On)
@@ -308,14 +308,13 @@
   }
   if (Outcome.Result_ == OrderResult::Done) {
     Of.ConfirmedClock_ = std::max(Of.ConfirmedClock_, Outcome.ClockMs_);
-    if (Of.Phase_ == Run::Phase::Ordered)
-      Of.Phase_ = Run::Phase::Running;
+    confirmStart(Of);
     return;
   }
   StepRun *Step = Of.Step_;
   const std::uint32_t Index = Of.Index_;
-  Effects_.push_back(
-      Decision{"start_rejected", Order.Task_, On.Id_, Now_ - Of.OrderedAt_});
+  Effects_.push_back(Decision{"start_rejected", Order.Task_, On.Id_,
+                              Now_ - Of.OrderedAt_, Of.Attempt_});
   if (Step != nullptr && Outcome.Result_ == OrderResult::BadTicket)
     Step->Advice_[On.Id_].ValidUntil_ = 0;
   if (Of.Unanswered_) {
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -59,6 +59,14 @@
   Millis ValidUntil_ = 0;
 };
 
+/// One attempt to run a gang: all members carry its run number and work from
+/// the moment when all are present.
+struct GangAttempt {
+  std::uint64_t Attempt_ = 0; ///< Zero before the first.
+  Millis StartedAt_ = 0;
+  std::uint32_t Present_ = 0; ///< Members that their workers confirmed.
+};
+
 /// One step of one occurrence of a job.
 struct StepRun {
   Job *Job_ = nullptr;
@@ -78,6 +86,7 @@
   Millis AdviceNotBefore_ = 0;
   Millis NoRoomPause_ = 0; ///< Grows while no worker is worth asking about.
   std::uint32_t GangStarts_ = 0;
+  GangAttempt Gang_; ///< Newest attempt, of a gang.
 
   const StepSpec &spec() const;
   std::uint32_t waiting() const {
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -25,6 +25,9 @@
 constexpr Millis WaveNewsRetry = 300;
 /// Workers whose fence is above this owner's: another host owns the cell.
 constexpr int FencedLimit = 3;
+/// Time between two ticks from which on the process counts as slow.
+constexpr Millis SlowTick = 200;
+constexpr Millis SlowLinePause = 500;
 
 } // namespace
 
@@ -200,9 +203,23 @@
   drain();
 }
 
+/// Shows an owner whose process cannot keep up: its orders leave late, and
+/// answers that came in time look lost.
+void Owner::measureDelay() {
+  const Millis Now = bootTime();
+  const Millis Gap = LastTick_ == 0 ? 0 : Now - LastTick_;
+  LastTick_ = Now;
+  Shared_.Counters_.observe("owner_tick_gap", "owner", Gap);
+  if (Gap < SlowTick || Now < NextSlowLine_)
+    return;
+  NextSlowLine_ = Now + SlowLinePause;
+  Shared_.Log_.event("owner is slow", {{"tick_gap_ms", Gap}});
+}
+
 void Owner::tick() {
   if (!Ready_ || Over_)
     return;
+  measureDelay();
   readWorkers();
   Cell_->setStoreReachable(Shared_.Store_.reachable());
   Cell_->setAuthorized(authorized());
@@ -502,9 +519,17 @@
 
 void Owner::perform(const cell::Decision &Each) {
   Shared_.Counters_.count("decisions", std::string(Each.What_));
-  Shared_.Log_.decision(
-      Each.What_,
-      {{"id", Each.Subject_}, {"by", Each.Reason_}, {"age_ms", Each.Age_}});
+  if (Each.Attempt_ == 0) {
+    Shared_.Log_.decision(
+        Each.What_,
+        {{"id", Each.Subject_}, {"by", Each.Reason_}, {"age_ms", Each.Age_}});
+    return;
+  }
+  Shared_.Log_.decision(Each.What_,
+                        {{"id", Each.Subject_},
+                         {"run", static_cast<std::int64_t>(Each.Attempt_)},
+                         {"by", Each.Reason_},
+                         {"age_ms", Each.Age_}});
 }
 
 } // namespace oleandergauge::node
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -68,6 +68,7 @@
   void becomeReady();
   void setWaves();
   void readWorkers();
+  void measureDelay();
   void drain();
   bool authorized() const;
   void sendCommit();
@@ -102,6 +103,8 @@
   bool Over_ = false;
   bool ReadingWorkers_ = false;
   Millis NextWorkers_ = 0;
+  Millis LastTick_ = 0;
+  Millis NextSlowLine_ = 0;
   std::shared_ptr<const cell::DesiredState> State_;
   std::optional<platform::OperatorRows> Operator_;
   std::map<std::string, std::pair<double, FrameSender>> Hosts_;
