Reproduce partly started gangs in tests of our own, known red

The fake workers of the cell's world now know gangs: a member works from the moment when all of its run are present, ends alone after the gang time-out, and takes the others with it when it ends. The world reports a wait that an owner in touch could have cut short.

cell_gang_test fails in four of five cases on the present code: a member that is rejected, one without an answer, a worker that starts anew, and a change of owner in the middle of an attempt each leave the other members waiting until they end alone. The fifth case (a whole attempt survives a change of owner) passes and has to go on doing so.

--- /dev/null
+++ b/test/cell/cell_gang_test.cc
@@ -0,0 +1,110 @@
+#include <gtest/gtest.h>
+
+#include "cell_world.h"
+
+namespace oleandergauge::cell::test {
+namespace {
+
+const std::string JobId = "00000000000000ab";
+
+/// A gang that needs \p Count workers of a World for itself.
+JobSpec gangJob(std::uint32_t Count) {
+  JobSpec Out = simpleJob(Count, 2500);
+  Out.Steps_[0].Gang_ = true;
+  return Out;
+}
+
+std::pair<Millis, bool> worksFor600(const std::string &) {
+  return {Millis{600}, false};
+}
+
+// Guards against members that wait alone where the worker of another member
+// rejects its start.
+TEST(CellGang, IsCalledOffWhereAMemberIsRejected) {
+  World Of(1, 3);
+  Of.Behaviour_ = worksFor600;
+  Of.takeOver();
+  Of.run(300);
+  Of.worker(2).Rejects_ = true;
+  Of.submit(JobId, gangJob(3));
+  Of.run(5000);
+  EXPECT_EQ(Of.aloneEnds(), 0U);
+  Of.worker(2).Rejects_ = false;
+  Of.run(5000);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+  EXPECT_EQ(Of.aloneEnds(), 0U);
+}
+
+// Guards against members that wait alone where the start of another member
+// stays without an answer.
+TEST(CellGang, IsCalledOffWhereAMemberGivesNoAnswer) {
+  World Of(1, 3);
+  Of.Behaviour_ = worksFor600;
+  Of.takeOver();
+  Of.run(300);
+  Of.worker(2).Cut_ = true;
+  Of.submit(JobId, gangJob(3));
+  Of.run(5000);
+  EXPECT_EQ(Of.aloneEnds(), 0U);
+  Of.worker(2).Cut_ = false;
+  Of.run(15000);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+  EXPECT_TRUE(Of.violations().empty()) << Of.violations().front();
+}
+
+// Guards against members that wait alone under a next owner, which finds a
+// part of an attempt running and does not know the starts that were lost.
+TEST(CellGang, ANextOwnerCallsOffAnAttemptThatIsNotWhole) {
+  World Of(1, 3);
+  Of.Behaviour_ = worksFor600;
+  Of.takeOver();
+  Of.run(300);
+  Of.worker(2).Cut_ = true;
+  Of.submit(JobId, gangJob(3));
+  Of.run(200);
+  EXPECT_EQ(Of.starts(), 2U);
+  Of.killOwner();
+  Of.worker(2).Cut_ = false;
+  Of.takeOver();
+  Of.run(8000);
+  EXPECT_EQ(Of.aloneEnds(), 0U);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+  EXPECT_TRUE(Of.violations().empty()) << Of.violations().front();
+}
+
+// Guards against members that wait alone where one worker starts anew while
+// the start of another member is still open.
+TEST(CellGang, IsCalledOffWhereAMembersWorkerStartsAnew) {
+  World Of(1, 3);
+  Of.Behaviour_ = worksFor600;
+  Of.takeOver();
+  Of.run(300);
+  Of.worker(2).Cut_ = true;
+  Of.submit(JobId, gangJob(3));
+  Of.run(100);
+  Of.worker(1).restart(Of.now());
+  Of.run(4500);
+  EXPECT_EQ(Of.aloneEnds(), 0U);
+}
+
+// Guards against a whole attempt that a next owner calls off.
+TEST(CellGang, ANextOwnerKeepsAWholeAttempt) {
+  World Of(1, 3);
+  Of.Behaviour_ = [](const std::string &) {
+    return std::pair(Millis{4000}, false);
+  };
+  Of.takeOver();
+  Of.run(300);
+  Of.submit(JobId, gangJob(3));
+  Of.run(200);
+  EXPECT_EQ(Of.starts(), 3U);
+  Of.killOwner();
+  Of.takeOver();
+  Of.run(8000);
+  EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+  EXPECT_EQ(Of.starts(), 3U);
+  EXPECT_TRUE(Of.violations().empty()) << Of.violations().front();
+}
+
+} // namespace
+} // namespace oleandergauge::cell::test
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -40,6 +40,9 @@
     Millis Left_ = 0;
     bool Fails_ = false;
     std::optional<Millis> StopLeft_; ///< Once it is being stopped.
+    bool Gang_ = false;
+    bool Together_ = false; ///< All members of the gang's run are present.
+    Millis Waited_ = 0;     ///< For the other members.
   };
 
   std::string Id_;
@@ -50,6 +53,7 @@
   Millis BootedAt_ = 0;
   bool Cut_ = false;
   bool Draining_ = false;
+  bool Rejects_ = false; ///< Refuses starts, as an unhealthy worker does.
   std::uint64_t Fence_ = 0;
   Millis Deadline_ = 0; ///< On its own clock.
   std::map<std::string, Activity> Runs_;
@@ -84,22 +88,26 @@
     Ends_.push_back({++LastEnd_, Task, Over.Attempt_, Kind, ""});
   }
 
-  void advance(Millis Now, Millis Step) {
+  /// Lets the runs work for \p Step; returns those that are over.
+  std::vector<std::pair<std::string, EndKind>> advance(Millis Now,
+                                                       Millis Step) {
     std::vector<std::pair<std::string, EndKind>> Over;
     const bool Lapsed = Deadline_ != 0 && clock(Now) > Deadline_;
     for (auto &[Name, Each] : Runs_) {
-      Each.Left_ -= Step;
+      const bool Waits = Each.Gang_ && !Each.Together_;
+      (Waits ? Each.Waited_ : Each.Left_) += Waits ? Step : -Step;
       if (Each.StopLeft_)
         *Each.StopLeft_ -= Step;
       if (Each.StopLeft_ && *Each.StopLeft_ <= 0)
         Over.emplace_back(Name, EndKind::Stopped);
       else if (Lapsed)
         Over.emplace_back(Name, EndKind::Lapsed);
+      else if (Each.Waited_ >= Bounds{}.GangTimeout_)
+        Over.emplace_back(Name, EndKind::Alone);
       else if (Each.Left_ <= 0)
         Over.emplace_back(Name, Each.Fails_ ? EndKind::Failed : EndKind::Done);
     }
-    for (const auto &[Name, Kind] : Over)
-      end(Name, Kind);
+    return Over;
   }
 };
 
@@ -140,6 +148,7 @@
   /// Starts an owner from what is stored.
   void takeOver() {
     ++Epoch_;
+    OwnerSince_ = Now_;
     Cell_ =
         std::make_unique<Cell>("h" + std::to_string(Epoch_), Epoch_, Bounds{});
     StoredCell Stored;
@@ -211,6 +220,8 @@
   void run(Millis Span) {
     for (const Millis End = Now_ + Span; Now_ < End;) {
       Now_ += Step;
+      noteCuts();
+      gatherGangs();
       for (FakeWorker &Each : Workers_)
         advance(Each);
       deliver();
@@ -231,6 +242,8 @@
   Cell &cell() { return *Cell_; }
   const std::vector<std::string> &violations() const { return Violations_; }
   std::size_t starts() const { return Starts_; }
+  /// Members of gangs that ended because others did not come.
+  std::size_t aloneEnds() const { return AloneEnds_; }
   void setStoreDown(bool Down) { StoreDown_ = Down; }
   void setListed(const std::string &Id, bool Listed) {
     if (Listed)
@@ -256,6 +269,8 @@
   static constexpr Token QueryToken = ~Token{0};
   static constexpr Millis TicketTime = 1500;
   static constexpr Millis LongestStop = 200;
+  /// An owner that hears of all workers calls off a gang within this time.
+  static constexpr Millis CallOff = 2000;
 
   Millis wall() const { return 1000000 + Now_; }
   bool chance(double Share) {
@@ -312,16 +327,84 @@
   }
 
   void advance(FakeWorker &Each) {
-    const auto Before = Each.Ends_.size();
-    Each.advance(Now_, Step);
-    for (std::size_t At = Before; At < Each.Ends_.size(); ++At) {
-      TaskHistory &Of = Tasks_[Each.Ends_[At].Task_];
-      --Of.RunningOn_;
-      if (Each.Ends_[At].Kind_ == EndKind::Done)
-        Of.Done_ = true;
+    for (const auto &[Task, Kind] : Each.advance(Now_, Step))
+      endRun(Each, Task, Kind);
+  }
+
+  void noteCuts() {
+    for (const FakeWorker &Each : Workers_)
+      if (Each.Cut_)
+        LastCut_ = Now_;
+  }
+
+  /// The members of a gang end together.
+  void endRun(FakeWorker &On, const std::string &Task, EndKind Kind) {
+    const auto It = On.Runs_.find(Task);
+    if (It == On.Runs_.end())
+      return;
+    const FakeWorker::Activity Over = It->second;
+    On.end(Task, Kind);
+    TaskHistory &Of = Tasks_[Task];
+    --Of.RunningOn_;
+    Of.Done_ = Of.Done_ || Kind == EndKind::Done;
+    if (Kind == EndKind::Alone)
+      noteAlone(Task, Over);
+    if (!Over.Gang_)
+      return;
+    const EndKind Others = Kind == EndKind::Done ? Kind : EndKind::Broken;
+    for (const auto &[Worker, Member] : membersOf(stepOf(Task), Over.Attempt_))
+      endRun(*Worker, Member, Others);
+  }
+
+  static std::string stepOf(const std::string &Task) {
+    return Task.substr(0, Task.rfind('.'));
+  }
+
+  std::vector<std::pair<FakeWorker *, std::string>>
+  membersOf(const std::string &Step, std::uint64_t Attempt) {
+    std::vector<std::pair<FakeWorker *, std::string>> Out;
+    for (FakeWorker &Worker : Workers_)
+      for (const auto &[Task, Each] : Worker.Runs_)
+        if (Each.Gang_ && Each.Attempt_ == Attempt && stepOf(Task) == Step)
+          Out.emplace_back(&Worker, Task);
+    return Out;
+  }
+
+  /// Gangs work from the moment when all members of a run are present; where
+  /// one is gone without an end, the others end too.
+  void gatherGangs() {
+    std::set<std::pair<std::string, std::uint64_t>> Gangs;
+    for (const FakeWorker &Worker : Workers_)
+      for (const auto &[Task, Each] : Worker.Runs_)
+        if (Each.Gang_)
+          Gangs.emplace(stepOf(Task), Each.Attempt_);
+    for (const auto &[Step, Attempt] : Gangs) {
+      const auto Members = membersOf(Step, Attempt);
+      std::string Job;
+      std::uint32_t StepAt = 0;
+      const bool Whole =
+          Members.size() == specOf(Members.front().second, Job, StepAt).Count_;
+      for (const auto &[Worker, Task] : Members) {
+        FakeWorker::Activity &Each = Worker->Runs_[Task];
+        if (Whole)
+          Each.Together_ = true;
+      }
+      const auto &[First, Task] = Members.front();
+      if (!Whole && First->Runs_[Task].Together_)
+        endRun(*First, Task, EndKind::Broken);
     }
   }
 
+  /// A wait that an owner in touch with all workers could have cut short.
+  void noteAlone(const std::string &Task, const FakeWorker::Activity &Over) {
+    ++AloneEnds_;
+    const Millis Since = Now_ - Over.Waited_;
+    const bool Owned = Cell_ && Now_ - std::max(OwnerSince_, Since) >= CallOff;
+    const bool Calm = Now_ - LastCut_ >= Bounds{}.GangTimeout_ + CallOff;
+    if (Owned && Calm)
+      fail("a member of a gang waited alone: " + Task);
+  }
+
   const StepSpec &specOf(const std::string &Task, std::string &Job,
                          std::uint32_t &StepAt) {
     Job = Task.substr(0, Task.find('.'));
@@ -354,6 +437,8 @@
         return Out;
       }
     }
+    if (On.Rejects_)
+      return Out;
     const bool Old = On.Spent_.count(Order.Task_) != 0 &&
                      Order.Attempt_ <= On.Spent_[Order.Task_];
     if (Old || Known != On.Runs_.end() || On.clock(Now_) > Order.Deadline_)
@@ -366,6 +451,7 @@
     const StepSpec &Spec = specOf(Order.Task_, Job, StepAt);
     FakeWorker::Activity Made{Order.Attempt_, Spec.Need_, between(50, 900),
                               chance(Faults_.FailedRun_), std::nullopt};
+    Made.Gang_ = Spec.Gang_;
     if (Behaviour_)
       std::tie(Made.Left_, Made.Fails_) = Behaviour_(Order.Task_);
     On.Runs_[Order.Task_] = Made;
@@ -490,8 +576,9 @@
       Out.List_.ClockMs_ = On.clock(Now_);
       Out.List_.Born_ = On.Born_;
       for (const auto &[Name, Each] : On.Runs_)
-        Out.List_.Running_.push_back(
-            {Name, Each.Attempt_, "", 100, Tail_ ? Tail_(Name) : 0});
+        Out.List_.Running_.push_back({Name, Each.Attempt_, "",
+                                      Each.Gang_ && !Each.Together_ ? 0 : 100,
+                                      Tail_ ? Tail_(Name) : 0});
       Out.List_.Ended_.assign(On.Ends_.begin(), On.Ends_.end());
     }
     later(between(1, 3), [this, Out, Life = Life_] {
@@ -660,6 +747,9 @@
   std::map<std::string, Millis> TicketEnd_;
   std::vector<std::string> Violations_;
   std::size_t Starts_ = 0;
+  std::size_t AloneEnds_ = 0;
+  Millis OwnerSince_ = 0;
+  Millis LastCut_ = -1000000; ///< When a worker was last cut off.
 };
 
 /// A job of one step.
