Call off a gang's attempt as a whole

Cause: an attempt of a gang did not exist as one thing. Each member's run was settled by itself, so that a member that was rejected, unanswered, stopped, lost or left behind by a former owner was given up alone, and the others waited for it until they gave up. Class: an action of several parties that nobody completes or aborts as a whole.

An attempt is now an object of its step (GangAttempt): it gathers, holds together, or is over. Whatever takes one member away calls off the rest, at the two places that every run passes when it ends or is stopped. Members that are not confirmed within a third of the gang time-out call it off too. A next owner joins the members that it finds into an attempt, and calls it off if it is not whole once all workers have answered; members of an attempt that is over are stopped when they appear. A worker that rejected a start or left one unanswered gets no member of a gang for 1 s, and attempts that do not gather are paused, so that calling off soon does not mean trying again in a loop.

Ruled out: all members confirmed and one alone all the same (none of 72 attempts in the logs).

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -165,6 +165,15 @@
   void placeGang(StepRun &Step);
   void startGang(StepRun &Step, const std::vector<GangShare> &Shares);
   void confirmStart(Run &Of);
+  void memberPresent(StepRun &Step);
+  void gangTogether(StepRun &Step, std::string_view Why);
+  void noteProgress(const Run &Of, const RunningEntry &Entry);
+  bool mayJoin(const StepRun &Step, std::uint64_t Attempt) const;
+  void joinGang(StepRun &Step, std::uint64_t Attempt);
+  void memberGone(const Run &Of, std::string_view Why);
+  void callOff(StepRun &Step, std::string_view Why);
+  void callOffUnproven(const Worker &Silent);
+  void watchGangs();
 
   // engine_pace.cc
   void paceFillers(Worker &On);
@@ -203,6 +212,7 @@
                  std::uint64_t Attempt);
   void collectReady();
   std::uint64_t nextAttempt(Task &Of, std::uint32_t &Counter) const;
+  bool isOwnAttempt(std::uint64_t Attempt) const;
 
   // engine_advice.cc
   void wantAdvice(StepRun &Step);
@@ -244,6 +254,7 @@
   std::unordered_map<std::string, double> AllowedShare_; ///< By queue.
 
   std::vector<StepRun *> Ready_;
+  std::vector<StepRun *> Gathering_; ///< Gangs of which members are awaited.
   Millis NextPlace_ = 0;
   std::size_t AskChoices_ = 0; ///< Made in this pass.
   Millis NextAdvance_ = 0;
--- a/src/cell/engine_gangs.cc
+++ b/src/cell/engine_gangs.cc
@@ -5,6 +5,17 @@
 #include "cell/engine.h"
 
 namespace oleandergauge::cell {
+namespace {
+
+/// Parts of the time after which a waiting member gives up. The first is for
+/// the starts to be confirmed; the rest is for the stops to reach all members.
+constexpr Millis GatherDivisor = 3;
+/// For an inherited attempt, whose members have waited since before.
+constexpr Millis InheritedDivisor = 4;
+constexpr Millis FirstGangPause = 100;
+constexpr Millis LongestGangPause = 1600;
+
+} // namespace
 
 /// Divides a gang among \p Workers, those that hold most of it first. Empty
 /// where they cannot hold all of it.
@@ -15,6 +26,8 @@
   std::vector<GangShare> Out;
   std::size_t Room = 0;
   for (Worker *Each : Workers) {
+    if (Now_ < Each->GangsNotBefore_)
+      continue;
     Out.push_back({Each, copiesOn(*Each, Step, WithVictims)});
     Room += Out.back().Members_;
   }
@@ -62,7 +75,8 @@
 void Cell::Engine::startGang(StepRun &Step,
                              const std::vector<GangShare> &Shares) {
   const std::uint64_t Attempt = nextAttempt(Step.Tasks_[0], Step.GangStarts_);
-  Step.Gang_ = {Attempt, Now_, 0};
+  Step.Gang_ = {GangAttempt::Phase::Gathering, Attempt, Now_, 0, false, false};
+  Gathering_.push_back(&Step);
   Effects_.push_back(Decision{"gang_started", Step.Name_,
                               std::to_string(Step.Tasks_.size()) +
                                   " members on " +
@@ -82,16 +96,121 @@
   if (Of.Phase_ != Run::Phase::Ordered)
     return;
   Of.Phase_ = Run::Phase::Running;
-  if (Of.Step_ == nullptr || !Of.Step_->spec().Gang_)
+  if (Of.Step_ != nullptr && Of.Step_->spec().Gang_ &&
+      Of.Step_->Gang_.holds(Of.Attempt_))
+    memberPresent(*Of.Step_);
+}
+
+void Cell::Engine::memberPresent(StepRun &Step) {
+  ++Step.Gang_.Present_;
+  if (Step.Gang_.Present_ == Step.Tasks_.size())
+    gangTogether(Step, "all members confirmed");
+}
+
+void Cell::Engine::gangTogether(StepRun &Step, std::string_view Why) {
+  if (Step.Gang_.Phase_ != GangAttempt::Phase::Gathering)
+    return;
+  Step.Gang_.Phase_ = GangAttempt::Phase::Together;
+  Step.GangPause_ = 0;
+  Effects_.push_back(Decision{"gang_together", Step.Name_, std::string(Why),
+                              Now_ - Step.Gang_.StartedAt_,
+                              Step.Gang_.Attempt_});
+}
+
+/// Members make progress only while all are present. One that resumed from a
+/// saved state shows that state's progress from the start.
+void Cell::Engine::noteProgress(const Run &Of, const RunningEntry &Entry) {
+  if (Of.Step_ == nullptr || !Of.Step_->spec().Gang_ ||
+      !Of.Step_->Gang_.holds(Entry.Attempt_))
     return;
-  GangAttempt &Gang = Of.Step_->Gang_;
-  if (Gang.Attempt_ != Of.Attempt_)
+  const bool Resumed = !Of.Checkpoint_.empty() || !Entry.Checkpoint_.empty();
+  const bool Working = Of.Percent_ < 0 ? !Resumed && Entry.Percent_ > 0
+                                       : Entry.Percent_ > Of.Percent_;
+  if (!Working)
+    return;
+  Of.Step_->Gang_.Working_ = true;
+  gangTogether(*Of.Step_, "a member makes progress");
+}
+
+/// Whether a run that a worker lists belongs to an attempt that goes on.
+bool Cell::Engine::mayJoin(const StepRun &Step, std::uint64_t Attempt) const {
+  if (!Step.spec().Gang_ || Step.Gang_.holds(Attempt))
+    return true;
+  const GangAttempt::Phase Phase = Step.Gang_.Phase_;
+  const bool Open =
+      Phase == GangAttempt::Phase::None || Phase == GangAttempt::Phase::Over;
+  return Open && !isOwnAttempt(Attempt) && Attempt > Step.Gang_.Attempt_;
+}
+
+/// Takes over a member that a former owner started.
+void Cell::Engine::joinGang(StepRun &Step, std::uint64_t Attempt) {
+  if (!Step.spec().Gang_)
     return;
-  ++Gang.Present_;
-  if (Gang.Present_ == Of.Step_->Tasks_.size())
-    Effects_.push_back(Decision{"gang_together", Of.Step_->Name_,
-                                "all members confirmed", Now_ - Gang.StartedAt_,
-                                Gang.Attempt_});
+  if (!Step.Gang_.holds(Attempt)) {
+    Step.Gang_ = {GangAttempt::Phase::Gathering, Attempt, Now_, 0, true, false};
+    Gathering_.push_back(&Step);
+  }
+  memberPresent(Step);
+}
+
+/// A run has ended, is lost or is to be stopped: its gang cannot go on.
+void Cell::Engine::memberGone(const Run &Of, std::string_view Why) {
+  if (Of.Step_ != nullptr && Of.Step_->spec().Gang_ &&
+      Of.Step_->Gang_.holds(Of.Attempt_))
+    callOff(*Of.Step_, Why);
+}
+
+void Cell::Engine::callOff(StepRun &Step, std::string_view Why) {
+  GangAttempt &Gang = Step.Gang_;
+  if (Gang.Phase_ == GangAttempt::Phase::Gathering) {
+    Step.GangPause_ =
+        std::clamp(2 * Step.GangPause_, FirstGangPause, LongestGangPause);
+    Step.Tasks_[0].NotBefore_ = Now_ + Step.GangPause_;
+  }
+  Gang.Phase_ = GangAttempt::Phase::Over;
+  Effects_.push_back(Decision{"gang_called_off", Step.Name_, std::string(Why),
+                              Now_ - Gang.StartedAt_, Gang.Attempt_});
+  for (std::uint32_t Index = 0; Index < Step.Tasks_.size(); ++Index) {
+    Worker *On = Step.Tasks_[Index].Where_;
+    if (On == nullptr)
+      continue;
+    const std::string Name = taskName(Step, Index);
+    const auto It = On->Runs_.find(Name);
+    if (It != On->Runs_.end() && It->second.Attempt_ == Gang.Attempt_)
+      stopRun(*On, Name, It->second, "gang called off");
+  }
+}
+
+/// A worker does not answer. A gang that works goes on until the worker's lease
+/// has ended; of any other the member there may never have come.
+void Cell::Engine::callOffUnproven(const Worker &Silent) {
+  std::set<StepRun *> Unproven;
+  for (const auto &[Name, Each] : Silent.Runs_)
+    if (Each.Step_ != nullptr && Each.Step_->spec().Gang_ &&
+        Each.Step_->Gang_.holds(Each.Attempt_) && !Each.Step_->Gang_.Working_)
+      Unproven.insert(Each.Step_);
+  for (StepRun *Step : Unproven)
+    callOff(*Step, "a member's worker does not answer");
+}
+
+/// Calls off what has not gathered in time. A former owner's attempt gathers no
+/// further members once all workers have answered this owner.
+void Cell::Engine::watchGangs() {
+  const std::vector<StepRun *> Watched = Gathering_;
+  for (StepRun *Step : Watched) {
+    const GangAttempt &Gang = Step->Gang_;
+    if (Gang.Phase_ != GangAttempt::Phase::Gathering)
+      continue;
+    const Millis Limit = Limits_.GangTimeout_ /
+                         (Gang.Inherited_ ? InheritedDivisor : GatherDivisor);
+    if (Now_ - Gang.StartedAt_ > Limit)
+      callOff(*Step, "not all members answered in time");
+    else if (Gang.Inherited_ && !recovering())
+      callOff(*Step, "a former owner's attempt is not whole");
+  }
+  std::erase_if(Gathering_, [](const StepRun *Step) {
+    return Step->Gang_.Phase_ != GangAttempt::Phase::Gathering;
+  });
 }
 
 } // namespace oleandergauge::cell
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -365,6 +365,7 @@
     Each.Phase_ = Task::Phase::Done;
   }
   Step.DoneCount_ = static_cast<std::uint32_t>(Step.Tasks_.size());
+  Step.Gang_.Phase_ = GangAttempt::Phase::Over;
 }
 
 void Cell::Engine::taskEnded(StepRun &Step, std::uint32_t Index,
@@ -453,7 +454,8 @@
       Open->second.Step_ = nullptr;
   }
   const auto Own = [&](const StepRun *Each) { return Each->Job_ == &Of; };
-  Ready_.erase(std::remove_if(Ready_.begin(), Ready_.end(), Own), Ready_.end());
+  std::erase_if(Ready_, Own);
+  std::erase_if(Gathering_, Own);
   for (const auto &[Id, Each] : Workers_)
     if (Each->KeptFor_ != nullptr && Own(Each->KeptFor_))
       Each->KeptFor_ = nullptr;
@@ -530,6 +532,7 @@
   advanceJobs();
   place();
   pumpUpkeep();
+  watchGangs();
   pumpWorkers();
   flush();
 }
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -93,6 +93,7 @@
             Step.Tasks_[At].Checkpoint_ = Entry.Checkpoint_;
       }
     }
+    noteProgress(Of, Entry);
     Of.Usage_ = Entry.Usage_;
     Of.Percent_ = Entry.Percent_;
     return;
@@ -101,8 +102,10 @@
   if (Name)
     openNamed(*Name);
   StepRun *Step = Name ? findStep(*Name) : nullptr;
-  const bool Wanted = Step != nullptr && !Step->Job_->End_ && Step->Ready_ &&
-                      Step->Tasks_[Name->Index_].Phase_ == Task::Phase::Waiting;
+  const bool Wanted =
+      Step != nullptr && !Step->Job_->End_ && Step->Ready_ &&
+      Step->Tasks_[Name->Index_].Phase_ == Task::Phase::Waiting &&
+      mayJoin(*Step, Entry.Attempt_);
   if (Step != nullptr) {
     adoptRun(From, Entry, *Step, Name->Index_);
     Effects_.push_back(Decision{Wanted ? "task_adopted" : "task_unexpected",
@@ -116,8 +119,14 @@
     Stray.Phase_ = Run::Phase::Running;
     addRun(From, Entry.Task_, std::move(Stray));
   }
-  if (!Wanted)
-    stopRun(From, Entry.Task_, From.Runs_[Entry.Task_], "not wanted here");
+  Run &Found = From.Runs_[Entry.Task_];
+  if (!Wanted) {
+    stopRun(From, Entry.Task_, Found, "not wanted here");
+    return;
+  }
+  joinGang(*Step, Entry.Attempt_);
+  noteProgress(Found, Entry);
+  Found.Percent_ = Entry.Percent_;
 }
 
 void Cell::Engine::takeEnd(Worker &From, const EndEntry &End) {
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -160,6 +160,11 @@
   return (Epoch_ - 1) * AttemptsPerEpoch + Counter;
 }
 
+/// Whether this owner began a run, not a former one.
+bool Cell::Engine::isOwnAttempt(std::uint64_t Attempt) const {
+  return Attempt > (Epoch_ - 1) * AttemptsPerEpoch;
+}
+
 void Cell::Engine::startTask(StepRun &Step, std::uint32_t Index, Worker &On,
                              std::uint64_t Attempt) {
   Task &Of = Step.Tasks_[Index];
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -26,6 +26,9 @@
 /// Failures in a row, of different jobs, that put a worker aside.
 constexpr std::uint32_t FailStreakLimit = 2;
 constexpr Millis QuarantineTime = 3000;
+/// Time for which a worker that rejected a start, or left one unanswered, gets
+/// no member of a gang: one member that fails ends the whole attempt.
+constexpr Millis GangAvoidTime = 1000;
 /// A fence is the epoch times this, plus the lives of the worker seen.
 constexpr std::uint64_t FencesPerEpoch = 1000;
 
@@ -140,6 +143,7 @@
   Effects_.push_back(Decision{"task_stopping", Name, std::string(Why),
                               Now_ - Of.OrderedAt_, Of.Attempt_});
   sendStop(On, Name, Of);
+  memberGone(Of, "a member is stopped");
 }
 
 void Cell::Engine::addRun(Worker &On, const std::string &Name, Run Made) {
@@ -163,6 +167,7 @@
   On.Runs_.erase(It);
   On.Used_ = On.Used_ - Gone.Need_;
   PlaceWanted_ = true;
+  memberGone(Gone, "a member has ended or is lost");
   if (Gone.Step_ == nullptr)
     return;
   if (Gone.Priority_ == FirstPriority_)
@@ -214,6 +219,8 @@
   }
   for (const std::string &Name : Lost)
     loseRun(Of, Name, "worker restarted");
+  for (const auto &[Name, Each] : Of.Runs_)
+    memberGone(Each, "a member's worker has restarted");
 }
 
 /// The id names no life any more: orders that name it are void.
@@ -295,8 +302,10 @@
 void Cell::Engine::settleOrder(Worker &On, const OpenOrder &Order, Run &Of,
                                const OrderOutcome &Outcome) {
   if (Outcome.Result_ == OrderResult::NoAnswer) {
-    if (Order.Start_)
+    if (Order.Start_) {
       Of.Unanswered_ = true;
+      On.GangsNotBefore_ = Now_ + GangAvoidTime;
+    }
     return;
   }
   if (!Order.Start_) {
@@ -315,13 +324,16 @@
   const std::uint32_t Index = Of.Index_;
   Effects_.push_back(Decision{"start_rejected", Order.Task_, On.Id_,
                               Now_ - Of.OrderedAt_, Of.Attempt_});
-  if (Step != nullptr && Outcome.Result_ == OrderResult::BadTicket)
+  if (Outcome.Result_ != OrderResult::BadTicket)
+    On.GangsNotBefore_ = Now_ + GangAvoidTime;
+  else if (Step != nullptr)
     Step->Advice_[On.Id_].ValidUntil_ = 0;
   if (Of.Unanswered_) {
     // An earlier copy may have run: the worker's lists decide.
     Of.Phase_ = Run::Phase::Stopping;
     Of.StopConfirmed_ = Outcome.ClockMs_ != 0;
     Of.ConfirmedClock_ = std::max(Of.ConfirmedClock_, Outcome.ClockMs_);
+    memberGone(Of, "a member is rejected");
     return;
   }
   if (Step != nullptr)
@@ -355,6 +367,7 @@
                                     ? "fenced"
                                     : "no answer to a look",
                                 Now_ - On->ClockAt_});
+    callOffUnproven(*On);
   }
   On->Reachable_ = false;
   On->NextHold_ = Now_ + HoldRetry;
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -35,8 +35,9 @@
   std::string Ticket_;
   Resources TeamNeed_; ///< Counted against its team's limit.
   double Usage_ = 0;   ///< Of a service's task: its tail, in milliseconds.
-  int Percent_ = 0;    ///< As of the last list; a service at work has 100.
-  int Pace_ = 100;     ///< Wanted speed, in percent.
+  /// As of the last list, negative before the first; a service at work has 100.
+  int Percent_ = -1;
+  int Pace_ = 100; ///< Wanted speed, in percent.
   int ConfirmedPace_ = 100;
   Token PaceOrder_ = 0; ///< While one is under way.
 };
@@ -60,11 +61,26 @@
 };
 
 /// One attempt to run a gang: all members carry its run number and work from
-/// the moment when all are present.
+/// the moment when all are present. It holds together or is called off as a
+/// whole, since members that wait for one that will not come only hold room.
 struct GangAttempt {
-  std::uint64_t Attempt_ = 0; ///< Zero before the first.
-  Millis StartedAt_ = 0;
+  enum class Phase {
+    None,      ///< None has begun.
+    Gathering, ///< Some members are not confirmed yet.
+    Together,  ///< All were confirmed or shown to work.
+    Over       ///< Done or called off; members may still be ending.
+  };
+  Phase Phase_ = Phase::None;
+  std::uint64_t Attempt_ = 0;
+  Millis StartedAt_ = 0;      ///< Or found, where it is inherited.
   std::uint32_t Present_ = 0; ///< Members that their workers confirmed.
+  bool Inherited_ = false;    ///< Begun by a former owner.
+  bool Working_ = false;      ///< A member has made progress.
+
+  bool holds(std::uint64_t Attempt) const {
+    return Attempt_ == Attempt &&
+           (Phase_ == Phase::Gathering || Phase_ == Phase::Together);
+  }
 };
 
 /// One step of one occurrence of a job.
@@ -86,7 +102,8 @@
   Millis AdviceNotBefore_ = 0;
   Millis NoRoomPause_ = 0; ///< Grows while no worker is worth asking about.
   std::uint32_t GangStarts_ = 0;
-  GangAttempt Gang_; ///< Newest attempt, of a gang.
+  GangAttempt Gang_;     ///< Newest attempt, of a gang.
+  Millis GangPause_ = 0; ///< Grows with each attempt that did not gather.
 
   const StepSpec &spec() const;
   std::uint32_t waiting() const {
@@ -148,6 +165,8 @@
   std::uint64_t CommitEnd_ = 0; ///< Highest end of the commit in flight.
   Resources Used_;
   std::unordered_map<std::string, Run> Runs_; ///< By task name.
+  /// No gang uses it before: it rejected a start or left one unanswered.
+  Millis GangsNotBefore_ = 0;
   std::uint32_t FailStreak_ = 0;
   Millis QuarantineUntil_ = 0;
   /// Its id is in the stored list of workers, so that a next owner waits for
--- a/test/cell/cell_fuzz_test.cc
+++ b/test/cell/cell_fuzz_test.cc
@@ -23,6 +23,7 @@
                   std::int64_t{50} * Draw(1, 20), 0, 0, 0};
     Step.Estimate_ = 400;
     Step.Checkpointed_ = Draw(0, 1) == 1;
+    Step.Gang_ = Draw(0, 2) == 0;
     if (At > 0)
       Step.After_ = {static_cast<std::uint32_t>(At - 1)};
     Out.Steps_.push_back(Step);
