Leave the cell to strong hosts

Cause: the delay by which hosts wait for each other in a succession differs by at most 86 ms between weak and strong hosts and by up to 250 ms between any two.

The owner's beats now name the strength of the strongest host that follows. A host with half of that or less waits 0.6 s longer than the others. One that owns the cell all the same hands it over to a much stronger follower that reaches the store. An owner that is leaving starts nothing more.

Ruled out: false alarms of the store for strong hosts ('owner is slow' never appeared there).

Test: SuccessionTest.AWeakHostLeavesTheCellToStrongerOnes.

--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -9,6 +9,9 @@
 /// The same where the owner's process is known to be gone.
 constexpr Millis UnchangedLimitLinkLost = 500;
 constexpr Millis MaxReadGap = 1000;
+/// Time that a weak host leaves to stronger ones: longer than their spread and
+/// a takeover's transaction.
+constexpr Millis OutrankedDelay = 600;
 
 } // namespace
 
@@ -41,7 +44,8 @@
   // The row is of a former life of this host, which is certainly over.
   if (Last_.Version_ != 0 && Last_.Row_.Host_ == Self_)
     return true;
-  const Millis Delay = Preferred_ ? 0 : Spread_;
+  const Millis Rank = Outranked_ ? OutrankedDelay : 0;
+  const Millis Delay = Preferred_ ? 0 : Spread_ + Rank;
   if (Last_.Version_ == 0 || Last_.Row_.Released_)
     return Now - UnchangedSince_ >= Delay;
   if (GoneSince_)
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -42,6 +42,9 @@
   void setOwnerWell(bool Well) { OwnerWell_ = Well; }
   /// The owner named this host to follow it.
   void setPreferred(bool Preferred) { Preferred_ = Preferred; }
+  /// Much stronger hosts than this one follow the owner: they go first, since
+  /// a weak host cannot keep up with a cell that they can serve.
+  void setOutranked(bool Outranked) { Outranked_ = Outranked; }
   /// True where this host should write itself into the row now.
   bool mayTakeOver(Millis Now) const;
   const StoredOwner &last() const { return Last_; }
@@ -60,6 +63,7 @@
   Epoch GoneEpoch_ = 0;
   bool ReadSinceGone_ = false;
   bool Preferred_ = false;
+  bool Outranked_ = false;
   bool OwnerWell_ = false;
 };
 
--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -55,6 +55,8 @@
   void announce();
   void handOver(const cell::StoredOwner &Last);
   void handOverWhereCutOff();
+  void handOverToStronger();
+  void releaseOwnership();
   void ownerLinkEnded(PeerLink::End How);
   // Links between hosts.
   void acceptLink(std::unique_ptr<PeerLink> Link);
@@ -72,6 +74,7 @@
   bool sendToOwner(const cell::pb::Forward &Request);
   bool ownerReachable() const;
   const HostLink *successor() const;
+  bool isMuchStronger(double Strength) const;
   std::set<std::string> followers() const;
   // Process.
   std::string ownAddress() const;
@@ -98,6 +101,7 @@
   std::uint64_t OperatorVersion_ = 0;
   bool OperatorDown_ = false;
   std::unique_ptr<Owner> Owner_;
+  Millis OwnerSince_ = 0; ///< Of Owner_.
   std::unique_ptr<PeerLink> OwnerLink_;
   std::string OwnerAddress_;
   std::string RefusedAddress_; ///< Where nothing listened at RefusedAt_.
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -151,6 +151,7 @@
   }
   tryTakeover();
   handOverWhereCutOff();
+  handOverToStronger();
   dropSilentLinks();
   Front_.tick();
   Log_.flush();
@@ -173,16 +174,8 @@
   DrainingSince_ = bootTime();
   Front_.setDraining();
   Log_.event("stopping", {{"owner", Owner_ ? 1 : 0}});
-  if (!Owner_)
-    return;
-  Owner_->release([this](const cell::StoredOwner &Last) {
-    Events_.after(0, [this, Last] {
-      if (!Owner_)
-        return;
-      Owner_.reset();
-      handOver(Last);
-    });
-  });
+  if (Owner_ && !Owner_->releasing())
+    releaseOwnership();
 }
 
 void EntryHost::reload() {
--- a/src/node/host_links.cc
+++ b/src/node/host_links.cc
@@ -1,5 +1,7 @@
 // Links between entry hosts.
 
+#include <algorithm>
+
 #include "cell.pb.h"
 #include "node/entry_host.h"
 
@@ -16,6 +18,8 @@
 constexpr Millis FollowerSilence = 500;
 
 constexpr Millis UnknownStoreAge = 1000000;
+/// A host counts as much stronger from this ratio of their shares of a core.
+constexpr double MuchStronger = 2;
 
 } // namespace
 
@@ -130,6 +134,8 @@
   Succession_.setOwnerWell(Beat.epoch() == OwnerEpoch_ &&
                            Beat.store_age_ms() < StoreSilence);
   Succession_.setPreferred(Beat.successor() == Settings_.Name_);
+  if (Beat.strongest() > 0)
+    Succession_.setOutranked(isMuchStronger(Beat.strongest()));
   if (Beat.epoch() == OwnerEpoch_)
     Peers_ = {Beat.peers().begin(), Beat.peers().end()};
   if (OwnerSaysReady_)
@@ -176,6 +182,10 @@
   return Best;
 }
 
+bool EntryHost::isMuchStronger(double Strength) const {
+  return Strength >= MuchStronger * Settings_.Strength_;
+}
+
 std::set<std::string> EntryHost::followers() const {
   std::set<std::string> Out;
   for (const HostLink &Each : Links_)
@@ -197,6 +207,9 @@
     Beat.set_successor(Next->Host_);
   if (Owner_) {
     Beat.set_epoch(Owner_->epoch());
+    const HostLink *Strongest = successor();
+    Beat.set_strongest(std::max(
+        Settings_.Strength_, Strongest == nullptr ? 0 : Strongest->Strength_));
     for (const HostLink &Each : Links_)
       if (!Each.Address_.empty())
         Beat.add_peers(Each.Address_);
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -16,6 +16,9 @@
 /// that says it had one within StoreHealthy.
 constexpr Millis CutOffTime = 600;
 constexpr Millis StoreHealthy = 350;
+/// Time for which a weak owner lets hosts link before it hands over: several
+/// of their pauses between reads of the owner's row.
+constexpr Millis StrongerWait = 1000;
 
 } // namespace
 
@@ -151,6 +154,7 @@
   Owner_ = std::make_unique<Owner>(
       Shared_, Row, Version, SentAt,
       [this](const std::string &Why) { loseOwnership(Why); });
+  OwnerSince_ = bootTime();
   Owner_->start();
   for (const HostLink &Each : Links_)
     addToOwner(Each); // Linked before the takeover.
@@ -236,6 +240,29 @@
   loseOwnership("the store cannot be reached from here");
 }
 
+/// A host that is too weak for the cell may have taken over while stronger ones
+/// were away.
+void EntryHost::handOverToStronger() {
+  const HostLink *Next = successor();
+  if (!Owner_ || !Owner_->ready() || Owner_->releasing() || Next == nullptr ||
+      !isMuchStronger(Next->Strength_) || Next->StoreAge_ > StoreHealthy ||
+      bootTime() - OwnerSince_ < StrongerWait)
+    return;
+  releaseOwnership();
+}
+
+/// Ends this host's ownership once its last transaction is settled.
+void EntryHost::releaseOwnership() {
+  Owner_->release([this](const cell::StoredOwner &Last) {
+    Events_.after(0, [this, Last] {
+      if (!Owner_)
+        return;
+      Owner_.reset();
+      handOver(Last);
+    });
+  });
+}
+
 void EntryHost::noteRelease(const cell::pb::Release &Release) {
   const auto Row = cell::decodeOwner(Release.row());
   if (!Row || Row->Epoch_ != OwnerEpoch_ || Owner_)
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -222,7 +222,8 @@
   measureDelay();
   readWorkers();
   Cell_->setStoreReachable(Shared_.Store_.reachable());
-  Cell_->setAuthorized(authorized());
+  // An owner that is leaving starts nothing that it could not finish.
+  Cell_->setAuthorized(authorized() && !releasing());
   Cell_->tick(bootTime(), wallTime());
   drain();
 }
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -50,6 +50,7 @@
   /// hosts as not done.
   using ReleaseHandler = std::function<void(const cell::StoredOwner &Last)>;
   void release(ReleaseHandler Done);
+  bool releasing() const { return Released_ != nullptr; }
   /// Whether a transaction has been under way without contact to the store,
   /// for \p Limit.
   bool cutOff(Millis Limit) const {
--- a/test/cell/ownership_test.cc
+++ b/test/cell/ownership_test.cc
@@ -116,6 +116,16 @@
   EXPECT_TRUE(Same.mayTakeOver(0));
 }
 
+// Guards against a cell that is owned by a host too weak for it while strong
+// ones would take over.
+TEST_F(SuccessionTest, AWeakHostLeavesTheCellToStrongerOnes) {
+  Next_.setOutranked(true);
+  observeUntil(900, 5);
+  EXPECT_FALSE(Next_.mayTakeOver(900));
+  observeUntil(1500, 5);
+  EXPECT_TRUE(Next_.mayTakeOver(1500));
+}
+
 TEST_F(SuccessionTest, FollowsAReleasedOwnerAtOnce) {
   OwnerRow Released = Self;
   Released.Released_ = true;
