Do not take back the cell that this process gave up

Cause: a row with a host's own name was always read as that of a former life of its process, which may follow itself at once.

A process now remembers the epoch that it gave up or lost and waits like any other host while the row names that one.

Test: SuccessionTest.AHostThatGaveTheCellUpWaitsLikeOthers; it failed with the condition left out.

--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -42,7 +42,8 @@
   if (LastRead_ < 0 || Now - LastRead_ > MaxReadGap)
     return false;
   // The row is of a former life of this host, which is certainly over.
-  if (Last_.Version_ != 0 && Last_.Row_.Host_ == Self_)
+  if (Last_.Version_ != 0 && Last_.Row_.Host_ == Self_ &&
+      Last_.Row_.Epoch_ != GaveUpEpoch_)
     return true;
   const Millis Rank = Outranked_ ? OutrankedDelay : 0;
   const Millis Delay = Preferred_ ? 0 : Spread_ + Rank;
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -37,6 +37,9 @@
   /// The process of the owner of that epoch has ended, or says that it acts no
   /// longer. The next read of the row is enough for a takeover.
   void ownerGone(Millis Now, Epoch Gone);
+  /// This process was owner of that epoch and is no longer: a row that still
+  /// names it says nothing of a former life.
+  void gaveUp(Epoch Own) { GaveUpEpoch_ = Own; }
   /// The owner is alive and reaches the store: however long its row stays
   /// the same, as with a slow store, it is not replaced.
   void setOwnerWell(bool Well) { OwnerWell_ = Well; }
@@ -62,6 +65,7 @@
   std::optional<Millis> GoneSince_;
   Epoch GoneEpoch_ = 0;
   bool ReadSinceGone_ = false;
+  Epoch GaveUpEpoch_ = 0;
   bool Preferred_ = false;
   bool Outranked_ = false;
   bool OwnerWell_ = false;
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -173,6 +173,7 @@
 
 void EntryHost::loseOwnership(const std::string &Why) {
   Log_.event("no longer owner", {{"why", Why}});
+  Succession_.gaveUp(Owner_->epoch());
   Owner_.reset();
   Succession_.restart(bootTime());
   Front_.ownerLost();
@@ -257,6 +258,7 @@
     Events_.after(0, [this, Last] {
       if (!Owner_)
         return;
+      Succession_.gaveUp(Owner_->epoch());
       Owner_.reset();
       handOver(Last);
     });
--- a/test/cell/ownership_test.cc
+++ b/test/cell/ownership_test.cc
@@ -126,6 +126,18 @@
   EXPECT_TRUE(Next_.mayTakeOver(1500));
 }
 
+// Guards against an owner that gives the cell away, finds its own name in the
+// row and takes it back before the host that it named.
+TEST_F(SuccessionTest, AHostThatGaveTheCellUpWaitsLikeOthers) {
+  Succession Same("h1", 100);
+  Same.gaveUp(Self.Epoch_);
+  for (Millis At = 0; At <= 600; At += 300)
+    Same.observe(At, {5, Self});
+  EXPECT_FALSE(Same.mayTakeOver(600));
+  Same.observe(900, {5, Self});
+  EXPECT_TRUE(Same.mayTakeOver(900));
+}
+
 TEST_F(SuccessionTest, FollowsAReleasedOwnerAtOnce) {
   OwnerRow Released = Self;
   Released.Released_ = true;
