Check gangs and strong hosts with real processes

The stand-in's workers know gangs: members of one attempt work from the moment when all are present, end alone after 3 s, and end together. Two new checks of system_platform_test: no member of a gang waits alone while the worker of another is cut off, and the cell does not stay with a weak host where a strong one follows it.

--- a/test/standin/platform_world.py
+++ b/test/standin/platform_world.py
@@ -15,6 +15,8 @@
 
 LEASE_MAX_MS = 6000
 SILENCE_S = 5
+GANG_TIMEOUT_S = 3
+GANG_SPEC = "gang "  # Begins the payload of a gang's job; its size follows.
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -167,6 +169,41 @@
         return self.store.handle(request, url, body)
 
 
+class GangRun:
+    """The members of one attempt of a gang, on all workers."""
+
+    lock = threading.Lock()
+    known = {}  # By step and attempt.
+
+    def __init__(self, size):
+        self.size = size
+        self.present = set()
+        self.whole_since = None
+        self.over = None  # How the first member ended.
+
+    @classmethod
+    def join(cls, task, attempt, spec):
+        """Adds a member; none where the job is no gang."""
+        if not spec.startswith(GANG_SPEC):
+            return None
+        with cls.lock:
+            step = (task.rpartition(".")[0], attempt)
+            gang = cls.known.setdefault(step, cls(int(spec[len(GANG_SPEC):])))
+            gang.present.add(task)
+            if len(gang.present) == gang.size:
+                gang.whole_since = time.monotonic()
+            return gang
+
+    def outcome(self, started, run_s):
+        """How a member ends now, or none while it waits or works."""
+        if self.over is not None:
+            return "done" if self.over == "done" else "broken"
+        now = time.monotonic()
+        if self.whole_since is not None:
+            return "done" if now > self.whole_since + run_s else None
+        return "alone" if now > started + GANG_TIMEOUT_S else None
+
+
 class Worker(Service):
     def __init__(self, ident, store, run_s, ip="127.0.0.1"):
         self.ident = ident
@@ -176,7 +213,7 @@
         self.lock = threading.Condition()
         self.fence = 0
         self.deadline = 0
-        self.runs = {}
+        self.runs = {}  # (attempt, start, GangRun or none) by task.
         self.ends = []
         self.last_end = 0
         self.spent = {}
@@ -196,7 +233,9 @@
     def go_down(self, store):
         """All runs are gone at once, and so is the worker's entry."""
         with self.lock:
-            for task, (attempt, _) in self.runs.items():
+            for task, (attempt, _, gang) in self.runs.items():
+                if gang:
+                    gang.over = gang.over or "gone"
                 self.history.append((task, attempt, "gone", time.monotonic()))
             self.runs, self.ends, self.last_end, self.spent = {}, [], 0, {}
             self.fence = self.deadline = 0
@@ -215,7 +254,9 @@
         return int((time.monotonic() - self.started) * 1000) + 1
 
     def end(self, task, how):
-        attempt, _ = self.runs.pop(task)
+        attempt, _, gang = self.runs.pop(task)
+        if gang:
+            gang.over = gang.over or how
         self.last_end += 1
         self.ends.append([self.last_end, task, attempt, how, ""])
         self.spent[task] = max(self.spent.get(task, 0), attempt)
@@ -230,8 +271,17 @@
                 for task in list(self.runs):
                     if lapsed:
                         self.end(task, "lapsed")
-                    elif time.monotonic() > self.runs[task][1]:
-                        self.end(task, "done")
+                    else:
+                        self.end_where_due(task)
+
+    def end_where_due(self, task):
+        _, started, gang = self.runs[task]
+        if gang:
+            how = gang.outcome(started, self.run_s)
+        else:
+            how = "done" if time.monotonic() > started + self.run_s else None
+        if how:
+            self.end(task, how)
 
     def handle(self, request, url, body):
         if self.cut:
@@ -257,7 +307,8 @@
             return 409, dict(now, reason="old")
         if body["deadline_ms"] < self.clock():
             return 409, dict(now, reason="late")
-        self.runs[task] = (attempt, time.monotonic() + self.run_s)
+        self.runs[task] = (attempt, time.monotonic(),
+                           GangRun.join(task, attempt, body["spec"]))
         self.history.append((task, attempt, "start", time.monotonic()))
         return 200, now
 
@@ -277,10 +328,16 @@
         while not self.ends and time.monotonic() < end:
             self.lock.wait(end - time.monotonic())
         return 200, {"clock_ms": self.clock(), "born": self.born,
-                     "running": [[t, a, "", 50] for t, (a, _) in self.runs.items()],
+                     "running": [self.listed(t) for t in self.runs],
                      "finished": self.ends[:500]}
 
 
+    def listed(self, task):
+        attempt, _, gang = self.runs[task]
+        waits = gang and gang.whole_since is None
+        return [task, attempt, "", 0 if waits else 50]
+
+
 class MachineService(Service):
     """Machines m-0, m-1 ... of the workers, in pages of two."""
 
--- a/test/system/platform_hosts.py
+++ b/test/system/platform_hosts.py
@@ -18,7 +18,7 @@
 
 
 class Host:
-    def __init__(self, program, folder, number, store, advice, machines):
+    def __init__(self, program, folder, number, store, advice, machines, share=0.25):
         self.ip = "127.0.0.%d" % (10 + number)
         self.name = "host-%d" % number
         self.program = program
@@ -31,7 +31,7 @@
                 "listen.frontend=%s:%d" % (self.ip, CALLER_PORT),
                 "listen.ready=%s:%d" % (self.ip, READY_PORT),
                 "port_range=%d,%d" % (PEER_PORT, PEER_PORT + 15),
-                "limits.cpu_share=0.25", "platform.addr=" + self.door.address,
+                "limits.cpu_share=%g" % share, "platform.addr=" + self.door.address,
                 "hint=" + advice.address, "bounds.grace_s=6",
                 "cloud_api.addr=" + machines.address, "bounds.lease_ms=1000",
                 "bounds.maint_s=0.5", "bounds.hold_max_ms=6000", ""]))
@@ -52,8 +52,9 @@
         """True where the host's log says that it became, and is still, owner."""
         with open(self.log) as lines:
             text = lines.read()
-        return text.rfind('"owner of the cell"') > text.rfind('"started"') and \
-            text.rfind('"owner of the cell"') > text.rfind('"no longer owner"')
+        return text.rfind('"owner of the cell"') > max(
+            text.rfind(line) for line in ('"started"', '"no longer owner"',
+                                          '"ownership handed over"'))
 
     def call(self, method, path, body=None, key="key-1", host="cell.example", timeout=5):
         link = http.client.HTTPConnection(self.ip, CALLER_PORT, timeout=timeout)
@@ -96,12 +97,17 @@
         self.advice = world.AdviceService("127.0.0.1", 0)
         self.workers = [world.Worker("i-%d" % n, self.store, run_s) for n in range(4)]
         self.machines = world.MachineService(self.store, self.workers)
-        program = os.path.join(build, "oleandergauge")
-        self.hosts = [Host(program, self.folder, n, self.store, self.advice,
-                           self.machines)
-                      for n in range(3)]
+        self.program = os.path.join(build, "oleandergauge")
+        self.hosts = []
+        for _ in range(3):
+            self.add_host()
         wait_for(lambda: all(h.ready() for h in self.hosts), 15, "hosts ready")
 
+    def add_host(self, **settings):
+        self.hosts.append(Host(self.program, self.folder, len(self.hosts), self.store,
+                               self.advice, self.machines, **settings))
+        return self.hosts[-1]
+
     def owner(self):
         wait_for(lambda: any(h.process.poll() is None and h.owns() for h in self.hosts),
                  10, "an owner")
@@ -122,11 +128,14 @@
     raise AssertionError("not within %s s: %s" % (seconds, what))
 
 
-def job(count=2, cpu=500, steps=1):
+def job(count=2, cpu=500, steps=1, gang=False):
     phases = [{"count": count, "cpu": cpu, "mem_mb": 100, "est_ms": 300}]
+    if gang:
+        phases[0]["gang"] = True
     for step in range(1, steps):
         phases.append(dict(phases[0], after=[step - 1]))
-    return json.dumps({"spec": "work", "phases": phases})
+    spec = world.GANG_SPEC + str(count) if gang else "work"
+    return json.dumps({"spec": spec, "phases": phases})
 
 
 def state(host, ident):
--- a/test/system/platform_test.py
+++ b/test/system/platform_test.py
@@ -13,7 +13,7 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from platform_hosts import CALLER_PORT, Cell, job, state, wait_for  # noqa: E402
+from platform_hosts import CALLER_PORT, Cell, job, state, wait_for, world  # noqa: E402
 
 
 def submit(host, ident, **spec):
@@ -207,6 +207,33 @@
         worker.run_s = 0.3
 
 
+def gang_member_cut(cell):
+    """No member of a gang waits alone while one's worker is out of reach."""
+    ident = "0000000000004100"
+    time.sleep(0.5)  # Looks at idle workers are held open.
+    cell.workers[0].cut = True
+    submit(cell.hosts[0], ident, count=4, cpu=3000, gang=True)
+    wait_for(lambda: any(ident in e[0] for w in cell.workers for e in w.history),
+             3, "a part of the gang")
+    time.sleep(world.GANG_TIMEOUT_S + 0.5)
+    ends = [e[2] for w in cell.workers for e in w.history if ident in e[0]]
+    assert "alone" not in ends and "stopped" in ends, ends
+    cell.workers[0].cut = False
+    all_complete(cell, [ident], 20)
+    no_double_runs(cell)
+
+
+def stronger_host_joins(cell):
+    """A cell does not stay with a weak host where a strong one follows it."""
+    strong = cell.add_host(share=1)
+    wait_for(strong.owns, 8, "the strong host owns the cell")
+    submit(cell.hosts[0], "0000000000004200", count=3)
+    all_complete(cell, ["0000000000004200"], 5)
+    strong.kill()
+    cell.hosts.remove(strong)
+    wait_for(lambda: state(cell.owner(), "0000000000004200") == "complete", 8, "a next owner")
+
+
 def graceful_stop(cell):
     """SIGTERM of the owner cuts off no request and ends with exit code 0."""
     owner = cell.owner()
@@ -256,10 +283,11 @@
     try:
         for check in (calm_path, bad_input, foreign_rows, cancel, withdrawn_key,
                       owner_killed, lost_answers, muted_answers,
-                      store_cut_owner, store_away, upkeep_wave, worker_cut, graceful_stop):
+                      store_cut_owner, store_away, upkeep_wave, worker_cut,
+                      gang_member_cut, stronger_host_joins, graceful_stop):
             begin = time.monotonic()
             check(cell)
-            print("%-15s ok, %.1f s" % (check.__name__, time.monotonic() - begin), flush=True)
+            print("%-20s ok, %.1f s" % (check.__name__, time.monotonic() - begin), flush=True)
     finally:
         cell.stop()
 
