Count an inherited gang's wait from the takeover

Its owner was cut off with its zone 0.25 s after it had started the gang; the next owner reached the members there 2.6 s later, gave them another second to gather, and they gave up in it.

Cause: the time that a next owner grants to an attempt counted from the moment it found the first member, though members have waited since before the takeover.

It now counts from the takeover, with 0.2 s for the lists of a zone that is back.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -173,6 +173,7 @@
   void memberGone(const Run &Of, std::string_view Why);
   void callOff(StepRun &Step, std::string_view Why);
   void callOffUnproven(const Worker &Silent);
+  bool isOverdue(const GangAttempt &Gang) const;
   void watchGangs();
 
   // engine_pace.cc
--- a/src/cell/engine_gangs.cc
+++ b/src/cell/engine_gangs.cc
@@ -10,8 +10,11 @@
 /// Parts of the time after which a waiting member gives up. The first is for
 /// the starts to be confirmed; the rest is for the stops to reach all members.
 constexpr Millis GatherDivisor = 3;
-/// For an inherited attempt, whose members have waited since before.
+/// For an inherited attempt, from the takeover on: its members have waited
+/// since before.
 constexpr Millis InheritedDivisor = 4;
+/// Time within which the workers of a zone that is back list their runs.
+constexpr Millis ListSpread = 200;
 constexpr Millis FirstGangPause = 100;
 constexpr Millis LongestGangPause = 1600;
 
@@ -193,21 +196,25 @@
     callOff(*Step, "a member's worker does not answer");
 }
 
-/// Calls off what has not gathered in time. A former owner's attempt gathers no
-/// further members once all workers have answered this owner.
+/// Whether no further member of an attempt is to be expected in time. A former
+/// owner's attempt gathers none once all workers have answered this owner.
+bool Cell::Engine::isOverdue(const GangAttempt &Gang) const {
+  const Millis Known = Now_ - Gang.StartedAt_;
+  if (!Gang.Inherited_)
+    return Known > Limits_.GangTimeout_ / GatherDivisor;
+  const bool Waited =
+      Now_ - OwnerSince_ > Limits_.GangTimeout_ / InheritedDivisor;
+  return !recovering() || (Waited && Known > ListSpread);
+}
+
 void Cell::Engine::watchGangs() {
   const std::vector<StepRun *> Watched = Gathering_;
-  for (StepRun *Step : Watched) {
-    const GangAttempt &Gang = Step->Gang_;
-    if (Gang.Phase_ != GangAttempt::Phase::Gathering)
-      continue;
-    const Millis Limit = Limits_.GangTimeout_ /
-                         (Gang.Inherited_ ? InheritedDivisor : GatherDivisor);
-    if (Now_ - Gang.StartedAt_ > Limit)
-      callOff(*Step, "not all members answered in time");
-    else if (Gang.Inherited_ && !recovering())
-      callOff(*Step, "a former owner's attempt is not whole");
-  }
+  for (StepRun *Step : Watched)
+    if (Step->Gang_.Phase_ == GangAttempt::Phase::Gathering &&
+        isOverdue(Step->Gang_))
+      callOff(*Step, Step->Gang_.Inherited_
+                         ? "a former owner's attempt is not whole"
+                         : "not all members answered in time");
   std::erase_if(Gathering_, [](const StepRun *Step) {
     return Step->Gang_.Phase_ != GangAttempt::Phase::Gathering;
   });
