Do not refuse by a host's own state where no owner is left

After 0.5 s without an owner the front answered with the refusal that its own state gave.

A front without an owner now answers 503 with Retry-After: nothing was done, and it cannot know more. Class: a decision on a local copy that is known to lag behind what this host has already shown.

Test: newer_state_kept of system_platform_test; it got 404 before.

--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -171,9 +171,10 @@
     finish(Token, 504, "{\"error\":\"outcome unknown, ask again\"}", false);
     return;
   }
-  const auto Refused = static_cast<cell::Access>(Late.Forward_.access());
-  const platform::CallerAnswer Answer = platform::encodeRefusal(
-      Refused == cell::Access::Allowed ? cell::Access::NoState : Refused);
+  // This host's own state may be older than one that an owner served by, so
+  // that a missing queue or key proves nothing without an owner.
+  const platform::CallerAnswer Answer =
+      platform::encodeRefusal(cell::Access::NoState);
   finish(Token, Answer.Status_, Answer.Body_, Answer.RetryLater_);
 }
 
--- a/test/system/platform_test.py
+++ b/test/system/platform_test.py
@@ -207,6 +207,28 @@
         worker.run_s = 0.3
 
 
+def newer_state_kept(cell):
+    """A host that served by an owner's newer state does not fall back to its
+    own older one where no owner is left: it cannot know, and says so."""
+    owner = cell.owner()
+    host = next(h for h in cell.hosts if h is not owner)
+    others = [h for h in cell.hosts if h is not host]
+    host.door.silent = True
+    time.sleep(1.5)  # Until the call that it holds open has ended.
+    newer = world.desired_state(version=50)
+    newer["routes"].append(dict(newer["routes"][0], name="r2", prefix="/new/"))
+    cell.store.put("op", "config", newer)
+    wait_for(lambda: host.call("GET", "/new/")[0] == 200, 5, "the new queue")
+    for other in others:
+        other.kill()
+    status = host.call("GET", "/new/")[0]
+    assert status == 503, status
+    host.door.silent = False
+    for other in others:
+        other.start()
+    wait_for(lambda: all(h.ready() for h in cell.hosts), 15, "hosts ready")
+
+
 def gang_member_cut(cell):
     """No member of a gang waits alone while one's worker is out of reach."""
     ident = "0000000000004100"
@@ -284,7 +306,8 @@
         for check in (calm_path, bad_input, foreign_rows, cancel, withdrawn_key,
                       owner_killed, lost_answers, muted_answers,
                       store_cut_owner, store_away, upkeep_wave, worker_cut,
-                      gang_member_cut, stronger_host_joins, graceful_stop):
+                      newer_state_kept, gang_member_cut, stronger_host_joins,
+                      graceful_stop):
             begin = time.monotonic()
             check(cell)
             print("%-20s ok, %.1f s" % (check.__name__, time.monotonic() - begin), flush=True)
