Let a next owner wait for the operator's rows

The next owner now repeats the read and is not ready before it has an answer; until then callers get 503 with Retry-After. The price: where only the operator's rows are away and the owner changes at that moment, the cell waits for their return.

--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -49,6 +49,7 @@
   void becomeOwner(const cell::OwnerRow &Row, std::uint64_t Version,
                    Millis SentAt);
   void loseOwnership(const std::string &Why);
+  void readOperatorAsOwner(Epoch Own);
   void takeOverBy(const cell::StoredOwner &Seen);
   void followRow();
   void follow(Epoch OfOwner, const std::string &Address);
@@ -102,6 +103,8 @@
   bool OperatorDown_ = false;
   std::unique_ptr<Owner> Owner_;
   Millis OwnerSince_ = 0; ///< Of Owner_.
+  /// The operator's rows were read since then.
+  bool OwnerKnowsOperator_ = false;
   std::unique_ptr<PeerLink> OwnerLink_;
   std::string OwnerAddress_;
   std::string RefusedAddress_; ///< Where nothing listened at RefusedAt_.
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -128,7 +128,7 @@
   Front_.setDesiredState(Operator_.State_);
   Callers_.setLimits({State.Limits_.HeaderBytes_, State.Limits_.BodyBytes_,
                       State.Limits_.IdleTimeout_});
-  if (Owner_)
+  if (Owner_ && OwnerKnowsOperator_)
     Owner_->setOperatorRows(Operator_);
 }
 
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -19,6 +19,8 @@
 /// Time for which a weak owner lets hosts link before it hands over: several
 /// of their pauses between reads of the owner's row.
 constexpr Millis StrongerWait = 1000;
+/// Pause before the operator's rows are asked for again.
+constexpr Millis OperatorRetry = 150;
 
 } // namespace
 
@@ -155,19 +157,30 @@
       Shared_, Row, Version, SentAt,
       [this](const std::string &Why) { loseOwnership(Why); });
   OwnerSince_ = bootTime();
+  OwnerKnowsOperator_ = false;
   Owner_->start();
   for (const HostLink &Each : Links_)
     addToOwner(Each); // Linked before the takeover.
   announce();
-  // Rows that were read after the takeover are as new as any answer that a
-  // former owner gave.
+  readOperatorAsOwner(Row.Epoch_);
+}
+
+/// Rows that were read after the takeover are as new as any answer that a
+/// former owner gave; the owner waits for them, however long that takes.
+void EntryHost::readOperatorAsOwner(Epoch Own) {
   Store_.readTable(platform::Space::Operator, "",
-                   [this](const std::optional<platform::RowPage> &Page) {
-                     if (Page)
-                       for (const platform::Row &Each : Page->Rows_)
-                         platform::applyOperatorRow(Each, Operator_);
-                     if (Owner_)
-                       operatorChanged();
+                   [this, Own](const std::optional<platform::RowPage> &Page) {
+                     if (!Owner_ || Owner_->epoch() != Own)
+                       return;
+                     if (!Page) {
+                       Events_.after(OperatorRetry,
+                                     [this, Own] { readOperatorAsOwner(Own); });
+                       return;
+                     }
+                     for (const platform::Row &Each : Page->Rows_)
+                       platform::applyOperatorRow(Each, Operator_);
+                     OwnerKnowsOperator_ = true;
+                     operatorChanged();
                    });
 }
 
--- a/test/standin/platform_world.py
+++ b/test/standin/platform_world.py
@@ -158,6 +158,7 @@
     def __init__(self, store):
         self.store = store
         self.silent = False
+        self.refused = set()  # Tables.
         super().__init__("127.0.0.1", 0)
 
     def handle(self, request, url, body):
@@ -166,6 +167,8 @@
             if time.monotonic() > end:
                 return None
             time.sleep(0.02)
+        if parse_qs(url.query).get("table", [""])[0] in self.refused:
+            return 503, {}
         return self.store.handle(request, url, body)
 
 
--- a/test/system/platform_test.py
+++ b/test/system/platform_test.py
@@ -207,6 +207,13 @@
         worker.run_s = 0.3
 
 
+def put_newer_state(cell, version, prefix):
+    """Writes a state with one queue more."""
+    state = world.desired_state(version=version)
+    state["routes"].append(dict(state["routes"][0], name="r2", prefix=prefix))
+    cell.store.put("op", "config", state)
+
+
 def newer_state_kept(cell):
     """A host that served by an owner's newer state does not fall back to its
     own older one where no owner is left: it cannot know, and says so."""
@@ -215,9 +222,7 @@
     others = [h for h in cell.hosts if h is not host]
     host.door.silent = True
     time.sleep(1.5)  # Until the call that it holds open has ended.
-    newer = world.desired_state(version=50)
-    newer["routes"].append(dict(newer["routes"][0], name="r2", prefix="/new/"))
-    cell.store.put("op", "config", newer)
+    put_newer_state(cell, 50, "/new/")
     wait_for(lambda: host.call("GET", "/new/")[0] == 200, 5, "the new queue")
     for other in others:
         other.kill()
@@ -229,6 +234,28 @@
     wait_for(lambda: all(h.ready() for h in cell.hosts), 15, "hosts ready")
 
 
+def newer_state_awaited(cell):
+    """A next owner that cannot read the operator's rows does not decide by
+    those that it had before its takeover."""
+    owner = cell.owner()
+    host = next(h for h in cell.hosts if h is not owner)
+    others = [h for h in cell.hosts if h is not host]
+    host.door.refused = {"op"}
+    time.sleep(1.5)  # Until the call that it holds open has ended.
+    put_newer_state(cell, 60, "/newer/")
+    wait_for(lambda: host.call("GET", "/newer/")[0] == 200, 5, "the new queue")
+    for other in others:
+        other.kill()
+    for _ in range(5):
+        status = host.call("GET", "/newer/")[0]
+        assert status == 503, status
+    host.door.refused = set()
+    wait_for(lambda: host.call("GET", "/newer/")[0] == 200, 5, "the state read")
+    for other in others:
+        other.start()
+    wait_for(lambda: all(h.ready() for h in cell.hosts), 15, "hosts ready")
+
+
 def gang_member_cut(cell):
     """No member of a gang waits alone while one's worker is out of reach."""
     ident = "0000000000004100"
@@ -306,7 +333,7 @@
         for check in (calm_path, bad_input, foreign_rows, cancel, withdrawn_key,
                       owner_killed, lost_answers, muted_answers,
                       store_cut_owner, store_away, upkeep_wave, worker_cut,
-                      newer_state_kept, gang_member_cut, stronger_host_joins,
+                      newer_state_kept, newer_state_awaited, gang_member_cut, stronger_host_joins,
                       graceful_stop):
             begin = time.monotonic()
             check(cell)
