Tell no absence of a job by an owner that may have been followed

A caller on a connection that it had kept asks for a job that the next owner accepted, and gets 410, 0 to 1 ms before the host reads that it is no longer owner. A cancel would have been lost the same way.

Cause: the right to act (a recent transaction, or all followers still there) was asked for before starts and leases only, not before answers; and it did not notice that the process itself had had no turn, since the set of followers was that from before the pause.

Such an answer ('no such job', and refusals by queue or key) now needs the same right, and a process that had no turn for 0.5 s has it only by a transaction sent after that. Otherwise the request goes to the owner of now, or gets 503 with Retry-After after 0.5 s.

Test: owner_paused of system_platform_test; it got 410 before.

--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -28,6 +28,16 @@
 /// Time between two ticks from which on the process counts as slow.
 constexpr Millis SlowTick = 200;
 constexpr Millis SlowLinePause = 500;
+/// Time without a turn after which what this process knows of its followers is
+/// out of date: that after which they look for another owner.
+constexpr Millis TurnLimit = 500;
+
+/// Nothing was done: the caller's host asks the owner of now.
+cell::pb::ForwardReply notOwner() {
+  cell::pb::ForwardReply Out;
+  Out.set_not_owner(true);
+  return Out;
+}
 
 } // namespace
 
@@ -152,9 +162,7 @@
 
 void Owner::handle(const cell::pb::Forward &Request, ReplyHandler Then) {
   if (Released_) {
-    cell::pb::ForwardReply NotDone;
-    NotDone.set_not_owner(true);
-    Then(NotDone);
+    Then(notOwner());
     return;
   }
   const cell::Token Caller = NextCaller_++;
@@ -170,6 +178,10 @@
   if (Submits && Where.Access_ == cell::Access::Allowed &&
       (Where.JobId_.empty() || Request.job().steps().empty()))
     Where.Access_ = cell::Access::BadJobId;
+  if (Where.Access_ != cell::Access::Allowed && !authorized()) {
+    Then(notOwner());
+    return;
+  }
   if (Where.Access_ != cell::Access::Allowed) {
     const platform::CallerAnswer Refused =
         platform::encodeRefusal(Where.Access_);
@@ -209,6 +221,8 @@
   const Millis Now = bootTime();
   const Millis Gap = LastTick_ == 0 ? 0 : Now - LastTick_;
   LastTick_ = Now;
+  if (Gap > TurnLimit)
+    PausedUntil_ = Now;
   Shared_.Counters_.observe("owner_tick_gap", "owner", Gap);
   if (Gap < SlowTick || Now < NextSlowLine_)
     return;
@@ -274,6 +288,11 @@
     return;
   const ReplyHandler Then = std::move(It->second);
   Replies_.erase(It);
+  // A later owner may have accepted what this one has never heard of.
+  if (Each.Answer_ == cell::Answer::NoJob && !authorized()) {
+    Then(notOwner());
+    return;
+  }
   const platform::CallerAnswer Answer = platform::encodeAnswer(Each);
   cell::pb::ForwardReply Out;
   Out.set_status(Answer.Status_);
@@ -370,10 +389,14 @@
 
 /// A next owner waits 0.8 s for the row to change. After that only a follower
 /// can have taken over, so this host goes on while all of them follow it, as
-/// when the store is away for everybody.
+/// when the store is away for everybody. A process that had no turn for a while
+/// may have missed that one of them left, until its next transaction.
 bool Owner::authorized() const {
-  if (bootTime() - ProvenAt_ < ProofLimit)
+  const Millis Now = bootTime();
+  if (Now - ProvenAt_ < ProofLimit)
     return true;
+  if (Now - LastTick_ > TurnLimit || ProvenAt_ < PausedUntil_)
+    return false;
   return std::includes(Followers_.begin(), Followers_.end(), Witnesses_.begin(),
                        Witnesses_.end());
 }
@@ -433,10 +456,8 @@
 
 void Owner::finishRelease() {
   Over_ = true;
-  cell::pb::ForwardReply NotDone;
-  NotDone.set_not_owner(true);
   for (const auto &[Caller, Then] : std::exchange(Replies_, {}))
-    Then(NotDone);
+    Then(notOwner());
   Released_({Log_.version(), Log_.row()});
 }
 
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -106,6 +106,7 @@
   Millis NextWorkers_ = 0;
   Millis LastTick_ = 0;
   Millis NextSlowLine_ = 0;
+  Millis PausedUntil_ = 0; ///< End of the last time without a turn.
   std::shared_ptr<const cell::DesiredState> State_;
   std::optional<platform::OperatorRows> Operator_;
   std::map<std::string, std::pair<double, FrameSender>> Hosts_;
--- a/test/standin/platform_world.py
+++ b/test/standin/platform_world.py
@@ -208,7 +208,7 @@
 
 
 class Worker(Service):
-    def __init__(self, ident, store, run_s, ip="127.0.0.1"):
+    def __init__(self, ident, store, run_s, ip="127.0.0.1", wrap=None):
         self.ident = ident
         self.run_s = run_s
         self.born = int(time.time() * 1000)
@@ -222,13 +222,16 @@
         self.spent = {}
         self.history = []  # (task, attempt, "start" or how it ended, time)
         self.cut = False
+        self.rejects = False  # Refuses starts, as an unhealthy worker does.
+        self.clock_rate = 1.0
         super().__init__(ip, 0)
+        self.proxy = wrap(self.address) if wrap else None
         store.put("servers", ident, self.entry())
         threading.Thread(target=self.work, daemon=True).start()
 
     def entry(self):
         return {
-            "service": "svc", "addr": self.address, "zone": "z1",
+            "service": "svc", "addr": (self.proxy or self).address, "zone": "z1",
             "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
             "capacity": {"cpu": 4000, "mem_mb": 8000, "gpu": 0},
             "labels": ["a", "r1"], "born": self.born, "seq": 1}
@@ -254,7 +257,7 @@
         store.put("servers", ident, self.entry())
 
     def clock(self):
-        return int((time.monotonic() - self.started) * 1000) + 1
+        return int((time.monotonic() - self.started) * 1000 * self.clock_rate) + 1
 
     def end(self, task, how):
         attempt, _, gang = self.runs.pop(task)
@@ -304,6 +307,8 @@
     def run_start(self, body):
         task, attempt = body["task"], body["attempt"]
         now = {"clock_ms": self.clock(), "born": self.born}
+        if self.rejects:
+            return 503, now
         if task in self.runs and self.runs[task][0] == attempt:
             return 200, now
         if task in self.runs or attempt <= self.spent.get(task, 0):
@@ -326,7 +331,10 @@
         return 200, {"clock_ms": self.clock(), "born": self.born}
 
     def hold(self, body):
-        self.ends = [e for e in self.ends if e[0] > body["ack_seq"]]
+        for end in [e for e in self.ends if e[0] <= body["ack_seq"]]:
+            self.ends.remove(end)
+            if end[3] == "done":
+                self.history.append((end[1], end[2], "noted", time.monotonic()))
         end = time.monotonic() + body.get("wait_ms", 0) / 1000
         while not self.ends and time.monotonic() < end:
             self.lock.wait(end - time.monotonic())
--- a/test/system/platform_hosts.py
+++ b/test/system/platform_hosts.py
@@ -18,11 +18,13 @@
 
 
 class Host:
-    def __init__(self, program, folder, number, store, advice, machines, share=0.25):
-        self.ip = "127.0.0.%d" % (10 + number)
+    def __init__(self, program, folder, number, store, advice, machines, share=0.25,
+                 net=0, wrap_store=None):
+        self.ip = "127.0.%d.%d" % (net, 10 + number)
         self.name = "host-%d" % number
         self.program = program
         self.door = world.StoreDoor(store)
+        self.store_path = wrap_store(self.door.address) if wrap_store else self.door
         self.settings = os.path.join(folder, self.name + ".conf")
         self.log = os.path.join(folder, self.name + ".out")
         with open(self.settings, "w") as out:
@@ -31,7 +33,7 @@
                 "listen.frontend=%s:%d" % (self.ip, CALLER_PORT),
                 "listen.ready=%s:%d" % (self.ip, READY_PORT),
                 "port_range=%d,%d" % (PEER_PORT, PEER_PORT + 15),
-                "limits.cpu_share=%g" % share, "platform.addr=" + self.door.address,
+                "limits.cpu_share=%g" % share, "platform.addr=" + self.store_path.address,
                 "hint=" + advice.address, "bounds.grace_s=6",
                 "cloud_api.addr=" + machines.address, "bounds.lease_ms=1000",
                 "bounds.maint_s=0.5", "bounds.hold_max_ms=6000", ""]))
@@ -88,24 +90,29 @@
 
 
 class Cell:
-    """Three hosts, four workers, one store, one advice service."""
+    """Entry hosts, workers, one store, one advice service. Hosts reach the store,
+    and the workers, through what wrap_store and wrap_worker make of an address."""
 
-    def __init__(self, build, run_s=0.3):
+    def __init__(self, build, run_s=0.3, hosts=3, workers=4, net=0, wrap_store=None,
+                 wrap_worker=None):
+        self.host_settings = {"net": net, "wrap_store": wrap_store}
         self.folder = tempfile.mkdtemp(prefix="oleandergauge-")
         self.store = world.Store()
         self.store.put("op", "config", world.desired_state())
         self.advice = world.AdviceService("127.0.0.1", 0)
-        self.workers = [world.Worker("i-%d" % n, self.store, run_s) for n in range(4)]
+        self.workers = [world.Worker("i-%d" % n, self.store, run_s, wrap=wrap_worker)
+                        for n in range(workers)]
         self.machines = world.MachineService(self.store, self.workers)
         self.program = os.path.join(build, "oleandergauge")
         self.hosts = []
-        for _ in range(3):
+        for _ in range(hosts):
             self.add_host()
         wait_for(lambda: all(h.ready() for h in self.hosts), 15, "hosts ready")
 
     def add_host(self, **settings):
         self.hosts.append(Host(self.program, self.folder, len(self.hosts), self.store,
-                               self.advice, self.machines, **settings))
+                               self.advice, self.machines, **self.host_settings,
+                               **settings))
         return self.hosts[-1]
 
     def owner(self):
--- a/test/system/platform_test.py
+++ b/test/system/platform_test.py
@@ -35,7 +35,7 @@
         if what == "start":
             assert task not in running and task not in done, task
             running.add(task)
-        else:
+        elif what != "noted":
             running.discard(task)
             if what == "done":
                 done.add(task)
@@ -207,6 +207,29 @@
         worker.run_s = 0.3
 
 
+def owner_paused(cell):
+    """An owner that was stopped and wakes after another has taken over knows
+    nothing of the jobs accepted since, and does not say that they don't exist."""
+    headers = {"Host": "cell.example", "Api-Key": "key-1"}
+    for turn in range(5):
+        owner = cell.owner()
+        link = http.client.HTTPConnection(owner.ip, CALLER_PORT, timeout=5)
+        link.request("GET", "/jobs/", headers=headers)
+        link.getresponse().read()
+        owner.process.send_signal(signal.SIGSTOP)
+        others = [h for h in cell.hosts if h is not owner]
+        wait_for(lambda: any(h.owns() for h in others), 10, "a next owner")
+        ident = "%016x" % (0x5000 + turn)
+        wait_for(lambda: others[0].call("POST", "/jobs/" + ident, job())[0] == 200,
+                 5, "the job accepted")
+        link.request("GET", "/jobs/" + ident, headers=headers)
+        time.sleep(0.1)
+        owner.process.send_signal(signal.SIGCONT)
+        status = link.getresponse().status
+        assert status in (200, 503), status
+        wait_for(lambda: not owner.owns(), 5, "the former owner follows")
+
+
 def put_newer_state(cell, version, prefix):
     """Writes a state with one queue more."""
     state = world.desired_state(version=version)
@@ -333,7 +356,7 @@
         for check in (calm_path, bad_input, foreign_rows, cancel, withdrawn_key,
                       owner_killed, lost_answers, muted_answers,
                       store_cut_owner, store_away, upkeep_wave, worker_cut,
-                      newer_state_kept, newer_state_awaited, gang_member_cut, stronger_host_joins,
+                      owner_paused, newer_state_kept, newer_state_awaited, gang_member_cut, stronger_host_joins,
                       graceful_stop):
             begin = time.monotonic()
             check(cell)
