Keep a run that a worker's new life was told to start

Its start reached i-7 just after that worker had started anew under its id; the new life carried it out, and the answer was the first sign of that life. The owner took the run for one of the life that was gone (task_lost, 'worker restarted'), and started the task on i-3 0.12 s later, beside the first run.

Cause: an order whose answer comes from a newer life was no longer counted as under way, so that the change of life dropped its run.

The run now stays, as one whose start may have been carried out, until the new life's lists show it (it is stopped then) or not.

Test: Cell.ARunInANewLifeIsNotStartedElsewhere; 'two runs at once' before.

--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -285,7 +285,9 @@
   if (Found == On->Runs_.end() || Found->second.Attempt_ != Order.Attempt_)
     return;
   if (Outcome.Born_ > On->Born_ && On->Born_ != 0) {
-    Found->second.OrderInFlight_ = false; // Settled by the lists that follow.
+    // The new life may run what it was told to: its lists decide.
+    Found->second.OrderInFlight_ = false;
+    Found->second.Unanswered_ = true;
     changeLife(*On, Outcome.Born_);
     return;
   }
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -104,6 +104,24 @@
   }
 }
 
+// Guards against two runs of a task where its start is carried out by a new
+// life of the worker, and the answer is the first sign of that life.
+TEST(Cell, ARunInANewLifeIsNotStartedElsewhere) {
+  for (std::size_t Restarted = 0; Restarted < 2; ++Restarted) {
+    World Of(1, 2);
+    Of.Behaviour_ = [](const std::string &) {
+      return std::pair(Millis{900}, false);
+    };
+    Of.takeOver();
+    Of.run(300);
+    Of.worker(Restarted).restart(Of.now());
+    Of.submit(JobId, simpleJob(3, 1000), "fast");
+    Of.run(8000);
+    EXPECT_EQ(Of.stateOf(JobId), JobState::Complete);
+    EXPECT_TRUE(Of.violations().empty()) << Of.violations().front();
+  }
+}
+
 // Guards against callers held to their time limit while the store is away:
 // what no transaction carries is refused, and never runs.
 TEST(Cell, RefusesAtOnceWhatAStalledStoreWouldHold) {
