Add a randomized soak of the real programs

Series overlap, and callers use the connections that they keep.

Checked from what callers and workers see: no job lost, forgotten or shown as ended too early; no refused job run; no task run twice or after its end was taken note of; no worker over its capacity; no start long after a cancel; no member of a gang alone in calm; no process that ends by itself.

--- /dev/null
+++ b/test/soak/soak.py
@@ -0,0 +1,376 @@
+#!/usr/bin/env python3
+"""Randomized soak: real entry hosts beside the platform's stand-in, with faults
+from outside them that overlap, and checks of what callers and workers see.
+
+usage: soak.py BUILD [--seed N] [--seconds N] [--hosts N] [--workers N] [--net N]
+
+Faults: processes killed, stopped, paused, told to reload; connections to the
+store and to workers delayed, silenced, reset or cut one way by proxies; the
+store away, slow or losing answers; workers that crash, reject starts or have
+slow clocks; new desired states. --net: third number of the hosts' addresses,
+so that several soaks can run side by side.
+"""
+import argparse
+import http.client
+import json
+import os
+import random
+import signal
+import sys
+import threading
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [HERE, os.path.join(HERE, "..", "system"), os.path.join(HERE, "..", "standin")]
+import platform_world as world  # noqa: E402
+from platform_hosts import CALLER_PORT, Cell  # noqa: E402
+from proxy import Proxy  # noqa: E402
+
+CALLERS = 6
+CALM_S = 45       # Longer than a lease, a takeover and the latest order.
+CANCEL_S = 9      # From a cancel's acknowledgement to the last start.
+QUIET_S = 8       # After the last fault no member of a gang ends alone.
+FAULT_S = (0.2, 4.0)
+
+
+class Jobs:
+    """What callers were told of each job."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.phases = {}     # By id.
+        self.accepted = {}   # Time of the first 2xx, by id.
+        self.doubtful = set()
+        self.cancelled = {}  # Time of the first 2xx.
+        self.asked_to_cancel = set()
+        self.problems = []
+
+    def fail(self, text):
+        with self.lock:
+            self.problems.append(text)
+
+
+class Caller(threading.Thread):
+    """Submits, polls and cancels over connections that it keeps."""
+
+    def __init__(self, number, cell, jobs, seed):
+        super().__init__(daemon=True)
+        self.number, self.cell, self.jobs = number, cell, jobs
+        self.random = random.Random(seed * 1000 + number)
+        self.links = {}
+        self.count = 0
+        self.stopping = False
+
+    def call(self, host, method, path, body=None):
+        """Status and body; status 0 where no answer came."""
+        link = self.links.get(host.ip) or http.client.HTTPConnection(
+            host.ip, CALLER_PORT, timeout=5)
+        try:
+            link.request(method, path, body, {
+                "Host": "cell.example", "Api-Key": "key-1", "X-Deadline-Ms": "3000"})
+            answer = link.getresponse()
+            text = answer.read().decode()
+            closing = answer.getheader("Connection") == "close"
+            self.links[host.ip] = None if closing else link
+            return answer.status, text
+        except (OSError, http.client.HTTPException):
+            link.close()
+            self.links[host.ip] = None
+            return 0, ""
+
+    def host(self):
+        return self.random.choice(self.cell.hosts)
+
+    def draw(self):
+        phases = []
+        for step in range(self.random.randint(1, 2)):
+            phases.append({"count": self.random.randint(1, 4), "mem_mb": 100, "est_ms": 300,
+                           "cpu": self.random.choice((400, 900, 1900))})
+            if step:
+                phases[step]["after"] = [step - 1]
+        spec = "work"
+        if self.random.random() < 0.4:
+            phases = phases[:1]
+            phases[0]["gang"] = True
+            spec = world.GANG_SPEC + str(phases[0]["count"])
+        return spec, phases
+
+    def submit(self):
+        ident = "%08x%08x" % (self.number, self.count)
+        self.count += 1
+        spec, phases = self.draw()
+        self.jobs.phases[ident] = phases
+        body = json.dumps({"spec": spec, "phases": phases})
+        for _ in range(4):
+            status, _ = self.call(self.host(), "POST", "/jobs/" + ident, body)
+            if status == 200:
+                self.jobs.accepted.setdefault(ident, time.monotonic())
+                return ident
+            if status not in (429, 503):
+                self.jobs.doubtful.add(ident)
+            time.sleep(self.random.uniform(0.1, 0.5))
+        return None
+
+    def poll(self, ident):
+        status, text = self.call(self.host(), "GET", "/jobs/" + ident)
+        if status == 410 and ident not in self.jobs.asked_to_cancel:
+            self.jobs.fail("accepted job is not known: " + ident)
+        if status != 200:
+            return None
+        state = json.loads(text)["state"]
+        if state == "complete" and not all_done(self.cell, self.jobs, ident):
+            self.jobs.fail("shown as complete before its tasks are done: " + ident)
+        if state == "failed" or state == "canceled" and \
+                ident not in self.jobs.asked_to_cancel:
+            self.jobs.fail("shown as %s without cause: %s" % (state, ident))
+        return state
+
+    def cancel(self, ident):
+        self.jobs.asked_to_cancel.add(ident)
+        if self.call(self.host(), "DELETE", "/jobs/" + ident)[0] == 200:
+            self.jobs.cancelled[ident] = time.monotonic()
+
+    def run(self):
+        while not self.stopping:
+            ident = self.submit()
+            if ident and self.random.random() < 0.1:
+                self.cancel(ident)
+            elif ident:
+                self.poll(ident)
+            time.sleep(self.random.uniform(0.05, 0.4))
+
+
+def tasks_of(jobs, ident):
+    return ["%s.0.%d.%d" % (ident, step, index)
+            for step, phase in enumerate(jobs.phases[ident])
+            for index in range(phase["count"])]
+
+
+def all_done(cell, jobs, ident):
+    done = {e[0] for w in cell.workers for e in list(w.history) if e[2] == "done"}
+    for step, phase in enumerate(jobs.phases[ident]):
+        names = ["%s.0.%d.%d" % (ident, step, n) for n in range(phase["count"])]
+        whole = any if phase.get("gang") else all
+        if not whole(name in done for name in names):
+            return False
+    return True
+
+
+class Faults:
+    """Series of faults that overlap; each takes itself back."""
+
+    def __init__(self, cell, doors, workers, seed):
+        self.cell, self.doors, self.workers = cell, doors, workers
+        self.random = random.Random(seed)
+        self.version = 10
+        self.busy = set()
+
+    def later(self, key, work):
+        def take_back():
+            work()
+            self.busy.discard(key)
+        self.busy.add(key)
+        threading.Timer(self.random.uniform(*FAULT_S), take_back).start()
+
+    def one(self):
+        kinds = (self.kill, self.terminate, self.pause, self.hup, self.door, self.door,
+                 self.worker_link, self.worker_link, self.store, self.crash, self.reject,
+                 self.configure)
+        kind = self.random.choice(kinds)
+        target = kind()
+        return "%s %s" % (kind.__name__, target) if target is not None else None
+
+    def idle_host(self):
+        free = [h for h in self.cell.hosts if h.name not in self.busy]
+        # One host at least stays up, so that callers see more than refusals.
+        return self.random.choice(free) if len(free) > 1 else None
+
+    def kill(self):
+        host = self.idle_host()
+        if host is None:
+            return None
+        host.kill()
+        self.later(host.name, host.start)
+        return host.name
+
+    def terminate(self):
+        host = self.idle_host()
+        if host is None:
+            return None
+        host.process.send_signal(signal.SIGTERM)
+
+        def restart():
+            host.process.wait(15)
+            host.start()
+        self.later(host.name, restart)
+        return host.name
+
+    def pause(self):
+        host = self.idle_host()
+        if host is None:
+            return None
+        process = host.process
+        process.send_signal(signal.SIGSTOP)
+        self.later(host.name, lambda: process.send_signal(signal.SIGCONT))
+        return host.name
+
+    def hup(self):
+        host = self.idle_host()
+        if host is not None:
+            host.process.send_signal(signal.SIGHUP)
+        return host and host.name
+
+    def trouble(self, key, proxy):
+        if key in self.busy:
+            return None
+        mode = self.random.choice(Proxy.MODES[1:])
+        proxy.set(mode, self.random.uniform(0.05, 0.6))
+        self.later(key, lambda: proxy.set("pass"))
+        return key + " " + mode
+
+    def door(self):
+        at = self.random.randrange(len(self.doors))
+        return self.trouble("store of host-%d" % at, self.doors[at])
+
+    def worker_link(self):
+        at = self.random.randrange(len(self.workers))
+        return self.trouble("worker %d" % at, self.cell.workers[at].proxy)
+
+    def store(self):
+        if "store" in self.busy:
+            return None
+        store = self.cell.store
+        what = self.random.choice(("down", "slow", "lose", "mute"))
+        store.down = what == "down"
+        store.delay_s = 0.3 if what == "slow" else 0.004
+        store.lose = 0.3 if what in ("lose", "mute") else 0
+        store.mute = what == "mute"
+
+        def restore():
+            store.down, store.delay_s, store.lose, store.mute = False, 0.004, 0, False
+        self.later("store", restore)
+        return what
+
+    def crash(self):
+        worker = self.random.choice(self.workers)
+        key = "life of " + worker.ident
+        if key in self.busy:
+            return None
+        worker.go_down(self.cell.store)
+        self.later(key, lambda: worker.come_back(self.cell.store, worker.ident))
+        return worker.ident
+
+    def reject(self):
+        worker = self.random.choice(self.workers)
+        key = "health of " + worker.ident
+        if key in self.busy:
+            return None
+        worker.rejects = True
+        self.later(key, lambda: setattr(worker, "rejects", False))
+        return worker.ident
+
+    def configure(self):
+        self.version += self.random.randint(1, 3)
+        keys = ["key-1"] + ["key-%d" % self.version] * self.random.randint(0, 1)
+        self.cell.store.put("op", "config", world.desired_state(self.version, keys))
+        return self.version
+
+
+def check_workers(cell, jobs, calm_since):
+    """Promises that the workers' own records show."""
+    events = sorted(((e[3], e[0], e[1], e[2], w) for w in cell.workers for e in w.history),
+                    key=lambda e: e[0])
+    running, noted, used = set(), set(), {}
+    for at, task, _, what, worker in events:
+        ident, _, step, _ = task.split(".")
+        cpu = jobs.phases[ident][int(step)]["cpu"]
+        if what == "noted":
+            noted.add(task)
+        elif what == "start":
+            if any((task, other) in running for other in cell.workers):
+                jobs.fail("two runs at once: " + task)
+            if task in noted:
+                jobs.fail("started after its end was taken note of: " + task)
+            if ident not in jobs.accepted and ident not in jobs.doubtful:
+                jobs.fail("refused job has run: " + ident)
+            if at > jobs.cancelled.get(ident, at) + CANCEL_S:
+                jobs.fail("started long after its cancel: " + task)
+            running.add((task, worker))
+            used[worker] = used.get(worker, 0) + cpu
+            if used[worker] > 4000:
+                jobs.fail("worker over its capacity: " + worker.ident)
+        else:
+            if (task, worker) in running:
+                running.discard((task, worker))
+                used[worker] -= cpu
+            if what == "alone" and at > calm_since + QUIET_S:
+                jobs.fail("a member of a gang waited alone in calm: " + task)
+
+
+def settle(cell, jobs, callers):
+    """Waits in calm until all accepted jobs have ended."""
+    end = time.monotonic() + CALM_S
+    owed = {i for i in jobs.accepted if i not in jobs.asked_to_cancel}
+    while owed and time.monotonic() < end:
+        for ident in sorted(owed):
+            if callers[0].poll(ident) == "complete":
+                owed.discard(ident)
+        time.sleep(0.1)
+    for ident in sorted(owed):
+        jobs.fail("not complete after %d s of calm: %s" % (CALM_S, ident))
+
+
+def play(options):
+    chance = random.Random(options.seed)
+    cell = Cell(options.build, hosts=options.hosts, workers=options.workers,
+                net=options.net, wrap_store=Proxy, wrap_worker=Proxy)
+    for worker in cell.workers:
+        worker.clock_rate = chance.uniform(0.98, 1.0)
+    jobs = Jobs()
+    callers = [Caller(n, cell, jobs, options.seed) for n in range(CALLERS)]
+    faults = Faults(cell, [h.store_path for h in cell.hosts], cell.workers, options.seed)
+    try:
+        for caller in callers:
+            caller.start()
+        begin = time.monotonic()
+        while time.monotonic() < begin + options.seconds:
+            what = faults.one()
+            if what:
+                print("%6.2f %s" % (time.monotonic() - begin, what), flush=True)
+            time.sleep(chance.choice((0.05, 0.2, 0.6, 1.5)))
+        while faults.busy:
+            time.sleep(0.05)
+        calm_since = time.monotonic()
+        for caller in callers:
+            caller.stopping = True
+        for caller in callers:
+            caller.join(30)
+        settle(cell, jobs, callers)
+        for host in cell.hosts:
+            if host.process.poll() is not None:
+                jobs.fail("ended by itself: " + host.name)
+        check_workers(cell, jobs, calm_since)
+        if jobs.problems:
+            print("logs: " + cell.folder)
+    finally:
+        cell.stop()
+    alone = sum(e[2] == "alone" for w in cell.workers for e in w.history)
+    starts = sum(e[2] == "start" for w in cell.workers for e in w.history)
+    print("seed %d: %d jobs accepted, %d starts, %d ends alone, %d problems"
+          % (options.seed, len(jobs.accepted), starts, alone, len(jobs.problems)))
+    for problem in jobs.problems[:20]:
+        print("  " + problem)
+    return 1 if jobs.problems else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("build")
+    parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 31))
+    for name, usual in (("seconds", 30), ("hosts", 5), ("workers", 8), ("net", 7)):
+        parser.add_argument("--" + name, type=int, default=usual)
+    return play(parser.parse_args())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/test/standin/platform_world.py
+++ b/test/standin/platform_world.py
@@ -296,6 +296,8 @@
         if request.headers.get("X-Target-Instance") != self.ident:
             return 421, {}
         with self.lock:
+            if self.cut:
+                return None  # Went down in between.
             if body["fence"] < self.fence:
                 return 409, {"clock_ms": self.clock(), "reason": "fence"}
             self.fence = body["fence"]
