Keep connections to workers while they idle

Cause: the time limit of a call stays on its connection after the answer, and an idle connection counts as late by it too. An order's limit is 150 ms, so that nearly each order opened a connection.

After an answer the limit is now 30 s.

--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -13,6 +13,15 @@
 namespace oleandergauge::node {
 namespace {
 
+/// Time for which a connection without a call is kept.
+constexpr Millis IdleTime = 30000;
+
+void setTimeout(evhttp_connection *Link, Millis Timeout) {
+  const timeval Span = {static_cast<time_t>(Timeout / 1000),
+                        static_cast<suseconds_t>(Timeout % 1000 * 1000)};
+  evhttp_connection_set_timeout_tv(Link, &Span);
+}
+
 evhttp_cmd_type commandOf(HttpMethod Method) {
   switch (Method) {
   case HttpMethod::Get:
@@ -91,9 +100,7 @@
 void HttpLane::start(Connection &On, Pending Next) {
   On.Busy_ = true;
   On.Then_ = std::move(Next.Then_);
-  const timeval Span = {static_cast<time_t>(Next.Timeout_ / 1000),
-                        static_cast<suseconds_t>(Next.Timeout_ % 1000 * 1000)};
-  evhttp_connection_set_timeout_tv(On.Link_, &Span);
+  setTimeout(On.Link_, Next.Timeout_);
   evhttp_request *Request = evhttp_request_new(onDone, &On);
   evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
   evhttp_add_header(Headers, "Host", Address_.c_str());
@@ -129,7 +136,10 @@
   On.Busy_ = false;
   const ReplyHandler Then = std::move(On.Then_);
   On.Then_ = nullptr;
-  if (Reply.Status_ == 0) {
+  if (Reply.Status_ != 0) {
+    // The call's time limit would otherwise end the connection while it idles.
+    setTimeout(On.Link_, IdleTime);
+  } else {
     // Freed once the library has left the connection's callback.
     const auto It =
         std::find_if(Connections_.begin(), Connections_.end(),
--- a/test/standin/platform_world.py
+++ b/test/standin/platform_world.py
@@ -27,6 +27,7 @@
 
     def setup(self):
         super().setup()
+        self.server.owner.connections += 1
         import socket
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -58,6 +59,7 @@
                 pass  # The other end was killed.
         self.server = Server((ip, port), Handler)
         self.server.owner = self
+        self.connections = 0  # Accepted so far.
         self.address = "%s:%d" % (ip, self.server.server_address[1])
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
--- a/test/system/platform_test.py
+++ b/test/system/platform_test.py
@@ -53,6 +53,18 @@
     no_double_runs(cell)
 
 
+def connections_kept(cell):
+    """Orders with pauses between them do not open a connection each."""
+    before = sum(w.connections for w in cell.workers)
+    idents = ["%016x" % (0x6000 + n) for n in range(10)]
+    for ident in idents:
+        submit(cell.hosts[0], ident, count=4)
+        time.sleep(0.3)
+    all_complete(cell, idents, 5)
+    opened = sum(w.connections for w in cell.workers) - before
+    assert opened <= 3 * len(cell.workers), opened
+
+
 def bad_input(cell):
     host = cell.hosts[1]
     ident = "/jobs/00000000000000ff"
@@ -353,7 +365,7 @@
     bad_settings(build)
     cell = Cell(build)
     try:
-        for check in (calm_path, bad_input, foreign_rows, cancel, withdrawn_key,
+        for check in (calm_path, connections_kept, bad_input, foreign_rows, cancel, withdrawn_key,
                       owner_killed, lost_answers, muted_answers,
                       store_cut_owner, store_away, upkeep_wave, worker_cut,
                       owner_paused, newer_state_kept, newer_state_awaited, gang_member_cut, stronger_host_joins,
