--- a/src/cell/engine_gangs.cc
+++ b/src/cell/engine_gangs.cc
@@ -7,12 +7,12 @@
 namespace oleandergauge::cell {
 namespace {
 
-/// Parts of the time after which a waiting member gives up. The first is for
-/// the starts to be confirmed; the rest is for the stops to reach all members.
-constexpr Millis GatherDivisor = 3;
-/// For an inherited attempt, from the takeover on: its members have waited
-/// since before.
-constexpr Millis InheritedDivisor = 4;
+/// Part of the gang time-out within which all starts have to be confirmed; the
+/// rest is for the stops to reach the members that wait.
+constexpr int GatherDivisor = 3;
+/// The same for an inherited attempt, from the takeover on: its members have
+/// waited since before.
+constexpr int InheritedDivisor = 4;
 /// Time within which the workers of a zone that is back list their runs.
 constexpr Millis ListSpread = 200;
 constexpr Millis FirstGangPause = 100;
@@ -78,7 +78,9 @@
 void Cell::Engine::startGang(StepRun &Step,
                              const std::vector<GangShare> &Shares) {
   const std::uint64_t Attempt = nextAttempt(Step.Tasks_[0], Step.GangStarts_);
-  Step.Gang_ = {GangAttempt::Phase::Gathering, Attempt, Now_, 0, false, false};
+  Step.Gang_ = {.Phase_ = GangAttempt::Phase::Gathering,
+                .Attempt_ = Attempt,
+                .StartedAt_ = Now_};
   Gathering_.push_back(&Step);
   Effects_.push_back(Decision{"gang_started", Step.Name_,
                               std::to_string(Step.Tasks_.size()) +
@@ -150,7 +152,10 @@
   if (!Step.spec().Gang_)
     return;
   if (!Step.Gang_.holds(Attempt)) {
-    Step.Gang_ = {GangAttempt::Phase::Gathering, Attempt, Now_, 0, true, false};
+    Step.Gang_ = {.Phase_ = GangAttempt::Phase::Gathering,
+                  .Attempt_ = Attempt,
+                  .StartedAt_ = Now_,
+                  .Inherited_ = true};
     Gathering_.push_back(&Step);
   }
   memberPresent(Step);
