Measure the owner's time by part and its open work

The logs could not tell whether a slow owner spends its processor time in placement, in the outcomes of orders or elsewhere, nor how much work is open. `owner is slow` now names the busiest part, the waiting steps, the open orders, the starts repeated for want of an answer and the age of the oldest unstored end; the metrics carry the same once a second. No logic changes.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -243,7 +243,17 @@
   std::size_t WaitingSteps_ = 0;
   std::size_t Workers_ = 0;
   std::size_t ReachableWorkers_ = 0;
-  double UsedShare_ = 0; ///< Share of the processor capacity in use.
+  double UsedShare_ = 0;       ///< Share of the processor capacity in use.
+  std::size_t OpenOrders_ = 0; ///< Orders without an outcome so far.
+  /// Starts that were sent again, or stopped, for want of an answer.
+  std::uint64_t RepeatedStarts_ = 0;
+  /// Age of the oldest end of a job that is not stored yet; zero if there is
+  /// none.
+  Millis OldestUnstoredEnd_ = 0;
+  /// Steps examined for placement, and workers examined for due work, since
+  /// the takeover.
+  std::uint64_t StepsExamined_ = 0;
+  std::uint64_t WorkersExamined_ = 0;
   friend bool operator==(const CellStats &, const CellStats &) = default;
 };
 
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -114,6 +114,9 @@
   bool StoreReachable_ = true;
   bool Authorized_ = true;
   bool PlacementNeeded_ = false;
+  std::uint64_t RepeatedStarts_ = 0;
+  std::uint64_t StepsExamined_ = 0;
+  std::uint64_t WorkersExamined_ = 0;
 
 private:
   // engine_jobs.cc
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -460,6 +460,7 @@
 
 void Cell::Engine::endJob(Job &Ended, EndState State) {
   Ended.EndState_ = State;
+  Ended.EndedAt_ = Now_;
   EndingJobs_.push_back(&Ended);
   for (const auto &Step : Ended.Steps_) {
     for (std::uint32_t Index = 0; Index < Step->Tasks_.size(); ++Index) {
@@ -559,6 +560,13 @@
     Used += Each->Used_.CpuMilli_;
     All += Each->Listed_ ? Each->Capacity_.CpuMilli_ : 0;
   }
+  Out.OpenOrders_ = PendingOrders_.size();
+  Out.RepeatedStarts_ = RepeatedStarts_;
+  for (const Job *Each : EndingJobs_)
+    Out.OldestUnstoredEnd_ =
+        std::max(Out.OldestUnstoredEnd_, Now_ - Each->EndedAt_);
+  Out.StepsExamined_ = StepsExamined_;
+  Out.WorkersExamined_ = WorkersExamined_;
   Out.UsedShare_ =
       All == 0 ? 0 : static_cast<double>(Used) / static_cast<double>(All);
   return Out;
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -366,6 +366,7 @@
   NextPlacement_ = Now_ + PlacementInterval +
                    static_cast<Millis>(ReadySteps_.size() / StepsPerMilli);
   const std::vector<StepRun *> Order = ReadySteps_;
+  StepsExamined_ += Order.size();
   for (StepRun *Step : Order)
     if (Step->waiting() > 0)
       placeStep(*Step);
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -415,6 +415,7 @@
 /// has ended.
 void Cell::Engine::advanceWorkers() {
   std::vector<std::string> Forgotten;
+  WorkersExamined_ += Workers_.size();
   for (auto &[Id, Each] : Workers_) {
     Worker &Target = *Each;
     const bool Wanted = Target.Listed_ || !Target.Runs_.empty();
@@ -429,6 +430,7 @@
       if (Run.OrderInFlight_ || Now_ < Run.LastOrderAt_ + OrderRetryDelay)
         continue;
       if (Run.Phase_ == Run::Phase::Ordered) {
+        ++RepeatedStarts_;
         if (Now_ - Run.OrderedAt_ < StartTimeout && Authorized_)
           sendStart(Target, Name, Run);
         else
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -137,6 +137,7 @@
   /// Submitted while the team exceeded its share.
   bool OverTeamShare_ = false;
   std::optional<EndState> EndState_;
+  Millis EndedAt_ = 0; ///< When EndState_ was set.
   std::vector<std::unique_ptr<StepRun>> Steps_;
   std::size_t LiveRuns_ = 0;
   /// Submissions that wait for the job to be stored.
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -30,6 +30,8 @@
 /// Time between two ticks at or above which the process is logged as slow.
 constexpr Millis SlowTickGap = 200;
 constexpr Millis SlowTickLogInterval = 500;
+/// Interval at which the busy times and the cell's figures enter the metrics.
+constexpr Millis BusyTimesInterval = 1000;
 /// Time between two ticks above which the process has stalled and its list of
 /// followers is out of date. Followers look for another owner after this time.
 constexpr Millis StallLimit = 500;
@@ -170,6 +172,7 @@
 }
 
 void Owner::handleRequest(const cell::pb::Forward &Request, ReplyHandler Then) {
+  const BusyTime::Scope Scope(Busy_, OwnerPart::Requests);
   if (ReleaseHandler_) {
     Then(makeNotOwnerReply());
     return;
@@ -215,6 +218,7 @@
 }
 
 void Owner::handleAdviceReply(const cell::pb::AdviceReply &Reply) {
+  const BusyTime::Scope Scope(Busy_, OwnerPart::AdviceReplies);
   if (!Ready_ || Reply.epoch() != epoch())
     return;
   cell::AdviceOutcome Out{
@@ -238,13 +242,69 @@
   if (Gap < SlowTickGap || Now < NextSlowTickLogAt_)
     return;
   NextSlowTickLogAt_ = Now + SlowTickLogInterval;
-  Context_.Log_.logEvent("owner is slow", {{"tick_gap_ms", Gap}});
+  reportSlowTick(Gap);
+}
+
+/// Logs a slow tick with the part that has taken the most time since the last
+/// such line, and with the amounts of work that are open.
+void Owner::reportSlowTick(Millis Gap) {
+  OwnerPart Busiest = OwnerPart::Requests;
+  std::uint64_t Longest = 0;
+  for (std::size_t At = 1; At < OwnerPartCount; ++At) {
+    const auto Part = static_cast<OwnerPart>(At);
+    const std::uint64_t Spent = Busy_.micros(Part) - ReportedBusy_.micros(Part);
+    if (Spent <= Longest)
+      continue;
+    Busiest = Part;
+    Longest = Spent;
+  }
+  ReportedBusy_ = Busy_;
+  const cell::CellStats Stats = Cell_->stats(bootTime());
+  Context_.Log_.logEvent(
+      "owner is slow",
+      {{"tick_gap_ms", Gap},
+       {"busiest", nameOf(Busiest)},
+       {"busy_ms", static_cast<std::int64_t>(Longest / 1000)},
+       {"jobs", static_cast<std::int64_t>(Stats.Jobs_)},
+       {"steps", static_cast<std::int64_t>(Stats.WaitingSteps_)},
+       {"orders", static_cast<std::int64_t>(Stats.OpenOrders_)},
+       {"repeated", static_cast<std::int64_t>(Stats.RepeatedStarts_)},
+       {"unstored_ms", Stats.OldestUnstoredEnd_}});
+}
+
+/// Publishes the busy times and the cell's figures as metrics, at most once per
+/// BusyTimesInterval.
+void Owner::publishBusyTimes() {
+  const Millis Now = bootTime();
+  if (Now < NextBusyTimesAt_)
+    return;
+  NextBusyTimesAt_ = Now + BusyTimesInterval;
+  for (std::size_t At = 1; At < OwnerPartCount; ++At) {
+    const auto Part = static_cast<OwnerPart>(At);
+    Context_.Metrics_.incrementCounter("owner_busy_us", nameOf(Part),
+                                       Busy_.micros(Part) -
+                                           PublishedBusy_.micros(Part));
+  }
+  PublishedBusy_ = Busy_;
+  const cell::CellStats Stats = Cell_->stats(Now);
+  auto Publish = [this](const char *Name, auto Value) {
+    Context_.Metrics_.setGauge(Name, static_cast<double>(Value));
+  };
+  Publish("jobs", Stats.Jobs_);
+  Publish("waiting_steps", Stats.WaitingSteps_);
+  Publish("open_orders", Stats.OpenOrders_);
+  Publish("repeated_starts", Stats.RepeatedStarts_);
+  Publish("oldest_unstored_end_ms", Stats.OldestUnstoredEnd_);
+  Publish("steps_examined", Stats.StepsExamined_);
+  Publish("workers_examined", Stats.WorkersExamined_);
 }
 
 void Owner::tick() {
   if (!Ready_ || Stopped_)
     return;
+  const BusyTime::Scope Scope(Busy_, OwnerPart::Ticks);
   recordTickGap();
+  publishBusyTimes();
   readWorkerEntries();
   Cell_->setStoreReachable(Context_.Store_.isReachable());
   // An owner that is releasing ownership could not finish what it starts.
@@ -265,6 +325,7 @@
       [this, Alive = Alive_](const std::optional<platform::RowPage> &Page) {
         if (!*Alive || Stopped_)
           return;
+        const BusyTime::Scope Scope(Busy_, OwnerPart::WorkerList);
         ReadingWorkerEntries_ = false;
         if (!Page)
           return;
@@ -291,6 +352,7 @@
 /// Performs the effects of the cell until it has no more. Performing an effect
 /// may add further ones.
 void Owner::performEffects() {
+  const BusyTime::Scope Scope(Busy_, OwnerPart::Effects);
   for (std::vector<cell::Effect> Effects = Cell_->takeEffects();
        !Effects.empty() && !Stopped_; Effects = Cell_->takeEffects())
     for (const cell::Effect &Each : Effects)
@@ -334,6 +396,7 @@
       [this, Order, Alive = Alive_](const HttpReply &Reply) {
         if (!*Alive || Stopped_)
           return;
+        const BusyTime::Scope Scope(Busy_, OwnerPart::OrderOutcomes);
         Cell_->handle(bootTime(), platform::decodeOrderAnswer(Order, Reply));
         performEffects();
       });
@@ -358,6 +421,7 @@
           [this, Effect, Alive = Alive_](const HttpReply &Reply) {
             if (!*Alive || Stopped_)
               return;
+            const BusyTime::Scope Scope(Busy_, OwnerPart::Renewals);
             const cell::RenewalOutcome Outcome =
                 platform::decodeRenewalAnswer(Effect, Reply);
             if (Outcome.Result_ == cell::OrderResult::Fenced &&
@@ -432,6 +496,7 @@
 }
 
 void Owner::handleCommitAnswer(const platform::TransactionAnswer &Answer) {
+  const BusyTime::Scope Scope(Busy_, OwnerPart::Commits);
   switch (OwnerLog_.settle(Answer.Result_, Answer.Version_, Answer.Present_)) {
   case cell::OwnerTransactions::Verdict::Committed:
     CommitPending_ = false;
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -3,6 +3,7 @@
 
 #include "cell/cell.h"
 #include "cell/ownership.h"
+#include "node/busy_time.h"
 #include "node/context.h"
 #include "node/peer_link.h"
 #include "operator_rows.h"
@@ -84,6 +85,8 @@
   void updateCellWaves();
   void readWorkerEntries();
   void recordTickGap();
+  void reportSlowTick(Millis Gap);
+  void publishBusyTimes();
   void performEffects();
   bool isAuthorized() const;
   void sendCommit();
@@ -120,6 +123,10 @@
   Millis NextWorkerReadAt_ = 0;
   Millis LastTickAt_ = 0;
   Millis NextSlowTickLogAt_ = 0;
+  BusyTime Busy_;
+  BusyTime PublishedBusy_; ///< As of the last publication in the metrics.
+  BusyTime ReportedBusy_;  ///< As of the last report of a slow tick.
+  Millis NextBusyTimesAt_ = 0;
   Millis StallEndedAt_ = 0; ///< End of the last gap above StallLimit.
   std::shared_ptr<const cell::DesiredState> DesiredState_;
   std::optional<platform::OperatorRows> OperatorRows_;
