Time calls out only after the loop has looked for their answers

Cause: calls used libevent's connection timeouts. Where a turn of the loop takes longer than the timeout (150 ms for orders, turns of 200 to 440 ms in the collapse), the answer and the timeout become due in the same turn, and libevent's timeout_process() removes the pending read event: the answer is discarded, the connection closed, and the order sent again over a new one. So each late turn made all orders under way count as unanswered, and each of them came back as more work.

Ruled out: timers that count from the start of the turn (a small program with a turn of 120 ms and a timer of 60 ms set at its end shows 60 ms).

Change: each call has a timer of its own, whose callback runs after those of answers in the same turn, and a call fails only after the loop has had four turns for it: to open the connection, write, read, and one to spare.

The test fails before (three runs: statuses {0, 0} for two calls that the server answers after 20 ms, turns of 150 ms) and passes after (three runs: {200, 200}); a call without an answer ends after 61 ms with a timeout of 50 ms.

--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -1,6 +1,7 @@
 #include "node/http_client.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -13,14 +14,14 @@
 namespace oleandergauge::node {
 namespace {
 
-/// Time after which a connection without a call is closed.
-constexpr Millis IdleTimeout = 30000;
-
-void setTimeout(evhttp_connection *Link, Millis Timeout) {
-  const timeval Span = {static_cast<time_t>(Timeout / 1000),
-                        static_cast<suseconds_t>(Timeout % 1000 * 1000)};
-  evhttp_connection_set_timeout_tv(Link, &Span);
-}
+/// Time after which a connection without a call is closed. It is longer than
+/// the timeout of any call.
+constexpr int IdleTimeoutSeconds = 30;
+/// Turns of the event loop for which a call has at least time: to open the
+/// connection, to write the request, to read the answer, and one to spare. In a
+/// process that is slow, the timeout may pass before the loop has looked at the
+/// connection once.
+constexpr std::uint64_t MinTurnsPerCall = 4;
 
 evhttp_cmd_type toCommand(HttpMethod Method) {
   switch (Method) {
@@ -50,9 +51,22 @@
   evhttp_connection *Link_ = nullptr;
   bool Busy_ = false;
   ReplyHandler Handler_;
+  event *Timer_ = nullptr;
+  std::uint64_t FirstTimeoutTurn_ = 0; ///< The call does not time out before.
+
   ~Connection() {
+    if (Timer_ != nullptr)
+      event_free(Timer_);
+    closeLink();
+  }
+  void closeLink() {
     if (Link_ != nullptr)
-      evhttp_connection_free(Link_);
+      evhttp_connection_free(std::exchange(Link_, nullptr));
+  }
+  void startTimer(Millis Timeout) {
+    const timeval Span = {static_cast<time_t>(Timeout / 1000),
+                          static_cast<suseconds_t>(Timeout % 1000 * 1000)};
+    event_add(Timer_, &Span);
   }
 };
 
@@ -89,6 +103,9 @@
   NewConnection->Link_ =
       evhttp_connection_base_new(Loop_.base(), nullptr, Ip_.c_str(), Port_);
   evhttp_connection_set_retries(NewConnection->Link_, 0);
+  evhttp_connection_set_timeout(NewConnection->Link_, IdleTimeoutSeconds);
+  NewConnection->Timer_ =
+      event_new(Loop_.base(), -1, 0, onTimeout, NewConnection.get());
   Connections_.push_back(std::move(NewConnection));
   startCall(*Connections_.back(), std::move(Next));
 }
@@ -102,7 +119,8 @@
 void HttpConnectionPool::startCall(Connection &Target, QueuedCall Next) {
   Target.Busy_ = true;
   Target.Handler_ = std::move(Next.Handler_);
-  setTimeout(Target.Link_, Next.Timeout_);
+  Target.FirstTimeoutTurn_ = Loop_.turns() + MinTurnsPerCall;
+  Target.startTimer(Next.Timeout_);
   evhttp_request *Request = evhttp_request_new(onReply, &Target);
   evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
   evhttp_add_header(Headers, "Host", Address_.c_str());
@@ -121,6 +139,18 @@
     });
 }
 
+/// Ends a call at its timeout, which libevent's own timeouts cannot do: in a
+/// turn in which both have come, they discard the answer.
+void HttpConnectionPool::onTimeout(int, short, void *Argument) {
+  Connection &Target = *static_cast<Connection *>(Argument);
+  if (Target.Pool_->Loop_.turns() < Target.FirstTimeoutTurn_) {
+    Target.startTimer(1);
+    return;
+  }
+  Target.closeLink();
+  Target.Pool_->finishCall(Target, {});
+}
+
 void HttpConnectionPool::onReply(evhttp_request *Request, void *Argument) {
   Connection &Target = *static_cast<Connection *>(Argument);
   HttpReply Reply;
@@ -138,14 +168,12 @@
   if (!Target.Busy_)
     return;
   Target.Busy_ = false;
+  event_del(Target.Timer_);
   const ReplyHandler Then = std::move(Target.Handler_);
   Target.Handler_ = nullptr;
-  if (Reply.Status_ != 0) {
-    // The call's timeout would otherwise close the idle connection.
-    setTimeout(Target.Link_, IdleTimeout);
-  } else {
-    // libevent is still in the callback of this connection, so it is freed from
-    // the event loop.
+  if (Reply.Status_ == 0) {
+    // libevent may still be in the callback of this connection, so it is freed
+    // from the event loop.
     const auto It =
         std::find_if(Connections_.begin(), Connections_.end(),
                      [&](const auto &Each) { return Each.get() == &Target; });
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -47,6 +47,7 @@
   void startCall(Connection &Target, QueuedCall Next);
   void finishCall(Connection &Target, HttpReply Reply);
   static void onReply(evhttp_request *Request, void *Argument);
+  static void onTimeout(int Socket, short What, void *Connection);
 
   EventLoop &Loop_;
   std::string Ip_;
--- a/src/node/loop.cc
+++ b/src/node/loop.cc
@@ -70,7 +70,11 @@
   Watchers_.push_back(std::move(NewWatcher));
 }
 
-void EventLoop::run() { event_base_dispatch(Base_); }
+void EventLoop::run() {
+  while (event_base_loop(Base_, EVLOOP_ONCE) == 0 &&
+         event_base_got_break(Base_) == 0)
+    ++Turns_;
+}
 
 void EventLoop::stop() { event_base_loopbreak(Base_); }
 
--- a/src/node/loop.h
+++ b/src/node/loop.h
@@ -35,11 +35,15 @@
   void onSignal(int Number, std::function<void()> Callback);
   void run();
   void stop();
+  /// Returns how often the loop has looked at its sockets and timers and called
+  /// back for those that were ready.
+  std::uint64_t turns() const { return Turns_; }
 
 private:
   /// A periodic timer or a signal handler.
   struct Watcher;
   event_base *Base_;
+  std::uint64_t Turns_ = 0;
   std::vector<std::unique_ptr<Watcher>> Watchers_;
 };
 
--- /dev/null
+++ b/test/node/http_client_test.cc
@@ -0,0 +1,140 @@
+#include <thread>
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "node/http_client.h"
+
+namespace oleandergauge::node {
+namespace {
+
+/// Time after which the server answers. A loop that is kept busy is busy again
+/// by then.
+constexpr std::chrono::milliseconds AnswerDelay{20};
+
+/// Serves one connection on loopback and answers each request.
+class FakeHttpServer {
+public:
+  FakeHttpServer() : Listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(Listener_, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
+    listen(Listener_, 8);
+    socklen_t Size = sizeof Address;
+    getsockname(Listener_, reinterpret_cast<sockaddr *>(&Address), &Size);
+    Port_ = ntohs(Address.sin_port);
+    Thread_ = std::thread([this] { serve(); });
+  }
+  ~FakeHttpServer() {
+    shutdown(Listener_, SHUT_RDWR);
+    Thread_.join();
+    close(Listener_);
+  }
+  FakeHttpServer(const FakeHttpServer &) = delete;
+  FakeHttpServer &operator=(const FakeHttpServer &) = delete;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(Port_); }
+  /// Accepts requests, but leaves them without an answer.
+  void setSilent() { Silent_ = true; }
+
+private:
+  void serve() {
+    const int Connection = accept(Listener_, nullptr, nullptr);
+    char Buffer[4096];
+    while (recv(Connection, Buffer, sizeof Buffer, 0) > 0)
+      if (!Silent_)
+        answer(Connection);
+    close(Connection);
+  }
+  static void answer(int Connection) {
+    std::this_thread::sleep_for(AnswerDelay);
+    const std::string Text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    send(Connection, Text.data(), Text.size(), MSG_NOSIGNAL);
+  }
+
+  int Listener_;
+  int Port_ = 0;
+  std::atomic<bool> Silent_ = false;
+  std::thread Thread_;
+};
+
+constexpr Millis CallTimeout = 50;
+/// Longer than CallTimeout, so that it has passed when the loop next looks at
+/// the connection.
+constexpr Millis LongTurn = 150;
+constexpr Millis ShortTurn = 5;
+/// Ends a test whose call has no outcome.
+constexpr Millis TestTimeout = 3000;
+
+/// Returns the statuses of two calls in sequence while callbacks of length
+/// \p Turn keep the loop busy. The first call opens the connection.
+std::vector<int> makeTwoCalls(const std::string &Address, Millis Turn) {
+  EventLoop Loop;
+  HttpConnectionPool Pool(Loop, Address, 1);
+  std::vector<int> Statuses;
+  std::function<void()> KeepBusy = [&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(Turn));
+    Loop.runAfter(1, KeepBusy);
+  };
+  std::function<void()> MakeCall = [&] {
+    Pool.send({HttpMethod::Get, "/", {}, ""}, CallTimeout,
+              [&](const HttpReply &Reply) {
+                Statuses.push_back(Reply.Status_);
+                if (Statuses.size() == 2)
+                  Loop.stop();
+                else
+                  MakeCall();
+              });
+  };
+  MakeCall();
+  Loop.runAfter(1, KeepBusy);
+  Loop.runAfter(TestTimeout, [&] { Loop.stop(); });
+  Loop.run();
+  return Statuses;
+}
+
+// Guards against an owner that takes its own delay for a lost answer: where a
+// turn of the loop took longer than the call's timeout, an answer that had
+// arrived in the meantime was discarded and the order sent again.
+TEST(HttpConnectionPoolTest, AnswerThatArrivedDuringALongTurnIsNotLost) {
+  FakeHttpServer Server;
+  EXPECT_EQ(makeTwoCalls(Server.address(), LongTurn),
+            (std::vector<int>{200, 200}));
+}
+
+// A call without an answer still ends at its timeout.
+TEST(HttpConnectionPoolTest, MissingAnswerEndsTheCallAtItsTimeout) {
+  FakeHttpServer Server;
+  Server.setSilent();
+  EventLoop Loop;
+  HttpConnectionPool Pool(Loop, Server.address(), 1);
+  const Millis SentAt = bootTime();
+  Millis EndedAt = 0;
+  int Status = -1;
+  Pool.send({HttpMethod::Get, "/", {}, ""}, CallTimeout,
+            [&](const HttpReply &Reply) {
+              Status = Reply.Status_;
+              EndedAt = bootTime();
+              Loop.stop();
+            });
+  Loop.runAfter(TestTimeout, [&] { Loop.stop(); });
+  Loop.run();
+  EXPECT_EQ(Status, 0);
+  // Timers may fire some milliseconds early, since their clock is coarse.
+  EXPECT_GE(EndedAt - SentAt, CallTimeout - 10);
+  EXPECT_LT(EndedAt - SentAt, TestTimeout / 2);
+}
+
+// A connection is kept for the next call.
+TEST(HttpConnectionPoolTest, CallsShareAConnection) {
+  FakeHttpServer Server;
+  EXPECT_EQ(makeTwoCalls(Server.address(), ShortTurn),
+            (std::vector<int>{200, 200}));
+}
+
+} // namespace
+} // namespace oleandergauge::node
