Tell answers that were written out from those that were dropped

The line "request answered" and the counter "answers" are written when an answer is put into the output buffer, so that an answer that never left could not be told from one that did.

Each server now follows a request until its answer was written to the socket, its connection has ended or the process ends. The counters answers_written (by server) and answers_dropped (by server and cause) and the line "answer dropped" (server, path, status, cause; bounded like all lines on decisions) tell the cases apart; "stopped" names the answers and the bytes of frames to other hosts that are dropped.

A request whose connection libevent has closed is no longer pointed to, so that a late answer cannot touch freed memory. No change of the logic.

--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -85,6 +85,9 @@
   bool isReady() const;
   void tick();
   void startDrain();
+  HttpServer::AnswerObserver observeAnswers(const char *Server);
+  std::size_t unsentFrameBytes() const;
+  void logStop();
   void reloadSettings();
 
   std::string SettingsPath_;
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -54,19 +54,24 @@
                 [this](const cell::pb::Forward &Request) {
                   return forwardToOwner(Request);
                 }),
-      CallerServer_(Loop_,
-                    [this](const std::shared_ptr<IncomingRequest> &Request) {
-                      FrontEnd_.handleRequest(Request);
-                    }),
-      ReadinessServer_(Loop_,
-                       [this](const std::shared_ptr<IncomingRequest> &Request) {
-                         Request->answer(isReady() ? 200 : 503, "", {});
-                       }),
-      MetricsServer_(Loop_,
-                     [this](const std::shared_ptr<IncomingRequest> &Request) {
-                       Request->answer(200, Metrics_.renderPrometheusText(),
-                                       {});
-                     }),
+      CallerServer_(
+          Loop_,
+          [this](const std::shared_ptr<IncomingRequest> &Request) {
+            FrontEnd_.handleRequest(Request);
+          },
+          observeAnswers("callers")),
+      ReadinessServer_(
+          Loop_,
+          [this](const std::shared_ptr<IncomingRequest> &Request) {
+            Request->answer(isReady() ? 200 : 503, "", {});
+          },
+          observeAnswers("readiness")),
+      MetricsServer_(
+          Loop_,
+          [this](const std::shared_ptr<IncomingRequest> &Request) {
+            Request->answer(200, Metrics_.renderPrometheusText(), {});
+          },
+          observeAnswers("metrics")),
       PeerListener_(Loop_,
                     [this](std::unique_ptr<PeerLink> Link) {
                       acceptLink(std::move(Link));
@@ -203,6 +208,47 @@
     releaseOwnership();
 }
 
+/// Counts the answers that were written to the socket, and counts and logs
+/// those that were dropped. Status 0 is a request without an answer.
+HttpServer::AnswerObserver EntryHost::observeAnswers(const char *Server) {
+  return [this, Server](const AnswerReport &Report) {
+    if (Report.End_ == AnswerEnd::Written) {
+      Metrics_.incrementCounter("answers_written", Server);
+      return;
+    }
+    const char *Cause = Report.End_ == AnswerEnd::ConnectionClosed
+                            ? "connection closed"
+                            : "process ended";
+    Metrics_.incrementCounter("answers_dropped",
+                              std::string(Server) + ", " + Cause);
+    Log_.logDecision("answer dropped", {{"server", Server},
+                                        {"path", Report.Path_},
+                                        {"status", Report.Status_},
+                                        {"why", Cause}});
+  };
+}
+
+/// Bytes of frames on connected links that were not written to the socket yet.
+std::size_t EntryHost::unsentFrameBytes() const {
+  std::size_t Out = 0;
+  if (OwnerLink_ && OwnerLink_->isConnected())
+    Out += OwnerLink_->unsentBytes();
+  for (const HostLink &Each : IncomingLinks_)
+    Out += Each.Link_->unsentBytes();
+  return Out;
+}
+
+/// Logs the end of the process with the answers and frames that it drops.
+void EntryHost::logStop() {
+  const std::size_t Answers = CallerServer_.dropOpenRequests() +
+                              ReadinessServer_.dropOpenRequests() +
+                              MetricsServer_.dropOpenRequests();
+  Log_.logEvent(
+      "stopped",
+      {{"dropped_answers", static_cast<std::int64_t>(Answers)},
+       {"dropped_frame_bytes", static_cast<std::int64_t>(unsentFrameBytes())}});
+}
+
 /// Reads the settings file again. Only the bounds and the termination grace
 /// take effect without a restart.
 void EntryHost::reloadSettings() {
@@ -245,7 +291,7 @@
     Owner_->tick();
   });
   Loop_.run();
-  Log_.logEvent("stopped", {});
+  logStop();
   return 0;
 }
 
--- a/src/node/http_server.cc
+++ b/src/node/http_server.cc
@@ -45,8 +45,16 @@
   }
 }
 
+std::string withoutQuery(const std::string &Uri) {
+  return Uri.substr(0, Uri.find('?'));
+}
+
 } // namespace
 
+IncomingRequest::IncomingRequest(HttpServer &Server, evhttp_request *Raw)
+    : Server_(&Server), Raw_(Raw),
+      Path_(withoutQuery(evhttp_request_get_uri(Raw))) {}
+
 HttpMethod IncomingRequest::method() const {
   switch (evhttp_request_get_command(Raw_)) {
   case EVHTTP_REQ_POST:
@@ -60,11 +68,6 @@
   }
 }
 
-std::string IncomingRequest::path() const {
-  const std::string Uri = evhttp_request_get_uri(Raw_);
-  return Uri.substr(0, Uri.find('?'));
-}
-
 std::string IncomingRequest::header(const char *Name) const {
   const char *Value =
       evhttp_find_header(evhttp_request_get_input_headers(Raw_), Name);
@@ -81,8 +84,9 @@
 void IncomingRequest::answer(
     int Status, const std::string &Body,
     const std::vector<std::pair<std::string, std::string>> &Headers) {
-  if (Raw_ == nullptr)
+  if (Raw_ == nullptr || Status_ != 0)
     return;
+  Status_ = Status;
   evkeyvalq *Out = evhttp_request_get_output_headers(Raw_);
   if (!Body.empty())
     evhttp_add_header(Out, "Content-Type", "application/json");
@@ -90,21 +94,23 @@
     evhttp_add_header(Out, Name.c_str(), Value.c_str());
   evbuffer *Output = evhttp_request_get_output_buffer(Raw_);
   evbuffer_add(Output, Body.data(), Body.size());
-  evhttp_request *Raw = Raw_;
-  Raw_ = nullptr;
-  evhttp_send_reply(Raw, Status, reasonPhrase(Status), nullptr);
+  evhttp_send_reply(Raw_, Status, reasonPhrase(Status), nullptr);
 }
 
-HttpServer::HttpServer(EventLoop &Loop, Handler OnRequest)
+HttpServer::HttpServer(EventLoop &Loop, Handler OnRequest,
+                       AnswerObserver Observer)
     : Loop_(Loop), Handler_(std::move(OnRequest)),
-      Server_(evhttp_new(Loop.base())) {
+      Observer_(std::move(Observer)), Server_(evhttp_new(Loop.base())) {
   evhttp_set_allowed_methods(Server_, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
                                           EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
   evhttp_set_gencb(Server_, onRequest, this);
   setLimits({});
 }
 
-HttpServer::~HttpServer() { evhttp_free(Server_); }
+HttpServer::~HttpServer() {
+  Observer_ = nullptr;
+  evhttp_free(Server_); // Calls onClosed() for each open request.
+}
 
 bool HttpServer::listen(const std::string &Address) {
   sockaddr_in BindAddress;
@@ -130,8 +136,53 @@
 }
 
 void HttpServer::onRequest(evhttp_request *Raw, void *Argument) {
-  static_cast<HttpServer *>(Argument)->Handler_(
-      std::make_shared<IncomingRequest>(Raw));
+  HttpServer &Self = *static_cast<HttpServer *>(Argument);
+  const auto Request = std::make_shared<IncomingRequest>(Self, Raw);
+  Self.Open_[Request.get()] = Request;
+  evhttp_request_set_on_complete_cb(Raw, onWritten, Request.get());
+  evhttp_connection_set_closecb(evhttp_request_get_connection(Raw), onClosed,
+                                Request.get());
+  Self.Handler_(Request);
+}
+
+/// Called when all bytes of an answer were written to the socket, before the
+/// connection is closed or reads its next request.
+void HttpServer::onWritten(evhttp_request *Raw, void *Argument) {
+  auto &Request = *static_cast<IncomingRequest *>(Argument);
+  evhttp_connection_set_closecb(evhttp_request_get_connection(Raw), nullptr,
+                                nullptr);
+  Request.Server_->finish(Request, AnswerEnd::Written);
+}
+
+/// Called when a connection ends before the answer was written.
+void HttpServer::onClosed(evhttp_connection *, void *Argument) {
+  auto &Request = *static_cast<IncomingRequest *>(Argument);
+  // libevent detaches a request that its user has not answered from a broken
+  // connection and leaves it to the user. All others it frees itself.
+  if (Request.Status_ == 0 &&
+      evhttp_request_get_connection(Request.Raw_) == nullptr)
+    evhttp_request_free(Request.Raw_);
+  Request.Raw_ = nullptr;
+  Request.Server_->finish(Request, AnswerEnd::ConnectionClosed);
+}
+
+void HttpServer::finish(IncomingRequest &Request, AnswerEnd End) {
+  const auto It = Open_.find(&Request);
+  if (It == Open_.end())
+    return;
+  const std::shared_ptr<IncomingRequest> Held = It->second;
+  Open_.erase(It);
+  Held->Raw_ = nullptr;
+  Held->Server_ = nullptr;
+  if (Observer_)
+    Observer_({End, Held->Status_, Held->Path_});
+}
+
+std::size_t HttpServer::dropOpenRequests() {
+  for (const auto &[Raw, Each] : Open_)
+    if (Observer_)
+      Observer_({AnswerEnd::ProcessEnded, Each->Status_, Each->Path_});
+  return Open_.size();
 }
 
 } // namespace oleandergauge::node
--- a/src/node/http_server.h
+++ b/src/node/http_server.h
@@ -2,6 +2,7 @@
 #define OLEANDERGAUGE_NODE_HTTP_SERVER_H
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -9,24 +10,44 @@
 #include "node/loop.h"
 
 struct evhttp;
+struct evhttp_connection;
 struct evhttp_request;
 
 namespace oleandergauge::node {
 
+class HttpServer;
+
 /// A request from a caller. Only the first answer is sent; an answer to a
 /// caller that has disconnected is dropped.
 class IncomingRequest {
 public:
-  explicit IncomingRequest(evhttp_request *Raw) : Raw_(Raw) {}
+  IncomingRequest(HttpServer &Server, evhttp_request *Raw);
   HttpMethod method() const;
-  std::string path() const; ///< Without the query.
+  const std::string &path() const { return Path_; } ///< Without the query.
   std::string header(const char *Name) const;
   std::string body() const;
   void answer(int Status, const std::string &Body,
               const std::vector<std::pair<std::string, std::string>> &Headers);
 
 private:
-  evhttp_request *Raw_;
+  friend class HttpServer;
+  HttpServer *Server_;  ///< Null once finished.
+  evhttp_request *Raw_; ///< Null once finished.
+  std::string Path_;
+  int Status_ = 0; ///< Zero until answered.
+};
+
+/// What became of an answer: it was written to the socket, or the connection or
+/// the process ended before.
+enum class AnswerEnd { Written, ConnectionClosed, ProcessEnded };
+
+/// The end of one request that was read whole. The status is 0 if the request
+/// had no answer yet.
+struct AnswerReport {
+  AnswerEnd End_ = AnswerEnd::Written;
+  int Status_ = 0;
+  std::string Path_;
+  friend bool operator==(const AnswerReport &, const AnswerReport &) = default;
 };
 
 /// Limits of a request and of the time that a connection may be idle.
@@ -39,7 +60,10 @@
 class HttpServer {
 public:
   using Handler = std::function<void(std::shared_ptr<IncomingRequest> Request)>;
-  HttpServer(EventLoop &Loop, Handler OnRequest);
+  using AnswerObserver = std::function<void(const AnswerReport &Report)>;
+  /// \p Observer receives the end of every request that \p OnRequest has
+  /// received.
+  HttpServer(EventLoop &Loop, Handler OnRequest, AnswerObserver Observer = {});
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
@@ -47,12 +71,22 @@
   /// Returns false if the address ("ip:port") cannot be bound.
   bool listen(const std::string &Address);
   void setLimits(const ServerLimits &Limits);
+  /// Reports all requests without a written answer as dropped by the end of the
+  /// process. Returns their number.
+  std::size_t dropOpenRequests();
 
 private:
+  friend class IncomingRequest;
   static void onRequest(evhttp_request *Raw, void *Argument);
+  static void onWritten(evhttp_request *Raw, void *Argument);
+  static void onClosed(evhttp_connection *Connection, void *Argument);
+  void finish(IncomingRequest &Request, AnswerEnd End);
   EventLoop &Loop_;
   Handler Handler_;
+  AnswerObserver Observer_;
   evhttp *Server_;
+  /// The requests whose answer is not written yet.
+  std::map<const IncomingRequest *, std::shared_ptr<IncomingRequest>> Open_;
 };
 
 } // namespace oleandergauge::node
--- a/src/node/peer_link.cc
+++ b/src/node/peer_link.cc
@@ -73,6 +73,10 @@
   evbuffer_add(Out, Bytes.data(), Bytes.size());
 }
 
+std::size_t PeerLink::unsentBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(Stream_));
+}
+
 /// Handles all complete frames in the input buffer. A frame that is too large
 /// ends the link.
 void PeerLink::readFrames() {
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -45,6 +45,8 @@
   /// Queues a frame. Drops it if the peer is too far behind in reading.
   void send(const Frame &Message);
   bool isConnected() const { return Connected_; }
+  /// Bytes of queued frames that were not written to the socket yet.
+  std::size_t unsentBytes() const;
   /// Time at which bytes last arrived or the connection was made.
   Millis lastReceivedAt() const { return LastReceivedAt_; }
 
