End the process only when its answers were written out

Callers saw: a request to a draining host was read whole, and 511 ms later, 1,595 ms after the SIGTERM, the connection closed without an answer.

Cause: EntryHost::tick answered overdue requests into the output buffers, saw nothing pending and stopped the loop in the same callback. The same held for the end of the grace period, a second SIGTERM, an answer that a slow client had not taken yet, a request that was read in part, and the release of the owner row without a successor, which was tried once and not awaited.

Change: a host that drains ends when no request is open (read whole, its answer not yet written to the socket) or read in part on any of its three servers, no frame to another host is unwritten, no takeover or release is in flight, and one more tick has passed after it stopped listening; the end of the grace period stays the bound. A second SIGTERM answers all open requests (503 or 504) and ends when the answers are written; a third ends at once. The released row is written again while the store refuses it.

Ruled out: freed memory. libevent does not read from a connection while its request is answered, and leaves an unanswered request to its user; the tests in test/node reset, close and outlive the connection and the server.

--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -58,6 +58,7 @@
   void connectToOwner(Epoch OwnerEpoch, const std::string &Address);
   void announceTakeover();
   void handOverOwnership(const cell::StoredOwner &Last);
+  void writeReleasedRow(const cell::StoredOwner &Last);
   void handOverIfCutOffFromStore();
   void handOverToLargerHost();
   void releaseOwnership();
@@ -85,6 +86,10 @@
   bool isReady() const;
   void tick();
   void startDrain();
+  void continueDrain(Millis Now);
+  bool isDrained(Millis Draining);
+  std::size_t countOpenRequests() const;
+  std::size_t countPartlyRead();
   HttpServer::AnswerObserver observeAnswers(const char *Server);
   std::size_t unsentFrameBytes() const;
   void logStop();
@@ -127,7 +132,11 @@
   /// The row written by a takeover whose result is unknown.
   std::optional<cell::OwnerRow> UnconfirmedTakeover_;
   Millis TakeoverSentAt_ = 0;
+  /// The row is being marked as released in the store.
+  bool ReleaseInFlight_ = false;
   Millis DrainingSince_ = 0; ///< Zero unless draining.
+  bool StopSoon_ = false;    ///< A second signal has arrived.
+  bool Listening_ = true;
 };
 
 } // namespace oleandergauge::node
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -167,8 +167,7 @@
           bootTime() - OwnerSeenAt_ < ReadyWithoutOwnerTime);
 }
 
-/// Runs the periodic checks, and ends the process once draining is complete or
-/// its time is over.
+/// Runs the periodic checks.
 void EntryHost::tick() {
   const Millis Now = bootTime();
   if (Owner_ && Owner_->isReady()) {
@@ -181,26 +180,75 @@
   removeSilentLinks();
   FrontEnd_.answerOverdue();
   Log_.flush();
-  if (DrainingSince_ == 0)
-    return;
+  if (DrainingSince_ != 0)
+    continueDrain(Now);
+}
+
+/// Ends the process once it owes nobody an answer. An answer is given when it
+/// was written to the socket; it is dropped only at the end of the grace
+/// period.
+void EntryHost::continueDrain(Millis Now) {
   const Millis Draining = Now - DrainingSince_;
-  const bool Late =
-      Draining > Settings_.TerminationGrace_ - StopReserve - AnswerReserve;
-  if (Late)
+  const Millis StopAt = Settings_.TerminationGrace_ - StopReserve;
+  if (StopSoon_ || Draining > StopAt - AnswerReserve)
     FrontEnd_.refuseAll();
-  const bool Done =
-      !Owner_ && FrontEnd_.pendingCount() == 0 && Draining > MinDrainTime;
-  if (Done || Draining > Settings_.TerminationGrace_ - StopReserve)
+  if (Draining > StopAt) {
+    Loop_.stop();
+    return;
+  }
+  if (!isDrained(Draining))
+    return;
+  if (!Listening_) {
     Loop_.stop();
+    return;
+  }
+  // Requests on connections that were accepted before are still read and
+  // answered until the next tick.
+  Listening_ = false;
+  CallerServer_.stopListening();
+  ReadinessServer_.stopListening();
+  MetricsServer_.stopListening();
+}
+
+/// Whether all answers and frames were written and, unless a second signal has
+/// arrived, all requests were read and the ownership was given up.
+bool EntryHost::isDrained(Millis Draining) {
+  if (FrontEnd_.pendingCount() > 0 || countOpenRequests() > 0 ||
+      unsentFrameBytes() > 0)
+    return false;
+  if (StopSoon_)
+    return true;
+  return Draining > MinDrainTime && !Owner_ && !TakeoverInFlight_ &&
+         !ReleaseInFlight_ && countPartlyRead() == 0;
+}
+
+std::size_t EntryHost::countOpenRequests() const {
+  return CallerServer_.countOpenRequests() +
+         ReadinessServer_.countOpenRequests() +
+         MetricsServer_.countOpenRequests();
+}
+
+std::size_t EntryHost::countPartlyRead() {
+  return CallerServer_.countPartlyRead() + ReadinessServer_.countPartlyRead() +
+         MetricsServer_.countPartlyRead();
 }
 
-/// Stops taking callers and releases ownership. A second call ends the process
-/// at once.
+/// Stops taking callers and releases ownership. A second call answers all open
+/// requests and ends the process as soon as the answers are written; a third
+/// call ends it at once.
 void EntryHost::startDrain() {
-  if (DrainingSince_ != 0) {
+  if (StopSoon_) {
     Loop_.stop();
     return;
   }
+  if (DrainingSince_ != 0) {
+    StopSoon_ = true;
+    Log_.logEvent(
+        "stopping soon",
+        {{"requests", static_cast<std::int64_t>(FrontEnd_.pendingCount())}});
+    FrontEnd_.refuseAll();
+    return;
+  }
   DrainingSince_ = bootTime();
   FrontEnd_.setDraining();
   Log_.logEvent("stopping", {{"owner", Owner_ ? 1 : 0}});
@@ -240,12 +288,14 @@
 
 /// Logs the end of the process with the answers and frames that it drops.
 void EntryHost::logStop() {
+  const std::size_t PartlyRead = countPartlyRead();
   const std::size_t Answers = CallerServer_.dropOpenRequests() +
                               ReadinessServer_.dropOpenRequests() +
                               MetricsServer_.dropOpenRequests();
   Log_.logEvent(
       "stopped",
       {{"dropped_answers", static_cast<std::int64_t>(Answers)},
+       {"partly_read", static_cast<std::int64_t>(PartlyRead)},
        {"dropped_frame_bytes", static_cast<std::int64_t>(unsentFrameBytes())}});
 }
 
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -22,6 +22,8 @@
 /// larger hosts to connect before it hands over. It covers several of their
 /// reads of the owner row.
 constexpr Millis LargerHostLinkWait = 1000;
+/// Delay before retrying to mark the owner row as released.
+constexpr Millis ReleaseRetryDelay = 100;
 /// Delay before retrying to read the operator's rows.
 constexpr Millis OperatorReadRetryDelay = 150;
 
@@ -258,17 +260,30 @@
     Out.mutable_release()->set_row(cell::encode(Last.Row_));
     Successor->Link_->send(Out);
   } else {
-    cell::OwnerRow Released = Last.Row_;
-    Released.Released_ = true;
-    Store_.transact(Released, Last.Version_, {},
-                    [](const platform::TransactionAnswer &) {
-                      // If this fails, other hosts take over once the row has
-                      // stayed unchanged for long enough.
-                    });
+    writeReleasedRow(Last);
   }
   FrontEnd_.markOwnerLost();
 }
 
+/// Marks the owner row as released in the store, so that other hosts need not
+/// wait until it has stayed unchanged for long enough. A draining host retries.
+void EntryHost::writeReleasedRow(const cell::StoredOwner &Last) {
+  ReleaseInFlight_ = true;
+  cell::OwnerRow Released = Last.Row_;
+  Released.Released_ = true;
+  Store_.transact(Released, Last.Version_, {},
+                  [this, Last](const platform::TransactionAnswer &Answer) {
+                    const bool Undecided =
+                        Answer.Result_ == cell::TransactionResult::Refused ||
+                        Answer.Result_ == cell::TransactionResult::Unknown;
+                    if (Undecided && DrainingSince_ != 0)
+                      Loop_.runAfter(ReleaseRetryDelay,
+                                     [this, Last] { writeReleasedRow(Last); });
+                    else
+                      ReleaseInFlight_ = false;
+                  });
+}
+
 /// Hands over at once if this owner cannot reach the store but its successor
 /// can. The transactions of this owner would fail anyway.
 void EntryHost::handOverIfCutOffFromStore() {
--- a/src/node/http_server.cc
+++ b/src/node/http_server.cc
@@ -1,13 +1,16 @@
 #include "node/http_server.h"
 
+#include <algorithm>
 #include <cstring>
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 namespace oleandergauge::node {
 namespace {
@@ -15,6 +18,8 @@
 /// Connections that may wait to be accepted. A full queue drops the SYN packet,
 /// which the client resends only after seconds.
 constexpr int AcceptBacklog = 1024;
+/// Known connections from which the closed ones are first searched for.
+constexpr std::size_t MinStreamsAtRemoval = 256;
 
 bool parseAddress(const std::string &Address, sockaddr_in &Out) {
   std::memset(&Out, 0, sizeof Out);
@@ -45,6 +50,15 @@
   }
 }
 
+/// The kernel's unique number of an open socket; 0 if it is closed.
+std::uint64_t socketCookie(int Socket) {
+  std::uint64_t Out = 0;
+  socklen_t Size = sizeof Out;
+  if (getsockopt(Socket, SOL_SOCKET, SO_COOKIE, &Out, &Size) != 0)
+    return 0;
+  return Out;
+}
+
 std::string withoutQuery(const std::string &Uri) {
   return Uri.substr(0, Uri.find('?'));
 }
@@ -100,10 +114,12 @@
 HttpServer::HttpServer(EventLoop &Loop, Handler OnRequest,
                        AnswerObserver Observer)
     : Loop_(Loop), Handler_(std::move(OnRequest)),
-      Observer_(std::move(Observer)), Server_(evhttp_new(Loop.base())) {
+      Observer_(std::move(Observer)), Server_(evhttp_new(Loop.base())),
+      StreamsAtNextRemoval_(MinStreamsAtRemoval) {
   evhttp_set_allowed_methods(Server_, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
                                           EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
   evhttp_set_gencb(Server_, onRequest, this);
+  evhttp_set_bevcb(Server_, onAccept, this);
   setLimits({});
 }
 
@@ -122,7 +138,14 @@
       sizeof BindAddress);
   if (Listener == nullptr)
     return false;
-  return evhttp_bind_listener(Server_, Listener) != nullptr;
+  Listener_ = evhttp_bind_listener(Server_, Listener);
+  return Listener_ != nullptr;
+}
+
+void HttpServer::stopListening() {
+  if (Listener_ != nullptr)
+    evhttp_del_accept_socket(Server_, Listener_);
+  Listener_ = nullptr;
 }
 
 void HttpServer::setLimits(const ServerLimits &Limits) {
@@ -135,8 +158,59 @@
   evhttp_set_timeout_tv(Server_, &Span);
 }
 
+/// Creates the stream of a new connection, as libevent would.
+bufferevent *HttpServer::onAccept(event_base *Base, void *Argument) {
+  HttpServer &Self = *static_cast<HttpServer *>(Argument);
+  if (Self.Streams_.size() >= Self.StreamsAtNextRemoval_) {
+    Self.removeClosedStreams();
+    Self.StreamsAtNextRemoval_ =
+        std::max(MinStreamsAtRemoval, 2 * Self.Streams_.size());
+  }
+  bufferevent *Connection = bufferevent_socket_new(Base, -1, 0);
+  evbuffer *Input = bufferevent_get_input(Connection);
+  Self.Streams_[Input] = {Connection, -1, 0, false};
+  evbuffer_add_cb(Input, onInput, Argument);
+  return Connection;
+}
+
+/// Called when bytes of a request have arrived, before libevent parses them.
+void HttpServer::onInput(evbuffer *Input, const evbuffer_cb_info *Change,
+                         void *Argument) {
+  if (Change->n_added == 0)
+    return;
+  Stream &From = static_cast<HttpServer *>(Argument)->Streams_[Input];
+  if (From.Socket_ < 0) {
+    From.Socket_ = bufferevent_getfd(From.Connection_);
+    From.Cookie_ = socketCookie(From.Socket_);
+  }
+  From.PartlyRead_ = true;
+}
+
+void HttpServer::setPartlyRead(evhttp_request *Raw, bool PartlyRead) {
+  bufferevent *Connection =
+      evhttp_connection_get_bufferevent(evhttp_request_get_connection(Raw));
+  const auto It = Streams_.find(bufferevent_get_input(Connection));
+  if (It != Streams_.end())
+    It->second.PartlyRead_ = PartlyRead;
+}
+
+void HttpServer::removeClosedStreams() {
+  std::erase_if(Streams_, [](const auto &Each) {
+    const Stream &Known = Each.second;
+    return Known.Socket_ >= 0 && socketCookie(Known.Socket_) != Known.Cookie_;
+  });
+}
+
+std::size_t HttpServer::countPartlyRead() {
+  removeClosedStreams();
+  return static_cast<std::size_t>(
+      std::count_if(Streams_.begin(), Streams_.end(),
+                    [](const auto &Each) { return Each.second.PartlyRead_; }));
+}
+
 void HttpServer::onRequest(evhttp_request *Raw, void *Argument) {
   HttpServer &Self = *static_cast<HttpServer *>(Argument);
+  Self.setPartlyRead(Raw, false);
   const auto Request = std::make_shared<IncomingRequest>(Self, Raw);
   Self.Open_[Request.get()] = Request;
   evhttp_request_set_on_complete_cb(Raw, onWritten, Request.get());
@@ -149,8 +223,12 @@
 /// connection is closed or reads its next request.
 void HttpServer::onWritten(evhttp_request *Raw, void *Argument) {
   auto &Request = *static_cast<IncomingRequest *>(Argument);
-  evhttp_connection_set_closecb(evhttp_request_get_connection(Raw), nullptr,
-                                nullptr);
+  evhttp_connection *Connection = evhttp_request_get_connection(Raw);
+  evhttp_connection_set_closecb(Connection, nullptr, nullptr);
+  // Bytes that follow the request belong to the next one.
+  evbuffer *Input =
+      bufferevent_get_input(evhttp_connection_get_bufferevent(Connection));
+  Request.Server_->setPartlyRead(Raw, evbuffer_get_length(Input) > 0);
   Request.Server_->finish(Request, AnswerEnd::Written);
 }
 
--- a/src/node/http_server.h
+++ b/src/node/http_server.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGAUGE_NODE_HTTP_SERVER_H
 #define OLEANDERGAUGE_NODE_HTTP_SERVER_H
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -9,7 +10,12 @@
 #include "node/http_types.h"
 #include "node/loop.h"
 
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+struct event_base;
 struct evhttp;
+struct evhttp_bound_socket;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -71,20 +77,43 @@
   /// Returns false if the address ("ip:port") cannot be bound.
   bool listen(const std::string &Address);
   void setLimits(const ServerLimits &Limits);
+  /// Accepts no further connections.
+  void stopListening();
+  /// Number of requests that were read whole and whose answer is not written to
+  /// the socket yet.
+  std::size_t countOpenRequests() const { return Open_.size(); }
+  /// Number of connections on which a request was read in part.
+  std::size_t countPartlyRead();
   /// Reports all requests without a written answer as dropped by the end of the
   /// process. Returns their number.
   std::size_t dropOpenRequests();
 
 private:
-  friend class IncomingRequest;
+  /// A connection on which bytes of a request have arrived.
+  struct Stream {
+    bufferevent *Connection_ = nullptr; ///< Dangling once it is closed.
+    int Socket_ = -1;                   ///< Unknown before the first bytes.
+    std::uint64_t Cookie_ = 0; ///< The kernel's unique number of the socket.
+    bool PartlyRead_ = false;
+  };
+  static bufferevent *onAccept(event_base *Base, void *Argument);
+  static void onInput(evbuffer *Input, const evbuffer_cb_info *Change,
+                      void *Argument);
   static void onRequest(evhttp_request *Raw, void *Argument);
   static void onWritten(evhttp_request *Raw, void *Argument);
   static void onClosed(evhttp_connection *Connection, void *Argument);
   void finish(IncomingRequest &Request, AnswerEnd End);
+  void setPartlyRead(evhttp_request *Raw, bool PartlyRead);
+  void removeClosedStreams();
   EventLoop &Loop_;
   Handler Handler_;
   AnswerObserver Observer_;
   evhttp *Server_;
+  evhttp_bound_socket *Listener_ = nullptr;
+  /// The connections by their input buffer. libevent does not tell when one is
+  /// closed, so the closed ones are removed now and then.
+  std::map<evbuffer *, Stream> Streams_;
+  std::size_t StreamsAtNextRemoval_;
   /// The requests whose answer is not written yet.
   std::map<const IncomingRequest *, std::shared_ptr<IncomingRequest>> Open_;
 };
