Hand over to another host where the chosen successor drains

Cause: a host reports that it drains with its next heartbeat, up to 200 ms later. An owner that got SIGTERM in that time, or whose link was slow, sent its release to the draining host, which ignored it: a draining host does not take over, and nobody else learned of the release. The cell had no owner until the row had stayed unchanged for 0.8 s and the delay of a host.

Change: a host reports at once that it drains. A draining host returns a release to the owner, which then chooses another successor, or marks the row as released if there is none.

successor_drains_too sends SIGTERM to the successor and to the owner, and requests to all four hosts.

Ruled out: draining hosts do follow a new owner.

--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -72,6 +72,8 @@
   void handleHeartbeat(const cell::pb::Beat &Beat);
   void handleAnnouncement(const cell::pb::Announcement &Announcement);
   void handleRelease(const cell::pb::Release &Release);
+  void handleReturnedRelease(const std::shared_ptr<PeerLink> &Link,
+                             const cell::pb::Release &Release);
   void answerAdviceRequest(const cell::pb::AdviceRequest &Request);
   void sendHeartbeats();
   void removeLink(std::size_t At);
@@ -113,7 +115,7 @@
   std::uint64_t OperatorRowsVersion_ = 0;
   bool OperatorFeedDown_ = false;
   std::unique_ptr<Owner> Owner_;
-  Millis OwnedSince_ = 0; ///< Start of Owner_.
+  Millis OwnedSince_ = 0;      ///< Start of Owner_.
   /// Whether the operator's rows were read after the takeover.
   bool OwnerHasOperatorRows_ = false;
   std::unique_ptr<PeerLink> OwnerLink_;
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -252,6 +252,7 @@
   DrainingSince_ = bootTime();
   FrontEnd_.setDraining();
   Log_.logEvent("stopping", {{"owner", Owner_ ? 1 : 0}});
+  sendHeartbeats(); // An owner must not choose this host as its successor.
   if (Owner_ && !Owner_->isReleasing())
     releaseOwnership();
 }
--- a/src/node/host_links.cc
+++ b/src/node/host_links.cc
@@ -99,6 +99,9 @@
       Answer(makeNotOwnerReply());
     break;
   }
+  case Frame::kRelease:
+    handleReturnedRelease(Link, Received.release());
+    break;
   case Frame::kAdviceReply:
     if (Owner_)
       Owner_->handleAdviceReply(Received.advice_reply());
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -324,11 +324,18 @@
 }
 
 /// Takes over from an owner that released its ownership to this host. Version 0
-/// means that the owner row has to be read first.
+/// means that the owner row has to be read first. A draining host returns the
+/// release: its owner may have chosen it before it knew that it drains.
 void EntryHost::handleRelease(const cell::pb::Release &Release) {
   const auto Row = cell::decodeOwner(Release.row());
   if (!Row || Row->Epoch_ != OwnerEpoch_ || Owner_)
     return;
+  if (DrainingSince_ != 0) {
+    Frame Out;
+    *Out.mutable_release() = Release;
+    OwnerLink_->send(Out);
+    return;
+  }
   Succession_.ownerGone(bootTime(), Row->Epoch_);
   if (Release.version() == 0) {
     readOwnerRow();
@@ -338,4 +345,18 @@
   takeOverIfDue();
 }
 
+/// Chooses another successor instead of a draining host that has returned the
+/// release.
+void EntryHost::handleReturnedRelease(const std::shared_ptr<PeerLink> &Link,
+                                      const cell::pb::Release &Release) {
+  for (HostLink &Each : IncomingLinks_)
+    if (Each.Link_ == Link)
+      Each.Draining_ = true;
+  const auto Row = cell::decodeOwner(Release.row());
+  if (!Row || Row->Host_ != Settings_.Name_ || Row->Epoch_ != OwnerEpoch_ ||
+      Owner_ || Release.version() == 0)
+    return;
+  handOverOwnership({Release.version(), *Row});
+}
+
 } // namespace oleandergauge::node
--- a/test/system/drain_answers_test.py
+++ b/test/system/drain_answers_test.py
@@ -266,17 +266,41 @@
     assert row.endswith(RELEASED), row
 
 
+def successor_drains_too(cell):
+    """An owner that hands over to a host which has just got SIGTERM as well does
+    not leave the cell without an owner: requests at other hosts, also at the
+    draining ones, are not refused."""
+    owner = cell.owner()
+    successor = max((h for h in cell.hosts if h is not owner), key=lambda h: h.name)
+    others = [h for h in cell.hosts if h not in (owner, successor)]
+    time.sleep(0.5)  # Until all hosts follow the owner.
+    clients = [Client(h) for h in cell.hosts for _ in range(3)]
+    terminate(successor)
+    begin = terminate(owner)
+    for round in range(3):
+        sleep_until(begin + 0.05 + 0.3 * round)
+        for number, client in enumerate(clients[round::3]):
+            client.send(submission(0x800 + 16 * round + number))
+    statuses = [c.answer() for c in clients]
+    assert set(statuses) == {200}, statuses
+    took = time.monotonic() - begin
+    assert took < 1.5, took
+    for host in (owner, successor):
+        check(host, [], ())
+    assert any(h.owns() for h in others)
+
+
 def main():
     build = sys.argv[1]
     names = sys.argv[2:]
     checks = [refused_while_draining, end_of_grace, second_signal, second_signal_without_owner,
               bad_request_with_signal, partly_read, first_request_partly_read, slow_reader,
-              client_gone, released_without_successor]
+              client_gone, released_without_successor, successor_drains_too]
     failed = []
     for each in checks:
         if names and each.__name__ not in names:
             continue
-        cell = Cell(build)
+        cell = Cell(build, hosts=4)
         begin = time.monotonic()
         try:
             each(cell)
