End a stand-alone host only when its answers were written out

Change: after the host has deregistered, the HTTP task ends its server when no request is open, counted from the headers to the last byte of the reply, and the process ends after that. After a second signal open requests get 504 may_have_run, requests that wait for the configuration get 503, and the process exits when these are written, after 2 s at most; a third signal exits at once.

A request of which only a part of the headers was read is still cut off.

--- a/src/daemon/host.cc
+++ b/src/daemon/host.cc
@@ -19,6 +19,9 @@
 
 /// The exit code that shells report for a process ended by SIGINT.
 constexpr int SecondSignalExitCode = 130;
+/// Time in milliseconds after a second signal within which the answers to open
+/// requests are written.
+constexpr guint SecondSignalLimitMs = 2000;
 
 /// Owns the tasks of the process, connects their mailboxes and runs the phases
 /// of a shutdown. Runs on the main thread.
@@ -32,7 +35,14 @@
   int run();
 
 private:
-  enum class Phase { Serving, FinishingRequests, DrainingPartitions, Leaving };
+  enum class Phase {
+    Serving,
+    FinishingRequests,
+    DrainingPartitions,
+    Leaving,
+    EndingServer,
+    StoppingSoon ///< After a second signal.
+  };
 
   template <typename Task>
   void startTask(TaskThread &Thread, std::unique_ptr<Task> &Started);
@@ -40,7 +50,9 @@
   void stopAndDestroy(TaskThread &Thread, std::unique_ptr<Task> &Ended);
   static gboolean onSignal(gpointer Data);
   static gboolean onDrainLimit(gpointer Data);
+  static gboolean onSecondSignalLimit(gpointer Data);
   void drain();
+  void stopSoon();
   void receive(const HostMessage &Message);
   void process(const HttpIdle &);
   void process(const PartitionsDrained &);
@@ -158,10 +170,14 @@
 
 gboolean Host::onSignal(gpointer Data) {
   auto *Self = static_cast<Host *>(Data);
-  if (Self->Phase_ != Phase::Serving) {
-    logLine(LogLevel::Warning, "second signal; exiting at once");
+  if (Self->Phase_ == Phase::StoppingSoon) {
+    logLine(LogLevel::Warning, "third signal; exiting at once");
     std::_Exit(SecondSignalExitCode);
   }
+  if (Self->Phase_ != Phase::Serving) {
+    Self->stopSoon();
+    return G_SOURCE_CONTINUE;
+  }
   Self->drain();
   return G_SOURCE_CONTINUE;
 }
@@ -174,6 +190,20 @@
   return G_SOURCE_REMOVE;
 }
 
+gboolean Host::onSecondSignalLimit(gpointer) {
+  logLine(LogLevel::Warning, "answers not written in time; exiting");
+  std::_Exit(SecondSignalExitCode);
+}
+
+/// Answers all open requests without waiting for their outcome, and exits when
+/// the answers are written.
+void Host::stopSoon() {
+  logLine(LogLevel::Warning, "second signal; answering open requests");
+  Phase_ = Phase::StoppingSoon;
+  g_timeout_add(SecondSignalLimitMs, onSecondSignalLimit, this);
+  HttpThread_.post([this] { Http_->handle(EndServer{true}); });
+}
+
 void Host::drain() {
   logLine(LogLevel::Info, "draining");
   Phase_ = Phase::FinishingRequests;
@@ -190,6 +220,10 @@
 }
 
 void Host::process(const HttpIdle &) {
+  if (Phase_ == Phase::StoppingSoon)
+    std::_Exit(SecondSignalExitCode);
+  if (Phase_ == Phase::EndingServer)
+    quit(0);
   if (Phase_ != Phase::FinishingRequests)
     return;
   Phase_ = Phase::DrainingPartitions;
@@ -203,7 +237,14 @@
   ConfigThread_.post([this] { Config_->handle(DeregisterRequested{}); });
 }
 
-void Host::process(const Deregistered &) { quit(0); }
+/// Requests that arrived after the first HttpIdle were refused; their answers
+/// are written before the process ends.
+void Host::process(const Deregistered &) {
+  if (Phase_ != Phase::Leaving)
+    return;
+  Phase_ = Phase::EndingServer;
+  HttpThread_.post([this] { Http_->handle(EndServer{}); });
+}
 
 void Host::process(const TaskFailed &Failure) {
   logLine(LogLevel::Error, Failure.Message_);
--- a/src/daemon/http_api.cc
+++ b/src/daemon/http_api.cc
@@ -85,6 +85,7 @@
   void process(const RecordAnswered &Answer) { Operators_.handle(Answer); }
   void process(const ConfigLogAnswered &Answer) { Operators_.handle(Answer); }
   void process(const RefuseNewRequests &Drain);
+  void process(const EndServer &End);
 
   /// A request that waits until the configuration is proven.
   struct HeldRequest {
@@ -127,6 +128,7 @@
   std::deque<HeldRequest> HeldRequests_;
   bool Draining_ = false;
   bool IdleReported_ = false;
+  bool Ending_ = false;
   std::unique_ptr<PeerClient> Peers_;
   std::unique_ptr<HttpServer> Server_;
 };
@@ -195,11 +197,35 @@
   Thread_.runEvery(IdleCheckInterval, [this] { reportIfIdle(); });
 }
 
-/// Tells the host once that no request is in flight.
+void HttpApi::Engine::process(const EndServer &End) {
+  Ending_ = true;
+  IdleReported_ = false;
+  if (!End.AnswerNow_ || !Server_)
+    return;
+  Draining_ = true;
+  for (HeldRequest &Each : std::exchange(HeldRequests_, {})) {
+    ApiReply Refused =
+        refusalReply({Verdict::NotRun, RefusalReason::Draining,
+                      "this host shuts down; ask another one", DrainRetryHint});
+    Refused.Status_ = 503;
+    Each.Respond_(std::move(Refused));
+  }
+  ApiReply Unknown = refusalReply(
+      {Verdict::MayHaveRun, RefusalReason::Draining,
+       "this host shuts down and does not know the outcome", DrainRetryHint});
+  Unknown.Status_ = 504;
+  Server_->replyToAll(Unknown);
+}
+
+/// Tells the host once that no request is in flight, or read in part, and ends
+/// the server if asked to, so that no further request is read.
 void HttpApi::Engine::reportIfIdle() {
-  bool Idle = !Server_ || Server_->inFlight() == 0;
-  if (Idle && !std::exchange(IdleReported_, true))
-    Outputs_.Host_(HttpIdle{});
+  const bool Idle = !Server_ || Server_->openRequests() == 0;
+  if (!Idle || std::exchange(IdleReported_, true))
+    return;
+  if (Ending_)
+    Server_.reset();
+  Outputs_.Host_(HttpIdle{});
 }
 
 /// Returns a refusal if the host drains or has too many requests in flight.
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -1,5 +1,6 @@
 #include "daemon/http_server.h"
 
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -67,10 +68,10 @@
 /// A request that is being served. It holds the message until that has
 /// finished; the responder may outlive the message.
 struct Exchange {
-  Exchange(SoupServerMessage *Message, std::size_t &InFlight)
+  Exchange(SoupServerMessage *Message, std::set<Exchange *> &InFlight)
       : Message_(Message), InFlight_(InFlight) {
     g_object_ref(Message_);
-    ++InFlight_;
+    InFlight_.insert(this);
   }
   ~Exchange() { end(); }
   Exchange(const Exchange &) = delete;
@@ -86,12 +87,12 @@
   void end() {
     if (Message_ == nullptr)
       return;
-    --InFlight_;
+    InFlight_.erase(this);
     g_object_unref(std::exchange(Message_, nullptr));
   }
 
   SoupServerMessage *Message_;
-  std::size_t &InFlight_;
+  std::set<Exchange *> &InFlight_;
   bool Answered_ = false;
 };
 
@@ -101,6 +102,12 @@
   (*static_cast<SharedExchange *>(Data))->end();
 }
 
+/// Called when a request whose headers were read has its whole reply or its
+/// connection has ended.
+void onOpenRequestFinished(SoupServerMessage *, gpointer Data) {
+  --*static_cast<std::size_t *>(Data);
+}
+
 void freeExchange(gpointer Data, GClosure *) {
   delete static_cast<SharedExchange *>(Data);
 }
@@ -141,14 +148,18 @@
   SoupServer *Server_ = nullptr;
   goffset MaxBodyBytes_ = 0;
   ApiHandler Handler_;
-  std::size_t InFlight_ = 0;
+  std::set<Exchange *> InFlight_;
+  std::size_t OpenRequests_ = 0;
 };
 
 /// Checks the headers and refuses a request before its body is read.
 void HttpServer::State::onHeadersRead(SoupServer *, SoupServerMessage *Message,
                                       const char *, GHashTable *,
                                       gpointer Data) {
-  const auto &Self = *static_cast<State *>(Data);
+  auto &Self = *static_cast<State *>(Data);
+  ++Self.OpenRequests_;
+  g_signal_connect(Message, "finished", G_CALLBACK(onOpenRequestFinished),
+                   &Self.OpenRequests_);
   SoupMessageHeaders *Headers =
       soup_server_message_get_request_headers(Message);
   ApiReply Refused;
@@ -210,6 +221,16 @@
   g_object_unref(State_->Server_);
 }
 
-std::size_t HttpServer::inFlight() const { return State_->InFlight_; }
+std::size_t HttpServer::inFlight() const { return State_->InFlight_.size(); }
+
+std::size_t HttpServer::openRequests() const { return State_->OpenRequests_; }
+
+void HttpServer::replyToAll(const ApiReply &Answer) {
+  // A reply may end its exchange, so the set is copied.
+  const std::set<Exchange *> Open = State_->InFlight_;
+  for (Exchange *Each : Open)
+    if (State_->InFlight_.count(Each) != 0)
+      Each->respond(Answer);
+}
 
 } // namespace oleandergauge::daemon
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -51,6 +51,11 @@
   /// Returns the number of requests that were passed to the handler and whose
   /// reply is not completely written yet.
   std::size_t inFlight() const;
+  /// Returns the number of requests of which the headers were read and whose
+  /// reply is not completely written yet.
+  std::size_t openRequests() const;
+  /// Replies to all requests in flight that have no reply yet.
+  void replyToAll(const ApiReply &Answer);
 
 private:
   struct State;
--- a/src/daemon/messages.h
+++ b/src/daemon/messages.h
@@ -206,10 +206,17 @@
                          const RefuseNewRequests &) = default;
 };
 
+/// Asks to end the server once no request is in flight, and not to wait for
+/// outcomes if AnswerNow_ is set; answered with HttpIdle.
+struct EndServer {
+  bool AnswerNow_ = false;
+  friend bool operator==(const EndServer &, const EndServer &) = default;
+};
+
 using HttpTaskMessage =
     std::variant<HomeRequestAnswered, RoutingChanged, PartitionsReported,
                  RecordChangeAnswered, RecordAnswered, ConfigLogAnswered,
-                 RefuseNewRequests>;
+                 RefuseNewRequests, EndServer>;
 
 // ---------------------------------------------------------- To the peer task
 
