Count a request without an answer as a failure in the soak

A call without an answer was taken for doubtful in all cases, so that the soak could not show an answer that a stopping host drops. It is a failure now unless the host was killed or paused, or its link to the store disturbed, at some time during the call, or the connection ends within 0.3 s: then the host may not have read the request.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -13,6 +13,7 @@
 import argparse
 import http.client
 import json
+import math
 import os
 import random
 import signal
@@ -30,6 +31,7 @@
 CALM_S = 45       # Longer than a lease, a takeover and the latest order.
 CANCEL_S = 9      # From a cancel's acknowledgement to the last start.
 QUIET_S = 8       # After the last fault no member of a gang ends alone.
+UNREAD_S = 0.3    # An idle connection that is closed shows by then.
 FAULT_S = (0.2, 4.0)
 
 
@@ -63,6 +65,7 @@
 
     def call(self, host, method, path, body=None):
         """Status and body; status 0 where no answer came."""
+        begin = time.monotonic()
         link = self.links.get(host.ip) or http.client.HTTPConnection(
             host.ip, CALLER_PORT, timeout=5)
         try:
@@ -76,8 +79,17 @@
         except (OSError, http.client.HTTPException):
             link.close()
             self.links[host.ip] = None
+            self.check_missing(host, begin, method + " " + path)
             return 0, ""
 
+    def check_missing(self, host, begin, what):
+        """A process that is only asked to stop or to reload may leave a request
+        unanswered where it ends before it reads it, and not later."""
+        disturbed = any(name == host.name and until >= begin
+                        for name, until in list(self.cell.disturbed.values()))
+        if time.monotonic() > begin + UNREAD_S and not disturbed:
+            self.jobs.fail("no answer by %s: %s" % (host.name, what))
+
     def host(self):
         return self.random.choice(self.cell.hosts)
 
@@ -165,11 +177,17 @@
         self.version = 10
         self.busy = set()
 
-    def later(self, key, work):
+    def later(self, key, work, disturbs=None):
+        """Takes a fault back after a while. disturbs: name of a host that owes no
+        answers meanwhile."""
         def take_back():
             work()
+            if disturbs:
+                self.cell.disturbed[key] = (disturbs, time.monotonic())
             self.busy.discard(key)
         self.busy.add(key)
+        if disturbs:
+            self.cell.disturbed[key] = (disturbs, math.inf)
         threading.Timer(self.random.uniform(*FAULT_S), take_back).start()
 
     def one(self):
@@ -189,8 +207,8 @@
         host = self.idle_host()
         if host is None:
             return None
+        self.later(host.name, host.start, host.name)
         host.kill()
-        self.later(host.name, host.start)
         return host.name
 
     def terminate(self):
@@ -210,8 +228,8 @@
         if host is None:
             return None
         process = host.process
+        self.later(host.name, lambda: process.send_signal(signal.SIGCONT), host.name)
         process.send_signal(signal.SIGSTOP)
-        self.later(host.name, lambda: process.send_signal(signal.SIGCONT))
         return host.name
 
     def hup(self):
@@ -220,17 +238,18 @@
             host.process.send_signal(signal.SIGHUP)
         return host and host.name
 
-    def trouble(self, key, proxy):
+    def trouble(self, key, proxy, host=None):
         if key in self.busy:
             return None
         mode = self.random.choice(Proxy.MODES[1:])
-        proxy.set(mode, self.random.uniform(0.05, 0.6))
-        self.later(key, lambda: proxy.set("pass"))
+        delay = self.random.uniform(0.05, 0.6)
+        self.later(key, lambda: proxy.set("pass"), host)
+        proxy.set(mode, delay)
         return key + " " + mode
 
     def door(self):
         at = self.random.randrange(len(self.doors))
-        return self.trouble("store of host-%d" % at, self.doors[at])
+        return self.trouble("store of host-%d" % at, self.doors[at], "host-%d" % at)
 
     def worker_link(self):
         at = self.random.randrange(len(self.workers))
@@ -326,6 +345,7 @@
                 net=options.net, wrap_store=Proxy, wrap_worker=Proxy)
     for worker in cell.workers:
         worker.clock_rate = chance.uniform(0.98, 1.0)
+    cell.disturbed = {}  # (host, end) by fault; no end while it lasts.
     jobs = Jobs()
     callers = [Caller(n, cell, jobs, options.seed) for n in range(CALLERS)]
     faults = Faults(cell, [h.store_path for h in cell.hosts], cell.workers, options.seed)
