--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -58,6 +58,7 @@
   void connectToOwner(Epoch OwnerEpoch, const std::string &Address);
   void announceTakeover();
   void handOverOwnership(const cell::StoredOwner &Last);
+  void writeReleasedRow(const cell::StoredOwner &Last);
   void handOverIfCutOffFromStore();
   void handOverToLargerHost();
   void releaseOwnership();
@@ -71,6 +72,9 @@
   void handleHeartbeat(const cell::pb::Beat &Beat);
   void handleAnnouncement(const cell::pb::Announcement &Announcement);
   void handleRelease(const cell::pb::Release &Release);
+  void handleReturnedRelease(const std::shared_ptr<PeerLink> &Link,
+                             const cell::pb::Release &Release);
+  void reportReadiness();
   void answerAdviceRequest(const cell::pb::AdviceRequest &Request);
   void sendHeartbeats();
   void removeLink(std::size_t At);
@@ -85,6 +89,13 @@
   bool isReady() const;
   void tick();
   void startDrain();
+  void continueDrain(Millis Now);
+  bool isDrained(Millis Draining);
+  std::size_t countOpenRequests() const;
+  std::size_t countPartlyRead();
+  HttpServer::AnswerObserver observeAnswers(const char *Server);
+  std::size_t unsentFrameBytes() const;
+  void logStop();
   void reloadSettings();
 
   std::string SettingsPath_;
@@ -105,7 +116,8 @@
   std::uint64_t OperatorRowsVersion_ = 0;
   bool OperatorFeedDown_ = false;
   std::unique_ptr<Owner> Owner_;
-  Millis OwnedSince_ = 0; ///< Start of Owner_.
+  Millis OwnedSince_ = 0;      ///< Start of Owner_.
+  bool OwnerWasReady_ = false; ///< As told to the followers.
   /// Whether the operator's rows were read after the takeover.
   bool OwnerHasOperatorRows_ = false;
   std::unique_ptr<PeerLink> OwnerLink_;
@@ -124,7 +136,11 @@
   /// The row written by a takeover whose result is unknown.
   std::optional<cell::OwnerRow> UnconfirmedTakeover_;
   Millis TakeoverSentAt_ = 0;
+  /// The row is being marked as released in the store.
+  bool ReleaseInFlight_ = false;
   Millis DrainingSince_ = 0; ///< Zero unless draining.
+  bool StopSoon_ = false;    ///< A second signal has arrived.
+  bool Listening_ = true;
 };
 
 } // namespace oleandergauge::node
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -54,19 +54,24 @@
                 [this](const cell::pb::Forward &Request) {
                   return forwardToOwner(Request);
                 }),
-      CallerServer_(Loop_,
-                    [this](const std::shared_ptr<IncomingRequest> &Request) {
-                      FrontEnd_.handleRequest(Request);
-                    }),
-      ReadinessServer_(Loop_,
-                       [this](const std::shared_ptr<IncomingRequest> &Request) {
-                         Request->answer(isReady() ? 200 : 503, "", {});
-                       }),
-      MetricsServer_(Loop_,
-                     [this](const std::shared_ptr<IncomingRequest> &Request) {
-                       Request->answer(200, Metrics_.renderPrometheusText(),
-                                       {});
-                     }),
+      CallerServer_(
+          Loop_,
+          [this](const std::shared_ptr<IncomingRequest> &Request) {
+            FrontEnd_.handleRequest(Request);
+          },
+          observeAnswers("callers")),
+      ReadinessServer_(
+          Loop_,
+          [this](const std::shared_ptr<IncomingRequest> &Request) {
+            Request->answer(isReady() ? 200 : 503, "", {});
+          },
+          observeAnswers("readiness")),
+      MetricsServer_(
+          Loop_,
+          [this](const std::shared_ptr<IncomingRequest> &Request) {
+            Request->answer(200, Metrics_.renderPrometheusText(), {});
+          },
+          observeAnswers("metrics")),
       PeerListener_(Loop_,
                     [this](std::unique_ptr<PeerLink> Link) {
                       acceptLink(std::move(Link));
@@ -162,8 +167,7 @@
           bootTime() - OwnerSeenAt_ < ReadyWithoutOwnerTime);
 }
 
-/// Runs the periodic checks, and ends the process once draining is complete or
-/// its time is over.
+/// Runs the periodic checks.
 void EntryHost::tick() {
   const Millis Now = bootTime();
   if (Owner_ && Owner_->isReady()) {
@@ -176,33 +180,137 @@
   removeSilentLinks();
   FrontEnd_.answerOverdue();
   Log_.flush();
-  if (DrainingSince_ == 0)
-    return;
+  if (DrainingSince_ != 0)
+    continueDrain(Now);
+}
+
+/// Ends the process once it owes nobody an answer. An answer is given when it
+/// was written to the socket; it is dropped only at the end of the grace
+/// period.
+void EntryHost::continueDrain(Millis Now) {
   const Millis Draining = Now - DrainingSince_;
-  const bool Late =
-      Draining > Settings_.TerminationGrace_ - StopReserve - AnswerReserve;
-  if (Late)
+  const Millis StopAt = Settings_.TerminationGrace_ - StopReserve;
+  if (StopSoon_ || Draining > StopAt - AnswerReserve)
     FrontEnd_.refuseAll();
-  const bool Done =
-      !Owner_ && FrontEnd_.pendingCount() == 0 && Draining > MinDrainTime;
-  if (Done || Draining > Settings_.TerminationGrace_ - StopReserve)
+  if (Draining > StopAt) {
+    Loop_.stop();
+    return;
+  }
+  if (!isDrained(Draining))
+    return;
+  if (!Listening_) {
     Loop_.stop();
+    return;
+  }
+  // Requests on connections that were accepted before are still read and
+  // answered until the next tick.
+  Listening_ = false;
+  CallerServer_.stopListening();
+  ReadinessServer_.stopListening();
+  MetricsServer_.stopListening();
+}
+
+/// Whether all answers and frames were written and, unless a second signal has
+/// arrived, all requests were read and the ownership was given up.
+bool EntryHost::isDrained(Millis Draining) {
+  if (FrontEnd_.pendingCount() > 0 || countOpenRequests() > 0 ||
+      unsentFrameBytes() > 0)
+    return false;
+  if (StopSoon_)
+    return true;
+  return Draining > MinDrainTime && !Owner_ && !TakeoverInFlight_ &&
+         !ReleaseInFlight_ && countPartlyRead() == 0;
+}
+
+std::size_t EntryHost::countOpenRequests() const {
+  return CallerServer_.countOpenRequests() +
+         ReadinessServer_.countOpenRequests() +
+         MetricsServer_.countOpenRequests();
+}
+
+std::size_t EntryHost::countPartlyRead() {
+  return CallerServer_.countPartlyRead() + ReadinessServer_.countPartlyRead() +
+         MetricsServer_.countPartlyRead();
 }
 
-/// Stops taking callers and releases ownership. A second call ends the process
-/// at once.
+/// Stops taking callers and releases ownership. A second call answers all open
+/// requests and ends the process as soon as the answers are written; a third
+/// call ends it at once.
 void EntryHost::startDrain() {
-  if (DrainingSince_ != 0) {
+  if (StopSoon_) {
     Loop_.stop();
     return;
   }
+  if (DrainingSince_ != 0) {
+    StopSoon_ = true;
+    Log_.logEvent(
+        "stopping soon",
+        {{"requests", static_cast<std::int64_t>(FrontEnd_.pendingCount())}});
+    FrontEnd_.refuseAll();
+    return;
+  }
   DrainingSince_ = bootTime();
   FrontEnd_.setDraining();
   Log_.logEvent("stopping", {{"owner", Owner_ ? 1 : 0}});
+  sendHeartbeats(); // An owner must not choose this host as its successor.
   if (Owner_ && !Owner_->isReleasing())
     releaseOwnership();
 }
 
+/// Counts the answers that were written to the socket, and counts and logs
+/// those that were dropped. Status 0 is a request without an answer.
+HttpServer::AnswerObserver EntryHost::observeAnswers(const char *Server) {
+  return [this, Server](const AnswerReport &Report) {
+    if (Report.End_ == AnswerEnd::Written) {
+      Metrics_.incrementCounter("answers_written", Server);
+      return;
+    }
+    const char *Cause = Report.End_ == AnswerEnd::ConnectionClosed
+                            ? "connection closed"
+                            : "process ended";
+    Metrics_.incrementCounter("answers_dropped",
+                              std::string(Server) + ", " + Cause);
+    Log_.logDecision("answer dropped", {{"server", Server},
+                                        {"path", Report.Path_},
+                                        {"status", Report.Status_},
+                                        {"why", Cause}});
+  };
+}
+
+/// Bytes of frames on connected links that were not written to the socket yet.
+std::size_t EntryHost::unsentFrameBytes() const {
+  std::size_t Out = 0;
+  if (OwnerLink_ && OwnerLink_->isConnected())
+    Out += OwnerLink_->unsentBytes();
+  for (const HostLink &Each : IncomingLinks_)
+    Out += Each.Link_->unsentBytes();
+  return Out;
+}
+
+/// Logs the end of the process with the answers and frames that it drops.
+void EntryHost::logStop() {
+  const std::size_t PartlyRead = countPartlyRead();
+  const std::size_t Answers = CallerServer_.dropOpenRequests() +
+                              ReadinessServer_.dropOpenRequests() +
+                              MetricsServer_.dropOpenRequests();
+  Log_.logEvent(
+      "stopped",
+      {{"dropped_answers", static_cast<std::int64_t>(Answers)},
+       {"partly_read", static_cast<std::int64_t>(PartlyRead)},
+       {"dropped_frame_bytes", static_cast<std::int64_t>(unsentFrameBytes())}});
+}
+
+/// Tells the followers at once that this owner has become ready, since they
+/// hold requests back until they know.
+void EntryHost::reportReadiness() {
+  const bool IsReady = Owner_ && Owner_->isReady();
+  if (IsReady && !OwnerWasReady_) {
+    sendHeartbeats();
+    FrontEnd_.sendPending();
+  }
+  OwnerWasReady_ = IsReady;
+}
+
 /// Reads the settings file again. Only the bounds and the termination grace
 /// take effect without a restart.
 void EntryHost::reloadSettings() {
@@ -239,13 +347,16 @@
   Loop_.runEvery(HostTickInterval, [this] { tick(); });
   Loop_.runEvery(HeartbeatInterval, [this] { sendHeartbeats(); });
   Loop_.runEvery(OwnerTickInterval, [this] {
-    if (!Owner_)
+    if (!Owner_) {
+      OwnerWasReady_ = false;
       return;
+    }
     Owner_->setFollowers(recentFollowers());
     Owner_->tick();
+    reportReadiness();
   });
   Loop_.run();
-  Log_.logEvent("stopped", {});
+  logStop();
   return 0;
 }
 
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -22,6 +22,8 @@
 /// larger hosts to connect before it hands over. It covers several of their
 /// reads of the owner row.
 constexpr Millis LargerHostLinkWait = 1000;
+/// Delay before retrying to mark the owner row as released.
+constexpr Millis ReleaseRetryDelay = 100;
 /// Delay before retrying to read the operator's rows.
 constexpr Millis OperatorReadRetryDelay = 150;
 
@@ -258,17 +260,30 @@
     Out.mutable_release()->set_row(cell::encode(Last.Row_));
     Successor->Link_->send(Out);
   } else {
-    cell::OwnerRow Released = Last.Row_;
-    Released.Released_ = true;
-    Store_.transact(Released, Last.Version_, {},
-                    [](const platform::TransactionAnswer &) {
-                      // If this fails, other hosts take over once the row has
-                      // stayed unchanged for long enough.
-                    });
+    writeReleasedRow(Last);
   }
   FrontEnd_.markOwnerLost();
 }
 
+/// Marks the owner row as released in the store, so that other hosts need not
+/// wait until it has stayed unchanged for long enough. A draining host retries.
+void EntryHost::writeReleasedRow(const cell::StoredOwner &Last) {
+  ReleaseInFlight_ = true;
+  cell::OwnerRow Released = Last.Row_;
+  Released.Released_ = true;
+  Store_.transact(Released, Last.Version_, {},
+                  [this, Last](const platform::TransactionAnswer &Answer) {
+                    const bool Undecided =
+                        Answer.Result_ == cell::TransactionResult::Refused ||
+                        Answer.Result_ == cell::TransactionResult::Unknown;
+                    if (Undecided && DrainingSince_ != 0)
+                      Loop_.runAfter(ReleaseRetryDelay,
+                                     [this, Last] { writeReleasedRow(Last); });
+                    else
+                      ReleaseInFlight_ = false;
+                  });
+}
+
 /// Hands over at once if this owner cannot reach the store but its successor
 /// can. The transactions of this owner would fail anyway.
 void EntryHost::handOverIfCutOffFromStore() {
@@ -309,11 +324,18 @@
 }
 
 /// Takes over from an owner that released its ownership to this host. Version 0
-/// means that the owner row has to be read first.
+/// means that the owner row has to be read first. A draining host returns the
+/// release: its owner may have chosen it before it knew that it drains.
 void EntryHost::handleRelease(const cell::pb::Release &Release) {
   const auto Row = cell::decodeOwner(Release.row());
   if (!Row || Row->Epoch_ != OwnerEpoch_ || Owner_)
     return;
+  if (DrainingSince_ != 0) {
+    Frame Out;
+    *Out.mutable_release() = Release;
+    OwnerLink_->send(Out);
+    return;
+  }
   Succession_.ownerGone(bootTime(), Row->Epoch_);
   if (Release.version() == 0) {
     readOwnerRow();
@@ -323,4 +345,18 @@
   takeOverIfDue();
 }
 
+/// Chooses another successor instead of a draining host that has returned the
+/// release.
+void EntryHost::handleReturnedRelease(const std::shared_ptr<PeerLink> &Link,
+                                      const cell::pb::Release &Release) {
+  for (HostLink &Each : IncomingLinks_)
+    if (Each.Link_ == Link)
+      Each.Draining_ = true;
+  const auto Row = cell::decodeOwner(Release.row());
+  if (!Row || Row->Host_ != Settings_.Name_ || Row->Epoch_ != OwnerEpoch_ ||
+      Owner_ || Release.version() == 0)
+    return;
+  handOverOwnership({Release.version(), *Row});
+}
+
 } // namespace oleandergauge::node
