Store cancels and ends before new work, and acknowledge ends per worker

Nearly all 504 answered a DELETE, while submissions were answered 200; some jobs were cancelled again a dozen times and more.

Repeated cancels only add a caller to the job; they are answered together once a transaction has room for the end.

Change: a transaction takes ended jobs first, keeps 32 rows for accepted jobs and 16 for progress while they wait, and uses 98 of the store's 100 entries. A job that is cancelled before any transaction contained it is stored as ended only, and its submission and cancel are answered together. Ends are acknowledged for each worker up to the first one whose change is not stored; before, one unstored change anywhere held back all of them. A submission that would not be stored within 70% of the caller's timeout, at the present duration of transactions, is refused; so is a waiting one that no transaction has taken by then. Neither ever runs.

Costs that grew with the whole cell: the set of used workers, the number of waiting jobs by queue and the due occurrences are kept up to date instead of computed by walks over all workers or jobs; workers are marked as recorded only when their list was stored; the size of a transaction is a running sum; an ended job no longer causes walks over all ready steps and all workers; a submission or cancel no longer advances all workers, since the next tick does.

--- a/src/cell/cell.cc
+++ b/src/cell/cell.cc
@@ -94,17 +94,24 @@
 }
 
 void Cell::submit(Millis Now, Millis Wall, Token Caller,
-                  const Resolution &Request, const JobSpec &Spec) {
+                  const Resolution &Request, const JobSpec &Spec,
+                  Millis Timeout) {
   Engine_->Now_ = Now;
   Engine_->Wall_ = Wall;
-  Engine_->submit(Caller, Request, Spec);
-  Engine_->advanceAll();
+  Engine_->submit(Caller, Request, Spec, Timeout);
+  Engine_->commitChanges();
+}
+
+bool Cell::resubmit(Millis Now, Token Caller, const Resolution &Request,
+                    Millis Timeout) {
+  Engine_->Now_ = Now;
+  return Engine_->resubmit(Caller, Request, Timeout);
 }
 
 void Cell::cancel(Millis Now, Token Caller, const Resolution &Request) {
   Engine_->Now_ = Now;
   Engine_->cancel(Caller, Request);
-  Engine_->advanceAll();
+  Engine_->commitChanges();
 }
 
 void Cell::query(Millis Now, Token Caller, const Resolution &Request) {
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -12,6 +12,9 @@
 
 namespace oleandergauge::cell {
 
+/// Time for which a caller waits unless its request says otherwise.
+constexpr Millis DefaultCallerTimeout = 3000;
+
 /// Identifies an effect in the event that reports its outcome.
 using Token = std::uint64_t;
 
@@ -40,6 +43,9 @@
   Answer Answer_ = Answer::Busy;
   JobState State_ = JobState::Queued;
   std::uint64_t Waiting_ = 0;
+  /// With Busy, the time after which the request is likely to succeed; zero if
+  /// it is not known.
+  Millis RetryAfter_ = 0;
   friend bool operator==(const Reply &, const Reply &) = default;
 };
 
@@ -289,9 +295,16 @@
   void addAdviceHost(const std::string &Host, double Strength);
   void removeAdviceHost(Millis Now, const std::string &Host);
 
-  /// Accepts a job. The reply follows once the job is stored.
+  /// Accepts a job. The reply follows once the job is stored. A job that cannot
+  /// be stored well within \p Timeout, for which the caller waits, is refused
+  /// and never runs.
   void submit(Millis Now, Millis Wall, Token Caller, const Resolution &Request,
-              const JobSpec &Spec);
+              const JobSpec &Spec, Millis Timeout = DefaultCallerTimeout);
+  /// Handles a submission without its specification. Returns false, and does
+  /// nothing, if the job is not known and not certain to be refused; submit()
+  /// handles it then.
+  bool resubmit(Millis Now, Token Caller, const Resolution &Request,
+                Millis Timeout);
   /// Cancels a job. The reply follows once the cancellation is stored.
   void cancel(Millis Now, Token Caller, const Resolution &Request);
   /// Queries the state of a job, or the waiting jobs of a queue.
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -1,6 +1,8 @@
 #ifndef OLEANDERGAUGE_CELL_ENGINE_H
 #define OLEANDERGAUGE_CELL_ENGINE_H
 
+#include <unordered_set>
+
 #include "cell/model.h"
 
 namespace oleandergauge::cell {
@@ -15,6 +17,8 @@
 /// the estimate of that clock has an error.
 constexpr Millis LeaseClockSlack = LeaseTime * 3 / 100 + 100;
 
+/// Assumed duration of a transaction before the first one is completed.
+constexpr Millis InitialCommitTime = 20;
 /// An entry host that requests advice. It processes its calls one after
 /// another.
 struct AdviceHost {
@@ -58,6 +62,23 @@
   std::vector<std::string> Jobs_;
 };
 
+/// The rows of a transaction that is being composed, within the limits of the
+/// store.
+class TransactionRows {
+public:
+  void add(std::string Table, std::string Key,
+           std::optional<std::string> Value);
+  /// Returns whether \p Count further rows fit while \p Reserved rows stay
+  /// free.
+  bool hasRoom(std::size_t Count, std::size_t Reserved) const;
+  std::size_t size() const { return Rows_.size(); }
+  std::vector<RowChange> take() { return std::move(Rows_); }
+
+private:
+  std::vector<RowChange> Rows_;
+  std::size_t Bytes_ = 0;
+};
+
 /// Implements Cell. The calls of Cell set the time and pass on to this class.
 class Cell::Engine {
 public:
@@ -65,7 +86,9 @@
 
   // Jobs (engine_jobs.cc).
   void restore(const StoredCell &Stored);
-  void submit(Token Caller, const Resolution &Request, const JobSpec &Spec);
+  bool resubmit(Token Caller, const Resolution &Request, Millis Timeout);
+  void submit(Token Caller, const Resolution &Request, const JobSpec &Spec,
+              Millis Timeout);
   void cancel(Token Caller, const Resolution &Request);
   void query(Token Caller, const Resolution &Request);
   void setDesiredState(std::shared_ptr<const DesiredState> State);
@@ -74,7 +97,7 @@
   void endJob(Job &Ended, EndState State);
   void detachSteps(Job &TargetJob);
   bool storeStalled() const;
-  void refuseUnsentJobs();
+  void refuseLateJobs();
   void advanceJobs();
 
   // Workers (engine_workers.cc, engine_lists.cc).
@@ -131,9 +154,12 @@
   void requeueTask(StepRun &Step, std::uint32_t Index);
   void finishGang(StepRun &Step);
   void markDirty(Job &TargetJob);
+  void countJob(Job &TargetJob);
+  void setAnswerTime(Job &TargetJob, Millis Timeout) const;
+  void scheduleOccurrence(const Job &TargetJob);
+  void removeDetachedSteps();
   void forgetJob(Job &Ended);
   JobState stateOf(const Job &TargetJob) const;
-  std::uint64_t countWaiting(const std::string &Queue) const;
   const Queue *queueOf(const Job &TargetJob) const;
   int priorityOf(const StepRun &Step) const;
   StepRun *findStep(const TaskName &Name);
@@ -236,11 +262,23 @@
   AdviceHost *chooseAdviceHost(double Cost);
 
   // engine_commit.cc
-  void addJobChanges(std::vector<RowChange> &Out);
-  void addNewJobs(std::vector<RowChange> &Out);
-  void addEndedJobs(std::vector<RowChange> &Out);
-  void addProgress(std::vector<RowChange> &Out);
+  void markChanged(Job &TargetJob);
+  void recordEnd(Worker &Sender, std::uint64_t Number, const Job *Cause);
+  void updateUsedWorker(Worker &Target);
+  void compareUsedWorkers();
+  void addUsedWorkers(TransactionRows &Out);
+  void addEndedJobs(TransactionRows &Out);
+  void addNewJobs(TransactionRows &Out);
+  void addProgress(TransactionRows &Out);
+  void collectStoredEnds();
+  void acknowledgeStoredEnds();
+  void recordStoredWorkers();
+  void answerNewJobs();
+  void answerEndedJobs();
   bool hasChanges() const;
+  std::size_t reservedForNewJobs() const;
+  std::size_t reservedForProgress() const;
+  Millis expectedStoreWait() const;
 
   std::string Self_;
   Epoch Epoch_;
@@ -275,12 +313,19 @@
   std::unordered_map<Token, PendingAdvice> PendingAdvice_;
   std::unordered_map<std::string, double> AllowedRatio_; ///< By queue.
 
+  /// Includes steps of ended jobs, which are no longer marked as ready, until
+  /// removeDetachedSteps() is called.
   std::vector<StepRun *> ReadySteps_;
   /// Gangs that wait for the confirmation of some members.
   std::vector<StepRun *> AssemblingGangs_;
   Millis NextPlacement_ = 0;
   std::size_t AdviceSelections_ = 0; ///< In the present placement pass.
   Millis NextJobAdvance_ = 0;
+  /// Scheduled jobs by the time since 1970 at which their next occurrence is
+  /// due.
+  std::multimap<Millis, std::string> DueOccurrences_;
+  /// Number of stored jobs that have not started, by queue.
+  std::unordered_map<std::string, std::uint64_t> WaitingJobs_;
 
   std::map<std::uint64_t, WaveRun> Waves_;
   std::map<std::string, MachineEntry> Machines_;
@@ -300,13 +345,23 @@
   std::vector<Job *> EndingJobs_;
   /// Keys of rows of ended jobs that are due for deletion.
   std::vector<std::string> ExpiredRows_;
-  bool WorkersDirty_ = false;
+  /// Workers that are listed or have runs.
+  std::set<std::string> UsedWorkers_;
+  bool UsedWorkersChanged_ = true; ///< Since the last comparison.
+  /// State of the recovery at the last comparison.
+  std::pair<bool, std::size_t> ComparedRecovery_;
+  bool WorkersDirty_ = false; ///< The stored list of workers is out of date.
   std::set<std::string> RecordedWorkers_;
-  std::set<std::string> CommitWorkers_;
+  /// The list of workers in the transaction in flight, if it contains one.
+  std::optional<std::set<std::string>> CommitWorkers_;
+  /// Workers with ends that are not acknowledged to them yet.
+  std::unordered_set<std::string> UnacknowledgedWorkers_;
+  /// Workers some of whose ends the transaction in flight acknowledges.
+  std::vector<std::string> CommitAcknowledged_;
+  /// Mean time from the start of a transaction to its completion.
+  Millis CommitTime_ = InitialCommitTime;
   std::vector<Job *> CommitNewJobs_;
   std::vector<Job *> CommitEndingJobs_;
-  /// The transaction in flight contains all changes that seen ends caused.
-  bool CommitIncludesAllEnds_ = false;
 };
 
 } // namespace oleandergauge::cell
--- a/src/cell/engine_commit.cc
+++ b/src/cell/engine_commit.cc
@@ -1,5 +1,5 @@
-// Storage: writes changes in transactions and answers callers once these are
-// stored.
+// Storage: writes changes in transactions, answers callers once these are
+// stored, and acknowledges stored ends to workers.
 
 #include <algorithm>
 
@@ -13,20 +13,21 @@
 /// Time without changes after which the owner writes its row anyway, so that
 /// other hosts see that it is alive.
 constexpr Millis HeartbeatInterval = 400;
-/// Maximum number of rows in a transaction. The store accepts 100, including
-/// the owner's row.
-constexpr std::size_t MaxCommitRows = 90;
+/// Maximum number of rows in a transaction. The store accepts 100 entries,
+/// including the owner's row and the condition on it.
+constexpr std::size_t MaxCommitRows = 96;
+/// Rows of a transaction that stay free for accepted jobs and for progress
+/// while ended jobs wait, so that none of them waits without a limit.
+constexpr std::size_t NewJobRows = 32;
+constexpr std::size_t ProgressRows = 16;
 /// Size in bytes at which no further jobs are added to a transaction. The store
 /// accepts 1 MB.
 constexpr std::size_t MaxCommitBytes = 400000;
-
-/// Returns whether the rows of another job and the row of ended jobs still fit.
-bool hasRoom(const std::vector<RowChange> &Rows) {
-  std::size_t Bytes = 0;
-  for (const RowChange &Each : Rows)
-    Bytes += Each.Value_ ? Each.Value_->size() : 0;
-  return Rows.size() + 3 < MaxCommitRows && Bytes < MaxCommitBytes;
-}
+/// Maximum number of jobs in one row of ended jobs. The store accepts 64 KiB a
+/// row.
+constexpr std::size_t MaxEndedJobsPerRow = 300;
+/// Weight of the latest transaction in the mean duration.
+constexpr Millis CommitTimeWeight = 4;
 
 std::string encodeProgress(const Job &TargetJob) {
   std::vector<StepProgress> Out;
@@ -48,70 +49,177 @@
 
 } // namespace
 
-/// Adds accepted and ended jobs before progress: callers wait for the former,
-/// while progress only lets workers forget acknowledged ends.
-void Cell::Engine::addJobChanges(std::vector<RowChange> &Out) {
-  addNewJobs(Out);
-  addEndedJobs(Out);
-  addProgress(Out);
+void TransactionRows::add(std::string Table, std::string Key,
+                          std::optional<std::string> Value) {
+  Bytes_ += Value ? Value->size() : 0;
+  Rows_.push_back({std::move(Table), std::move(Key), std::move(Value)});
 }
 
-void Cell::Engine::addNewJobs(std::vector<RowChange> &Out) {
-  std::size_t Taken = 0;
-  for (; Taken < NewJobs_.size() && hasRoom(Out); ++Taken) {
-    Job &Each = *NewJobs_[Taken];
-    CommitNewJobs_.push_back(&Each);
-    Out.push_back({JobTable, Each.Id_,
-                   encode(JobRecord{*Each.Spec_, Each.Queue_, Each.Team_,
-                                    Each.AcceptedWall_})});
+bool TransactionRows::hasRoom(std::size_t Count, std::size_t Reserved) const {
+  return Rows_.size() + Count + Reserved <= MaxCommitRows &&
+         Bytes_ < MaxCommitBytes;
+}
+
+/// Notes a change of a job that has to be stored. A change that no transaction
+/// contains yet covers later ones.
+void Cell::Engine::markChanged(Job &TargetJob) {
+  if (!TargetJob.LatestChange_ || TargetJob.LatestChange_->InTransaction_)
+    TargetJob.LatestChange_ = std::make_shared<JobChange>();
+}
+
+/// Notes an end that was processed. It is acknowledged to the worker once the
+/// latest change of its job is stored, since the end may have caused it or
+/// relied on it. \p Cause is null if the job is not known.
+void Cell::Engine::recordEnd(Worker &Sender, std::uint64_t Number,
+                             const Job *Cause) {
+  Sender.UnstoredEnds_.push_back(
+      {Number, Cause == nullptr ? nullptr : Cause->LatestChange_});
+  UnacknowledgedWorkers_.insert(Sender.Id_);
+}
+
+/// Adds a worker to the used ones or removes it. Called where its listing or
+/// its runs change.
+void Cell::Engine::updateUsedWorker(Worker &Target) {
+  if (!Target.Listed_ && Target.Runs_.empty()) {
+    if (UsedWorkers_.erase(Target.Id_) != 0)
+      UsedWorkersChanged_ = true;
+    return;
+  }
+  if (!UsedWorkers_.insert(Target.Id_).second)
+    return;
+  UsedWorkersChanged_ = true;
+  // The transaction in flight may remove the worker from the stored list.
+  Target.Recorded_ =
+      RecordedWorkers_.count(Target.Id_) != 0 &&
+      (!CommitWorkers_ || CommitWorkers_->count(Target.Id_) != 0);
+}
+
+/// Sets WorkersDirty_ if anything has changed on which it depends.
+void Cell::Engine::compareUsedWorkers() {
+  const std::pair Recovery(isRecovering(), UnconfirmedWorkers_.size());
+  if (!UsedWorkersChanged_ && Recovery == ComparedRecovery_)
+    return;
+  UsedWorkersChanged_ = false;
+  ComparedRecovery_ = Recovery;
+  if (!isRecovering()) {
+    WorkersDirty_ = UsedWorkers_ != RecordedWorkers_;
+    return;
   }
-  NewJobs_.erase(NewJobs_.begin(),
-                 NewJobs_.begin() + static_cast<std::ptrdiff_t>(Taken));
+  std::set<std::string> Used = UsedWorkers_;
+  Used.insert(UnconfirmedWorkers_.begin(), UnconfirmedWorkers_.end());
+  WorkersDirty_ = Used != RecordedWorkers_;
+}
+
+/// Adds the list of used workers if it has changed. While this owner recovers,
+/// it includes the workers that may still run tasks of a former owner.
+void Cell::Engine::addUsedWorkers(TransactionRows &Out) {
+  CommitWorkers_.reset();
+  if (!WorkersDirty_)
+    return;
+  WorkersDirty_ = false;
+  CommitWorkers_ = UsedWorkers_;
+  if (isRecovering())
+    CommitWorkers_->insert(UnconfirmedWorkers_.begin(),
+                           UnconfirmedWorkers_.end());
+  Out.add(WorkersTable, SingleRowKey, encode(*CommitWorkers_));
+}
+
+std::size_t Cell::Engine::reservedForNewJobs() const {
+  return std::min(NewJobs_.size(), NewJobRows);
 }
 
-void Cell::Engine::addEndedJobs(std::vector<RowChange> &Out) {
-  // Jobs that this transaction accepts; it may write each row only once.
-  std::vector<Job *> Later;
+std::size_t Cell::Engine::reservedForProgress() const {
+  return std::min(DirtyJobs_.size(), ProgressRows);
+}
+
+/// Adds ended jobs. They come first, since they free what other work waits for
+/// and their callers send each cancel again. A job that is cancelled before
+/// any transaction contained it is stored as ended only.
+void Cell::Engine::addEndedJobs(TransactionRows &Out) {
+  const std::size_t Reserved = reservedForNewJobs() + reservedForProgress() + 1;
   EndedBatch Ended;
   std::size_t Taken = 0;
-  for (; Taken < EndingJobs_.size() && hasRoom(Out); ++Taken) {
+  for (; Taken < EndingJobs_.size() && Ended.size() < MaxEndedJobsPerRow;
+       ++Taken) {
     Job &Each = *EndingJobs_[Taken];
-    if (!Each.Stored_) {
-      Later.push_back(&Each);
-      continue;
-    }
-    CommitEndingJobs_.push_back(&Each);
-    Out.push_back({JobTable, Each.Id_, std::nullopt});
+    const std::size_t Rows =
+        (Each.Stored_ ? 1U : 0U) + (Each.ProgressStored_ ? 1U : 0U);
+    if (!Out.hasRoom(Rows, Reserved))
+      break;
+    if (Each.Stored_)
+      Out.add(JobTable, Each.Id_, std::nullopt);
     if (Each.ProgressStored_)
-      Out.push_back({ProgressTable, Each.Id_, std::nullopt});
+      Out.add(ProgressTable, Each.Id_, std::nullopt);
+    Each.Sent_ = true;
+    Each.LatestChange_->InTransaction_ = true;
+    CommitEndingJobs_.push_back(&Each);
     Ended.emplace_back(Each.Id_,
                        EndedRecord{*Each.EndState_, Wall_, Each.Queue_});
   }
-  if (!Ended.empty()) {
-    CommitEndedKey_ = EndedBatchPrefix + std::to_string(Epoch_) + "." +
-                      std::to_string(++EndedRows_);
-    Out.push_back({EndedTable, CommitEndedKey_, encode(Ended)});
-  }
   EndingJobs_.erase(EndingJobs_.begin(),
                     EndingJobs_.begin() + static_cast<std::ptrdiff_t>(Taken));
-  EndingJobs_.insert(EndingJobs_.end(), Later.begin(), Later.end());
+  if (Ended.empty())
+    return;
+  CommitEndedKey_ = EndedBatchPrefix + std::to_string(Epoch_) + "." +
+                    std::to_string(++EndedRows_);
+  Out.add(EndedTable, CommitEndedKey_, encode(Ended));
+}
+
+/// Adds accepted jobs in the order of their submission. Those that were
+/// cancelled meanwhile wait for a transaction that stores their end.
+void Cell::Engine::addNewJobs(TransactionRows &Out) {
+  const std::size_t Reserved = reservedForProgress();
+  for (Job *Each : NewJobs_) {
+    if (!Out.hasRoom(1, Reserved))
+      break;
+    if (Each->EndState_)
+      continue;
+    Each->Sent_ = true;
+    CommitNewJobs_.push_back(Each);
+    Out.add(JobTable, Each->Id_,
+            encode(JobRecord{*Each->Spec_, Each->Queue_, Each->Team_,
+                             Each->AcceptedWall_}));
+  }
+  std::erase_if(NewJobs_, [](const Job *Each) { return Each->Sent_; });
 }
 
-void Cell::Engine::addProgress(std::vector<RowChange> &Out) {
+void Cell::Engine::addProgress(TransactionRows &Out) {
   // Ended jobs are destroyed once their end is stored, so no pointer may
   // remain.
   std::erase_if(DirtyJobs_, [](const Job *Each) { return Each->EndState_; });
   std::size_t Taken = 0;
-  for (; Taken < DirtyJobs_.size() && hasRoom(Out); ++Taken) {
+  for (; Taken < DirtyJobs_.size() && Out.hasRoom(1, 0); ++Taken) {
     Job &Each = *DirtyJobs_[Taken];
     Each.ProgressDirty_ = false;
     Each.ProgressStored_ = true;
-    Out.push_back({ProgressTable, Each.Id_, encodeProgress(Each)});
+    Each.LatestChange_->InTransaction_ = true;
+    Out.add(ProgressTable, Each.Id_, encodeProgress(Each));
   }
   DirtyJobs_.erase(DirtyJobs_.begin(),
                    DirtyJobs_.begin() + static_cast<std::ptrdiff_t>(Taken));
 }
 
+/// Finds, for each worker, the ends that the transaction allows to be
+/// acknowledged: all up to the first one whose change it does not contain.
+void Cell::Engine::collectStoredEnds() {
+  CommitAcknowledged_.clear();
+  std::erase_if(UnacknowledgedWorkers_, [this](const std::string &Id) {
+    Worker *Target = findWorker(Id);
+    if (Target == nullptr)
+      return true;
+    std::deque<UnstoredEnd> &Ends = Target->UnstoredEnds_;
+    const std::size_t Before = Ends.size();
+    while (!Ends.empty() && (Ends.front().Change_ == nullptr ||
+                             Ends.front().Change_->InTransaction_)) {
+      Target->LastCommitEnd_ = Ends.front().Number_;
+      Ends.pop_front();
+    }
+    if (Ends.size() != Before)
+      CommitAcknowledged_.push_back(Id);
+    return Ends.empty();
+  });
+}
+
 bool Cell::Engine::hasChanges() const {
   return !NewJobs_.empty() || !DirtyJobs_.empty() || !EndingJobs_.empty() ||
          WorkersDirty_;
@@ -122,70 +230,91 @@
 void Cell::Engine::commitChanges() {
   if (CommitInFlight_ || Now_ < LastCommit_ + CommitInterval)
     return;
-  std::set<std::string> Used;
-  for (const auto &[Id, Each] : Workers_)
-    if (Each->Listed_ || !Each->Runs_.empty())
-      Used.insert(Id);
-  if (isRecovering())
-    Used.insert(UnconfirmedWorkers_.begin(), UnconfirmedWorkers_.end());
-  WorkersDirty_ = Used != RecordedWorkers_;
+  compareUsedWorkers();
   if (!hasChanges() && ExpiredRows_.size() < MaxCommitRows / 2 &&
       Now_ < LastCommit_ + HeartbeatInterval)
     return;
-  Commit Out;
-  CommitWorkers_ = RecordedWorkers_;
-  if (WorkersDirty_) {
-    CommitWorkers_ = Used;
-    Out.Changes_.push_back({WorkersTable, SingleRowKey, encode(Used)});
-  }
-  addWaveChanges(Out.Changes_);
-  addJobChanges(Out.Changes_);
-  while (!ExpiredRows_.empty() && Out.Changes_.size() < MaxCommitRows) {
-    Out.Changes_.push_back({EndedTable, ExpiredRows_.back(), std::nullopt});
+  TransactionRows Rows;
+  addUsedWorkers(Rows);
+  std::vector<RowChange> WaveRows;
+  addWaveChanges(WaveRows);
+  for (RowChange &Each : WaveRows)
+    Rows.add(Each.Table_, Each.Key_, std::move(Each.Value_));
+  addEndedJobs(Rows);
+  addNewJobs(Rows);
+  addProgress(Rows);
+  while (!ExpiredRows_.empty() && Rows.hasRoom(1, 0)) {
+    Rows.add(EndedTable, ExpiredRows_.back(), std::nullopt);
     ExpiredRows_.pop_back();
   }
-  // Ends are acknowledged to the workers only if the transaction contains all
-  // changes that they caused.
-  CommitIncludesAllEnds_ = DirtyJobs_.empty() && EndingJobs_.empty();
-  if (CommitIncludesAllEnds_)
-    for (const auto &[Id, Each] : Workers_)
-      Each->LastCommitEnd_ = Each->LastSeenEnd_;
+  collectStoredEnds();
   CommitInFlight_ = true;
   LastCommit_ = Now_;
-  Effects_.push_back(std::move(Out));
+  Effects_.push_back(Commit{Rows.take()});
 }
 
 /// Applies the completion of the transaction in flight and answers callers.
 void Cell::Engine::committed() {
   CommitInFlight_ = false;
-  RecordedWorkers_ = CommitWorkers_;
-  for (auto &[Id, Each] : Workers_) {
-    const bool Recorded = RecordedWorkers_.count(Id) != 0;
-    PlacementNeeded_ = PlacementNeeded_ || Recorded != Each->Recorded_;
-    Each->Recorded_ = Recorded;
-    if (!CommitIncludesAllEnds_ || Each->LastCommitEnd_ <= Each->LastStoredEnd_)
-      continue;
-    Each->LastStoredEnd_ = Each->LastCommitEnd_;
-    if (Each->LastStoredEnd_ >= Each->LastSeenEnd_)
-      Each->NextRenewal_ = Now_;
-  }
+  const Millis Took = std::max(Now_ - LastCommit_, CommitInterval);
+  CommitTime_ += (Took - CommitTime_) / CommitTimeWeight;
+  recordStoredWorkers();
+  acknowledgeStoredEnds();
   for (auto &[Number, Each] : Waves_)
     Each.StoredDoneCount_ =
         std::max(Each.StoredDoneCount_, Each.CommitDoneCount_);
-  for (Job *Each : CommitNewJobs_) {
+  answerNewJobs();
+  answerEndedJobs();
+}
+
+/// Applies the list of workers that the completed transaction contained.
+void Cell::Engine::recordStoredWorkers() {
+  if (!CommitWorkers_)
+    return;
+  RecordedWorkers_ = *std::exchange(CommitWorkers_, std::nullopt);
+  UsedWorkersChanged_ = true;
+  PlacementNeeded_ = true;
+  for (auto &[Id, Each] : Workers_)
+    Each->Recorded_ = RecordedWorkers_.count(Id) != 0;
+}
+
+void Cell::Engine::acknowledgeStoredEnds() {
+  for (const std::string &Id : std::exchange(CommitAcknowledged_, {})) {
+    Worker *Target = findWorker(Id);
+    if (Target == nullptr || Target->LastCommitEnd_ <= Target->LastStoredEnd_)
+      continue;
+    Target->LastStoredEnd_ = Target->LastCommitEnd_;
+    if (Target->LastStoredEnd_ >= Target->LastSeenEnd_)
+      Target->NextRenewal_ = Now_;
+  }
+}
+
+/// Answers the submissions of the jobs that are stored now.
+void Cell::Engine::answerNewJobs() {
+  for (Job *Each : std::exchange(CommitNewJobs_, {})) {
     Each->Stored_ = true;
+    countJob(*Each);
     PlacementNeeded_ = true;
-    for (Token Caller : Each->Callers_)
+    for (Token Caller : std::exchange(Each->Callers_, {}))
       Effects_.push_back(Reply{Caller, Answer::Accepted});
-    Each->Callers_.clear();
     Effects_.push_back(Decision{"job_accepted", Each->Id_, Each->Queue_, 0});
   }
-  CommitNewJobs_.clear();
+}
+
+/// Answers the cancels of the jobs whose end is stored now. A job that was
+/// cancelled early has open submissions too: it was accepted and is cancelled.
+void Cell::Engine::answerEndedJobs() {
+  if (CommitEndingJobs_.empty())
+    return;
+  removeDetachedSteps();
   EndedRow Stored{CommitEndedKey_, {}};
-  for (Job *Each : CommitEndingJobs_) {
+  for (Job *Each : std::exchange(CommitEndingJobs_, {})) {
     EndedRecords_[Each->Id_] = {*Each->EndState_, Wall_, Each->Queue_};
     Stored.Jobs_.push_back(Each->Id_);
-    for (Token Caller : Each->Cancellers_)
+    Each->Stored_ = true;
+    for (Token Caller : std::exchange(Each->Callers_, {}))
+      Effects_.push_back(Reply{Caller, Answer::Accepted});
+    for (Token Caller : std::exchange(Each->Cancellers_, {}))
       Effects_.push_back(Reply{Caller, Answer::Cancelled});
     constexpr const char *States[] = {"complete", "failed", "cancelled"};
     Effects_.push_back(Decision{"job_ended", Each->Id_,
@@ -195,9 +324,21 @@
     if (Each->LiveRuns_ == 0)
       forgetJob(*Each);
   }
-  if (!Stored.Jobs_.empty())
-    EndedByTime_.emplace(Wall_, std::move(Stored));
-  CommitEndingJobs_.clear();
+  EndedByTime_.emplace(Wall_, std::move(Stored));
+}
+
+/// Returns how long a submission that arrives now waits until it is stored, at
+/// the present duration of transactions.
+Millis Cell::Engine::expectedStoreWait() const {
+  const Millis Age = CommitInFlight_ ? Now_ - LastCommit_ : 0;
+  const Millis Duration = std::max(CommitTime_, Age);
+  const std::size_t OtherRows =
+      std::min(2 * EndingJobs_.size() + reservedForProgress(),
+               MaxCommitRows - NewJobRows);
+  const std::size_t Transactions =
+      1 + NewJobs_.size() / (MaxCommitRows - OtherRows);
+  return (CommitInFlight_ ? Duration - Age : 0) +
+         Duration * static_cast<Millis>(Transactions);
 }
 
 } // namespace oleandergauge::cell
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -19,6 +19,9 @@
 /// stays active for 0.8 s after its last proof of ownership, and its last
 /// renewal may take a while to arrive.
 constexpr Millis FormerOwnerRenewalTime = 1600;
+/// Share of a caller's timeout within which a submission has to be stored. The
+/// rest is left to the answer's way to the caller and to late transactions.
+constexpr double MaxStoreWaitShare = 0.7;
 /// Age of an unanswered transaction above which submissions that it does not
 /// contain are refused.
 constexpr Millis StoreStallTimeout = 400;
@@ -140,9 +143,22 @@
   NewJob.Objective_ =
       Now_ - (Wall_ - Record.AcceptedAt_) + NewJob.ObjectiveSpan_;
   Jobs_[Id] = std::move(OwnedJob);
+  scheduleOccurrence(NewJob);
   return NewJob;
 }
 
+/// Schedules the opening of the job's next occurrence, if it has one.
+void Cell::Engine::scheduleOccurrence(const Job &TargetJob) {
+  const JobSpec &Spec = *TargetJob.Spec_;
+  if (Spec.Occurrences_ == 0 || Spec.Steps_.empty())
+    return;
+  const std::size_t Open = TargetJob.Steps_.size() / Spec.Steps_.size();
+  if (Open < Spec.Occurrences_)
+    DueOccurrences_.emplace(Spec.FirstDue_ +
+                                static_cast<Millis>(Open) * Spec.Interval_,
+                            TargetJob.Id_);
+}
+
 /// Creates the steps of one occurrence.
 void Cell::Engine::openOccurrence(Job &TargetJob, std::uint32_t Occurrence) {
   Millis Objective = TargetJob.Objective_;
@@ -210,6 +226,7 @@
         TargetJob.Started_ = true;
       }
     }
+    countJob(TargetJob);
     for (const Failure &Each : Row.Failures_)
       if (Each.Task_ < Step.Tasks_.size())
         Step.Tasks_[Each.Task_].FailedAttempts_.insert(Each.Attempt_);
@@ -225,7 +242,9 @@
     }
     Job &NewJob = makeJob(Id, *Record);
     NewJob.Stored_ = true;
+    NewJob.Sent_ = true;
     NewJob.Inherited_ = true;
+    countJob(NewJob);
     if (Record->Spec_.Occurrences_ == 0)
       openOccurrence(NewJob, 0);
   }
@@ -262,30 +281,52 @@
   }
   restoreWaves(Stored);
   RecordedWorkers_ = Stored.Workers_;
+  UsedWorkersChanged_ = true;
   UnconfirmedWorkers_ = Stored.Workers_;
   RecoveryEnd_ = Now_ + LeaseTime + LeaseClockSlack + FormerOwnerRenewalTime;
 }
 
-void Cell::Engine::submit(Token Caller, const Resolution &Request,
-                          const JobSpec &Spec) {
+/// Handles a submission whose job is known or is certain to be refused, for
+/// which the specification is not needed. Returns false for any other one.
+bool Cell::Engine::resubmit(Token Caller, const Resolution &Request,
+                            Millis Timeout) {
   if (EndedRecords_.count(Request.JobId_) != 0) {
     Effects_.push_back(Reply{Caller, Answer::Accepted});
-    return;
+    return true;
   }
   if (Job *Known = findJob(Request.JobId_)) {
-    if (Known->Stored_)
+    if (Known->Stored_) {
       Effects_.push_back(Reply{Caller, Answer::Accepted});
-    else
-      Known->Callers_.push_back(Caller);
-    return;
+      return true;
+    }
+    Known->Callers_.push_back(Caller);
+    setAnswerTime(*Known, Timeout);
+    return true;
   }
-  if (storeStalled()) {
-    Effects_.push_back(Reply{Caller, Answer::Busy});
+  const Millis Wait = expectedStoreWait();
+  const double Limit = MaxStoreWaitShare * static_cast<double>(Timeout);
+  if (!storeStalled() && static_cast<double>(Wait) <= Limit)
+    return false;
+  Effects_.push_back(Reply{Caller, Answer::Busy, JobState::Queued, 0, Wait});
+  return true;
+}
+
+/// Sets the time by which a submission that arrived now must be stored.
+void Cell::Engine::setAnswerTime(Job &TargetJob, Millis Timeout) const {
+  TargetJob.AnswerBy_ =
+      std::max(TargetJob.AnswerBy_,
+               Now_ + static_cast<Millis>(MaxStoreWaitShare *
+                                          static_cast<double>(Timeout)));
+}
+
+void Cell::Engine::submit(Token Caller, const Resolution &Request,
+                          const JobSpec &Spec, Millis Timeout) {
+  if (resubmit(Caller, Request, Timeout))
     return;
-  }
   JobRecord Record{Spec, Request.Queue_, Request.Team_, Wall_};
   Job &NewJob = makeJob(Request.JobId_, Record);
   NewJob.Callers_.push_back(Caller);
+  setAnswerTime(NewJob, Timeout);
   const Team *JobTeam = State_ ? findTeam(*State_, NewJob.Team_) : nullptr;
   if (JobTeam != nullptr) {
     auto &[Tokens, At] = TeamTokens_[NewJob.Team_];
@@ -327,20 +368,27 @@
   return TargetJob.Started_ ? JobState::Running : JobState::Queued;
 }
 
-/// Counts the stored jobs of a queue that have not started.
-std::uint64_t Cell::Engine::countWaiting(const std::string &Queue) const {
-  std::uint64_t Out = 0;
-  for (const auto &[Id, Each] : Jobs_)
-    if (Each->Queue_ == Queue && !Each->Started_ && !Each->EndState_ &&
-        Each->Stored_)
-      ++Out;
-  return Out;
+/// Counts a job among the waiting ones of its queue or removes it from them.
+/// Called where its acceptance is stored, where it starts and where it ends.
+void Cell::Engine::countJob(Job &TargetJob) {
+  const bool Waits =
+      TargetJob.Stored_ && !TargetJob.Started_ && !TargetJob.EndState_;
+  if (Waits == TargetJob.CountedWaiting_)
+    return;
+  TargetJob.CountedWaiting_ = Waits;
+  std::uint64_t &Count = WaitingJobs_[TargetJob.Queue_];
+  if (Waits)
+    ++Count;
+  else
+    --Count;
 }
 
 void Cell::Engine::query(Token Caller, const Resolution &Request) {
   if (Request.JobId_.empty()) {
-    Effects_.push_back(Reply{Caller, Answer::Count, JobState::Queued,
-                             countWaiting(Request.Queue_)});
+    const auto Waiting = WaitingJobs_.find(Request.Queue_);
+    Effects_.push_back(
+        Reply{Caller, Answer::Count, JobState::Queued,
+              Waiting == WaitingJobs_.end() ? 0 : Waiting->second});
     return;
   }
   const auto EndedJob = EndedRecords_.find(Request.JobId_);
@@ -364,7 +412,10 @@
 
 /// Schedules the progress of a job to be stored.
 void Cell::Engine::markDirty(Job &TargetJob) {
-  if (TargetJob.ProgressDirty_ || TargetJob.EndState_)
+  if (TargetJob.EndState_)
+    return;
+  markChanged(TargetJob);
+  if (TargetJob.ProgressDirty_)
     return;
   TargetJob.ProgressDirty_ = true;
   DirtyJobs_.push_back(&TargetJob);
@@ -415,6 +466,7 @@
       ++Step.DoneCount_;
     }
     TargetJob.Started_ = true;
+    countJob(TargetJob);
     markDirty(TargetJob);
     refreshReadySteps(TargetJob);
     endJobIfComplete(TargetJob);
@@ -461,6 +513,8 @@
 void Cell::Engine::endJob(Job &Ended, EndState State) {
   Ended.EndState_ = State;
   Ended.EndedAt_ = Now_;
+  markChanged(Ended);
+  countJob(Ended);
   EndingJobs_.push_back(&Ended);
   for (const auto &Step : Ended.Steps_) {
     for (std::uint32_t Index = 0; Index < Step->Tasks_.size(); ++Index) {
@@ -476,10 +530,15 @@
   detachSteps(Ended);
 }
 
-/// Removes the steps of a job from placement and advice.
+/// Removes the steps of a job from placement and advice. ReadySteps_ still
+/// contains them until removeDetachedSteps() is called.
 void Cell::Engine::detachSteps(Job &TargetJob) {
+  bool HasReservations = false;
+  bool HasGangs = false;
   for (const auto &Step : TargetJob.Steps_) {
     Step->Ready_ = false;
+    HasReservations = HasReservations || Step->HasReservations_;
+    HasGangs = HasGangs || Step->spec().Gang_;
     const auto Open = PendingAdvice_.find(Step->AdviceToken_);
     if (Open != PendingAdvice_.end())
       Open->second.Step_ = nullptr;
@@ -487,13 +546,21 @@
   const auto Own = [&](const StepRun *Each) {
     return Each->Job_ == &TargetJob;
   };
-  std::erase_if(ReadySteps_, Own);
-  std::erase_if(AssemblingGangs_, Own);
+  if (HasGangs)
+    std::erase_if(AssemblingGangs_, Own);
+  if (!HasReservations)
+    return;
   for (const auto &[Id, Each] : Workers_)
     if (Each->ReservedFor_ != nullptr && Own(Each->ReservedFor_))
       Each->ReservedFor_ = nullptr;
 }
 
+/// Removes the steps of ended jobs from ReadySteps_. Called before any ended
+/// job is destroyed.
+void Cell::Engine::removeDetachedSteps() {
+  std::erase_if(ReadySteps_, [](const StepRun *Each) { return !Each->Ready_; });
+}
+
 /// Returns whether the transaction in flight has been unanswered for too long
 /// while the store is unreachable.
 bool Cell::Engine::storeStalled() const {
@@ -501,24 +568,38 @@
          Now_ - LastCommit_ > StoreStallTimeout;
 }
 
-/// Refuses the jobs that no transaction contains while the store does not
-/// answer.
-void Cell::Engine::refuseUnsentJobs() {
-  if (!storeStalled())
+/// Refuses jobs that no transaction contains, so that they never run: all of
+/// them while the store does not answer, else those whose callers would have to
+/// wait too long.
+void Cell::Engine::refuseLateJobs() {
+  const bool Stalled = storeStalled();
+  const auto IsLate = [&](const Job *Each) {
+    return Stalled || Now_ + CommitTime_ > Each->AnswerBy_;
+  };
+  const auto Late =
+      std::stable_partition(NewJobs_.begin(), NewJobs_.end(),
+                            [&](const Job *Each) { return !IsLate(Each); });
+  if (Late == NewJobs_.end())
     return;
-  for (Job *Each : NewJobs_) {
+  const std::vector<Job *> Refused(Late, NewJobs_.end());
+  NewJobs_.erase(Late, NewJobs_.end());
+  std::erase_if(EndingJobs_,
+                [&](const Job *Each) { return !Each->Sent_ && IsLate(Each); });
+  const Millis Wait = expectedStoreWait();
+  for (Job *Each : Refused) {
     for (Token Caller : Each->Callers_)
-      Effects_.push_back(Reply{Caller, Answer::Busy});
+      Effects_.push_back(
+          Reply{Caller, Answer::Busy, JobState::Queued, 0, Wait});
     for (Token Caller : Each->Cancellers_)
       Effects_.push_back(Reply{Caller, Answer::NoJob});
-    Effects_.push_back(Decision{"job_refused", Each->Id_, "store stalled",
-                                Now_ - LastCommit_});
+    Effects_.push_back(Decision{
+        "job_refused", Each->Id_,
+        Stalled ? "store stalled" : "not stored in time", Now_ - LastCommit_});
     detachSteps(*Each);
-    EndingJobs_.erase(std::remove(EndingJobs_.begin(), EndingJobs_.end(), Each),
-                      EndingJobs_.end());
-    forgetJob(*Each);
   }
-  NewJobs_.clear();
+  removeDetachedSteps();
+  for (Job *Each : Refused)
+    forgetJob(*Each);
 }
 
 /// Removes a job whose end is stored and that has no runs left.
@@ -528,14 +609,20 @@
 }
 
 void Cell::Engine::advanceJobs() {
-  refuseUnsentJobs();
   if (Now_ < NextJobAdvance_)
     return;
   NextJobAdvance_ = Now_ + JobAdvanceInterval;
+  refuseLateJobs();
   PlacementNeeded_ = true; // Tickets and backoffs expire without an event.
   expireAdvice();
-  for (const auto &[Id, Each] : Jobs_)
-    openDueOccurrences(*Each);
+  while (!DueOccurrences_.empty() && DueOccurrences_.begin()->first <= Wall_) {
+    Job *Due = findJob(DueOccurrences_.begin()->second);
+    DueOccurrences_.erase(DueOccurrences_.begin());
+    if (Due == nullptr || Due->EndState_)
+      continue;
+    openDueOccurrences(*Due);
+    scheduleOccurrence(*Due);
+  }
   while (!EndedByTime_.empty() &&
          EndedByTime_.begin()->first + Limits_.StatusRetention_ * 3 / 2 <
              Wall_) {
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -74,6 +74,7 @@
     TargetTask.AssignedWorker_ = &Target;
     ++Step.ActiveCount_;
     Step.Job_->Started_ = true;
+    countJob(*Step.Job_);
   }
   addRun(Target, Entry.Task_, std::move(NewRun));
 }
@@ -163,6 +164,7 @@
     handleTaskEnd(*Step, Name->Index_, End, &Sender);
     --Step->Job_->LiveRuns_;
   }
+  recordEnd(Sender, End.Number_, Step == nullptr ? nullptr : Step->Job_);
   if (Own)
     dropRun(Sender, End.Task_);
 }
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -195,6 +195,7 @@
   if (!Step.Job_->Started_)
     recordDuration("job_wait", *Step.Job_);
   Step.Job_->Started_ = true;
+  countJob(*Step.Job_);
   Run NewRun;
   NewRun.Step_ = &Step;
   NewRun.Index_ = Index;
@@ -248,6 +249,7 @@
   for (const std::string &Name : Victims)
     stopRun(Target, Name, Target.Runs_[Name], "preempted");
   Target.ReservedFor_ = &Step;
+  Step.HasReservations_ = true;
   Target.ReservedUntil_ = Now_ + ReservationTime;
   return Out;
 }
@@ -328,8 +330,9 @@
 void Cell::Engine::sortReadySteps() {
   ReadySteps_.erase(std::remove_if(ReadySteps_.begin(), ReadySteps_.end(),
                                    [](const StepRun *Each) {
-                                     return Each->DoneCount_ ==
-                                            Each->Tasks_.size();
+                                     return !Each->Ready_ ||
+                                            Each->DoneCount_ ==
+                                                Each->Tasks_.size();
                                    }),
                     ReadySteps_.end());
   // Steps that can still meet their objective go first, then late ones, then
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -84,6 +84,7 @@
       Effects_.push_back(Decision{"worker_draining", Entry.Id_, "listed", 0});
     Target.Draining_ = Entry.Draining_;
     Target.Listed_ = true;
+    updateUsedWorker(Target);
     if (Entry.Incarnation_ > Target.Incarnation_ && Target.Incarnation_ != 0)
       changeIncarnation(Target, Entry.Incarnation_);
   }
@@ -92,6 +93,7 @@
       continue;
     Each->Listed_ = false;
     Each->UnlistedSince_ = Now_;
+    updateUsedWorker(*Each);
     Effects_.push_back(
         Decision{"worker_unlisted", Id, "entry removed from the store", 0});
   }
@@ -177,6 +179,7 @@
       Target.UrgentCpu_ += NewRun.Need_.CpuMilli_;
   }
   Target.Runs_[Name] = std::move(NewRun);
+  updateUsedWorker(Target);
 }
 
 /// Removes a run from the worker and from all sums, without a new attempt.
@@ -186,6 +189,7 @@
     return;
   const Run Gone = It->second;
   Target.Runs_.erase(It);
+  updateUsedWorker(Target);
   Target.Used_ = Target.Used_ - Gone.Need_;
   PlacementNeeded_ = true;
   abortGangOf(Gone, "member ended or was lost");
@@ -231,6 +235,7 @@
   Target.LastSeenEnd_ = 0;
   Target.LastStoredEnd_ = 0;
   Target.LastCommitEnd_ = 0;
+  Target.UnstoredEnds_.clear();
   Target.ClockAt_ = 0;
   Target.NextRenewal_ = Now_;
   std::vector<std::string> Lost;
@@ -252,6 +257,7 @@
 void Cell::Engine::loseWorker(Worker &Gone, std::string_view Why) {
   Effects_.push_back(Decision{"worker_gone", Gone.Id_, std::string(Why), 0});
   Gone.Listed_ = false;
+  updateUsedWorker(Gone);
   Gone.UnlistedSince_ = Now_;
   Gone.Reachable_ = false;
   Gone.FenceAccepted_ = false;
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGAUGE_CELL_MODEL_H
 #define OLEANDERGAUGE_CELL_MODEL_H
 
+#include <deque>
 #include <memory>
 #include <unordered_map>
 
@@ -111,7 +112,9 @@
   /// Doubles while there is no worker worth asking about.
   Millis NoRoomBackoff_ = 0;
   std::uint32_t GangStarts_ = 0;
-  GangAttempt Gang_;       ///< The latest attempt of a gang.
+  GangAttempt Gang_; ///< The latest attempt of a gang.
+  /// A worker may be reserved for the step.
+  bool HasReservations_ = false;
   Millis GangBackoff_ = 0; ///< Doubles with each attempt that did not assemble.
 
   const StepSpec &spec() const;
@@ -121,6 +124,19 @@
   }
 };
 
+/// A change of a job that has to be stored.
+struct JobChange {
+  /// Contained in the transaction in flight or in an earlier one.
+  bool InTransaction_ = false;
+};
+
+/// An end that a worker listed and that is not acknowledged to it yet.
+struct UnstoredEnd {
+  std::uint64_t Number_ = 0;
+  /// The change that has to be stored first; null if there is none.
+  std::shared_ptr<const JobChange> Change_;
+};
+
 /// A job, from its submission until its end is stored and its runs are over.
 struct Job {
   std::string Id_;
@@ -131,8 +147,14 @@
   Millis Objective_ = 0; ///< Time by which an unscheduled job should be done.
   /// Time from acceptance or due time to the objective.
   Millis ObjectiveSpan_ = 0;
+  /// Contained in a transaction. Until then the job waits in NewJobs_.
+  bool Sent_ = false;
   bool Stored_ = false;
   bool Started_ = false;
+  /// Counted among the waiting jobs of its queue.
+  bool CountedWaiting_ = false;
+  /// Time at which the latest submission that waits must have its answer.
+  Millis AnswerBy_ = 0;
   bool Inherited_ = false; ///< A former owner accepted the job.
   /// Submitted while the team exceeded its share.
   bool OverTeamShare_ = false;
@@ -144,6 +166,7 @@
   std::vector<Token> Callers_;
   /// Requests that wait for the cancellation to be stored.
   std::vector<Token> Cancellers_;
+  std::shared_ptr<JobChange> LatestChange_; ///< Null before the first change.
   bool ProgressDirty_ = false;  ///< Some progress is not stored yet.
   bool ProgressStored_ = false; ///< The job has a row in the progress table.
 };
@@ -181,6 +204,8 @@
   std::uint64_t LastStoredEnd_ = 0; ///< Highest end number that is stored.
   /// Highest end number in the transaction in flight.
   std::uint64_t LastCommitEnd_ = 0;
+  /// Processed ends after LastCommitEnd_, by number.
+  std::deque<UnstoredEnd> UnstoredEnds_;
   Resources Used_;
   std::unordered_map<std::string, Run> Runs_; ///< By task name.
   /// The worker rejected a start or left one unanswered and gets no gang
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -109,6 +109,7 @@
       return;
     Cell_->submit(Now_, wall(), NextCaller_,
                   {Access::Allowed, 1, Queue, "team", Id}, Spec);
+    SubmittedAt_[NextCaller_] = Now_;
     Callers_[NextCaller_++] = Id;
     processEffects();
   }
@@ -181,6 +182,8 @@
   std::size_t starts() const { return Starts_; }
   /// Returns the number of gang members that ended because others were missing.
   std::size_t aloneEnds() const { return AloneEnds_; }
+  /// Returns the longest time between a submission and its answer.
+  Millis longestSubmissionWait() const { return LongestSubmissionWait_; }
   /// Lets the store stop answering, or answer again.
   void setStoreDown(bool Down) { StoreDown_ = Down; }
   /// Adds a worker to the list in the store or removes it.
@@ -194,6 +197,8 @@
   std::set<std::string> Refused_;
   std::map<std::string, Millis> CancelledAt_;
   Faults Faults_;
+  Millis CommitTime_ = 8;                ///< Duration of a transaction.
+  std::vector<std::size_t> CommitSizes_; ///< Rows written by transactions.
   /// Run time and failure of a task; drawn at random if not set.
   std::function<std::pair<Millis, bool>(const std::string &Task)>
       TaskBehaviour_;
@@ -562,6 +567,12 @@
         QueriedState_ = Each.State_;
       return;
     }
+    const auto Submitted = SubmittedAt_.find(Each.Token_);
+    if (Submitted != SubmittedAt_.end()) {
+      LongestSubmissionWait_ =
+          std::max(LongestSubmissionWait_, Now_ - Submitted->second);
+      SubmittedAt_.erase(Submitted);
+    }
     if (Each.Answer_ == Answer::Accepted)
       Accepted_.insert(Callers_[Each.Token_]);
     if (Each.Answer_ == Answer::Busy)
@@ -615,7 +626,8 @@
     });
   }
   void applyEffect(const Commit &Each) {
-    schedule(8, [this, Each, Generation = OwnerGeneration_] {
+    CommitSizes_.push_back(Each.Changes_.size());
+    schedule(CommitTime_, [this, Each, Generation = OwnerGeneration_] {
       commit(Each, Generation);
     });
   }
@@ -711,6 +723,8 @@
   std::map<std::string, JobSpec> Specs_;
   std::map<std::string, std::string> Queues_;
   std::map<Token, std::string> Callers_;
+  std::map<Token, Millis> SubmittedAt_; ///< Submissions without an answer.
+  Millis LongestSubmissionWait_ = 0;
   Token NextCaller_ = 1;
   std::optional<JobState> QueriedState_;
   std::map<std::string, TaskHistory> Tasks_;
