Refuse submissions by the caller's own timeout, and say when to retry

A forwarded request carries the time for which its caller still waits, so that the owner refuses a submission by that time and not by a fixed one. The refusal says after which time the job could be stored, and the caller's Retry-After is that time instead of one second. The job of a submission that repeats a known one, or that is refused, is not decoded.

--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -17,7 +17,6 @@
 /// Share of the caller's timeout after which a request that an owner may have
 /// carried out is answered with "outcome unknown".
 constexpr double UnknownOutcomeShare = 0.85;
-constexpr const char *RetryAfterSeconds = "1";
 
 const char *methodName(HttpMethod Method) {
   switch (Method) {
@@ -45,17 +44,23 @@
   /// Whether an earlier owner may have carried it out.
   bool MayHaveRunEarlier_ = false;
   bool mayHaveRun() const { return SentToOwner_ || MayHaveRunEarlier_; }
+  /// Sets the time for which the caller still waits in the forwarded request.
+  void setRemainingTimeout() {
+    Forward_.set_timeout_ms(
+        std::max<Millis>(1, CallerTimeout_ - (bootTime() - ReceivedAt_)));
+  }
 };
 
 FrontEnd::FrontEnd(HostContext &Context, RequestSender SendToOwner)
     : Context_(Context), SendToOwner_(std::move(SendToOwner)) {}
 
 void FrontEnd::sendAnswer(const std::shared_ptr<IncomingRequest> &To,
-                          int Status, const std::string &Body,
-                          bool RetryLater) {
+                          int Status, const std::string &Body, bool RetryLater,
+                          Millis RetryAfter) {
   std::vector<std::pair<std::string, std::string>> Headers;
   if (RetryLater)
-    Headers.emplace_back("Retry-After", RetryAfterSeconds);
+    Headers.emplace_back("Retry-After", std::to_string(std::max<Millis>(
+                                            1, (RetryAfter + 999) / 1000)));
   if (Draining_)
     Headers.emplace_back("Connection", "close");
   Context_.Metrics_.incrementCounter("answers", std::to_string(Status));
@@ -112,6 +117,7 @@
       return;
     }
   }
+  NewRequest->setRemainingTimeout();
   Pending_[Out.token()] = NewRequest;
   NewRequest->SentToOwner_ = SendToOwner_(Out);
 }
@@ -119,7 +125,8 @@
 /// Answers a pending request, records its duration and logs it. Successful
 /// queries are not logged.
 void FrontEnd::finishRequest(std::uint64_t Token, int Status,
-                             const std::string &Body, bool RetryLater) {
+                             const std::string &Body, bool RetryLater,
+                             Millis RetryAfter) {
   const auto It = Pending_.find(Token);
   if (It == Pending_.end())
     return;
@@ -139,7 +146,7 @@
          {"config", static_cast<std::int64_t>(Done->Forward_.config_version())},
          {"sent", Done->mayHaveRun() ? 1 : 0},
          {"duration_ms", Duration}});
-  sendAnswer(Done->Request_, Status, Body, RetryLater);
+  sendAnswer(Done->Request_, Status, Body, RetryLater, RetryAfter);
 }
 
 void FrontEnd::handleReply(const cell::pb::ForwardReply &Reply) {
@@ -152,7 +159,7 @@
     return;
   }
   finishRequest(Reply.token(), Reply.status(), Reply.body(),
-                Reply.retry_later());
+                Reply.retry_later(), Reply.retry_after_ms());
 }
 
 void FrontEnd::sendPending() {
@@ -163,6 +170,7 @@
   for (const std::shared_ptr<PendingRequest> &Each : Waiting) {
     // Set first, because the answer may arrive before the call returns.
     Each->SentToOwner_ = true;
+    Each->setRemainingTimeout();
     if (!SendToOwner_(Each->Forward_))
       Each->SentToOwner_ = false;
   }
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -44,9 +44,10 @@
 private:
   struct PendingRequest;
   void sendAnswer(const std::shared_ptr<IncomingRequest> &To, int Status,
-                  const std::string &Body, bool RetryLater);
+                  const std::string &Body, bool RetryLater,
+                  Millis RetryAfter = 0);
   void finishRequest(std::uint64_t Token, int Status, const std::string &Body,
-                     bool RetryLater);
+                     bool RetryLater, Millis RetryAfter = 0);
   void answerUnfinished(std::uint64_t Token, const PendingRequest &Late);
 
   HostContext &Context_;
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -207,12 +207,15 @@
   }
   ReplyHandlers_[Caller] = std::move(Then);
   const Millis Now = bootTime();
-  if (Submits)
+  const Millis Timeout = Request.timeout_ms() > 0 ? Request.timeout_ms()
+                                                  : cell::DefaultCallerTimeout;
+  // The job of a repeated or refused submission is not decoded.
+  if (Submits && !Cell_->resubmit(Now, Caller, Resolved, Timeout))
     Cell_->submit(Now, wallTime(), Caller, Resolved,
-                  cell::fromMessage(Request.job()).Spec_);
+                  cell::fromMessage(Request.job()).Spec_, Timeout);
   else if (Request.method() == "DELETE")
     Cell_->cancel(Now, Caller, Resolved);
-  else
+  else if (!Submits)
     Cell_->query(Now, Caller, Resolved);
   performEffects();
 }
@@ -375,6 +378,7 @@
   Out.set_status(Answer.Status_);
   Out.set_body(Answer.Body_);
   Out.set_retry_later(Answer.RetryLater_);
+  Out.set_retry_after_ms(Effect.RetryAfter_);
   Then(Out);
 }
 
