--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -305,8 +305,12 @@
   }
   const Millis Wait = expectedStoreWait();
   const double Limit = MaxStoreWaitShare * static_cast<double>(Timeout);
-  if (!storeStalled() && static_cast<double>(Wait) <= Limit)
+  const bool Stalled = storeStalled();
+  if (!Stalled && static_cast<double>(Wait) <= Limit)
     return false;
+  Effects_.push_back(Decision{"job_refused", Request.JobId_,
+                              Stalled ? "store stalled" : "not stored in time",
+                              Wait});
   Effects_.push_back(Reply{Caller, Answer::Busy, JobState::Queued, 0, Wait});
   return true;
 }
