--- a/src/cell/cell.cc
+++ b/src/cell/cell.cc
@@ -8,8 +8,6 @@
 
 namespace detail {
 
-const StepSpec &StepRun::spec() const { return Job_->Spec_->Steps_[Step_]; }
-
 bool Worker::hasLabel(const std::string &Label) const {
   for (const std::string &Each : Labels_)
     if (Each == Label)
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -79,9 +79,15 @@
     refreshReadySteps(TargetJob);
 }
 
+/// Returns the queue of a job, or null if no desired state has contained it.
+/// Queues are never removed, so that one that was found remains valid.
 const Queue *Cell::Engine::queueOf(const Job &TargetJob) const {
+  if (TargetJob.FoundQueue_ != nullptr)
+    return TargetJob.FoundQueue_;
   const auto It = Queues_.find(TargetJob.Queue_);
-  return It == Queues_.end() ? nullptr : &It->second;
+  if (It != Queues_.end())
+    TargetJob.FoundQueue_ = &It->second;
+  return TargetJob.FoundQueue_;
 }
 
 int Cell::Engine::priorityOf(const StepRun &Step) const {
@@ -170,6 +176,7 @@
   for (std::uint32_t Step = 0; Step < TargetJob.Spec_->Steps_.size(); ++Step) {
     auto NewStep = std::make_unique<StepRun>();
     NewStep->Job_ = &TargetJob;
+    NewStep->Spec_ = &TargetJob.Spec_->Steps_[Step];
     NewStep->Occurrence_ = Occurrence;
     NewStep->Step_ = Step;
     NewStep->Name_ = TargetJob.Id_ + "." + std::to_string(Occurrence) + "." +
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -93,6 +93,7 @@
 /// One step of one occurrence of a job.
 struct StepRun {
   Job *Job_ = nullptr;
+  const StepSpec *Spec_ = nullptr; ///< Part of the job's specification.
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
   std::string Name_; ///< "job.occurrence.step"
@@ -117,7 +118,7 @@
   bool HasReservations_ = false;
   Millis GangBackoff_ = 0; ///< Doubles with each attempt that did not assemble.
 
-  const StepSpec &spec() const;
+  const StepSpec &spec() const { return *Spec_; }
   std::uint32_t waiting() const {
     return static_cast<std::uint32_t>(Tasks_.size()) - DoneCount_ -
            ActiveCount_;
@@ -142,6 +143,8 @@
   std::string Id_;
   std::shared_ptr<const JobSpec> Spec_;
   std::string Queue_;
+  /// The queue, if it is known already; read by queueOf() only.
+  mutable const Queue *FoundQueue_ = nullptr;
   std::string Team_;
   Millis AcceptedWall_ = 0; ///< In milliseconds since 1970.
   Millis Objective_ = 0; ///< Time by which an unscheduled job should be done.
