Bound the work of a placement pass and pause from its end

Callers of an owner with a backlog saw it become slow and stay slow: each pass sorted and examined all ready steps, running ones included, and the pause until the next pass counted from the start of the pass, so that a slow owner did one pass after another. The last 40 ms of backlog were examined as often as the first.

Waiting steps are now kept in order of urgency; a step leaves the order when its last task starts and comes back when one waits again. Classes only rise with time, so a step whose class has changed moves on when a pass reaches it. A pass examines the 256 most urgent steps, then 128 of the others from where the previous pass left off, and a part ends early after 8,192 workers compared. The pause lasts as long as the pass took, by the time of the next call, and 4 to 100 ms. CellStats counts the workers compared. Workers that accept tasks are determined once a pass.

cell_placement_test, with the code of: 2,000 steps examined in a pass with 2,000 waiting (now at most 800 within 5 ms), a step that fits not started within 0.5 s behind 2,000 that do not, 49 passes of 40 ms each in 50 calls (now at most 8). cell_test, cell_gang_test, cell_upkeep_test and cell_fuzz_test pass.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -254,6 +254,8 @@
   /// the takeover.
   std::uint64_t StepsExamined_ = 0;
   std::uint64_t WorkersExamined_ = 0;
+  /// Workers compared for the steps examined, since the takeover.
+  std::uint64_t WorkersCompared_ = 0;
   friend bool operator==(const CellStats &, const CellStats &) = default;
 };
 
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -117,6 +117,7 @@
   std::uint64_t RepeatedStarts_ = 0;
   std::uint64_t StepsExamined_ = 0;
   std::uint64_t WorkersExamined_ = 0;
+  std::uint64_t WorkersCompared_ = 0;
 
 private:
   // engine_jobs.cc
@@ -208,6 +209,8 @@
   void addWaveChanges(std::vector<RowChange> &Out);
 
   // engine_placement.cc
+  bool acceptsTasks(const Worker &Target) const;
+  bool suits(const Worker &Target, const StepRun &Step) const;
   bool isUsable(const Worker &Target, const StepRun &Step) const;
   Resources freeResourcesFor(const Worker &Target, const StepRun &Step) const;
   std::uint32_t maxCopiesOn(const Worker &Target, const StepRun &Step,
@@ -228,7 +231,14 @@
   void placeTasks(StepRun &Step);
   void startTask(StepRun &Step, std::uint32_t Index, Worker &Target,
                  std::uint64_t Attempt);
-  void sortReadySteps();
+  Urgency::Class urgencyClassOf(const StepRun &Step) const;
+  void addWaiting(StepRun &Step);
+  void removeWaiting(StepRun &Step);
+  void reorderWaiting();
+  std::vector<StepRun *> takeWaiting(const Urgency *After);
+  std::size_t examine(const std::vector<StepRun *> &Steps);
+  void examineFurther(const Urgency &Border);
+  void collectUsableWorkers();
   std::uint64_t nextAttempt(Task &TargetTask, std::uint32_t &StartCount) const;
   bool isOwnAttempt(std::uint64_t Attempt) const;
 
@@ -281,11 +291,23 @@
   std::unordered_map<Token, PendingAdvice> PendingAdvice_;
   std::unordered_map<std::string, double> AllowedRatio_; ///< By queue.
 
-  std::vector<StepRun *> ReadySteps_;
+  /// Ready steps with waiting tasks. Steps whose tasks have all started, or
+  /// whose class has changed, are moved when a pass reaches them.
+  std::map<Urgency, StepRun *> WaitingSteps_;
   /// Gangs that wait for the confirmation of some members.
   std::vector<StepRun *> AssemblingGangs_;
   Millis NextPlacement_ = 0;
-  std::size_t AdviceSelections_ = 0; ///< In the present placement pass.
+  Millis PassStartedAt_ = 0; ///< Start of the latest placement pass.
+  bool PassEnded_ = true;    ///< A call after the latest pass has been made.
+  /// The latest step that passes examined beyond the most urgent ones, and the
+  /// number of steps to be examined there before all have been.
+  Urgency LastExamined_;
+  std::size_t ExaminationsLeft_ = 0;
+  std::size_t ComparedInPart_ = 0; ///< Workers, in the present part of a pass.
+  /// Workers that accept tasks in the present placement pass.
+  std::vector<Worker *> UsableWorkers_;
+  /// Selections of workers to ask about, in the present part of a pass.
+  std::size_t AdviceSelections_ = 0;
   Millis NextJobAdvance_ = 0;
 
   std::map<std::uint64_t, WaveRun> Waves_;
--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -128,21 +128,22 @@
   std::vector<Option> Known;
   std::vector<Option> Unknown;
   std::uint32_t Ticketed = 0; // Tasks that fit on workers with a valid ticket.
-  for (const auto &[Id, Each] : Workers_) {
-    if (!isUsable(*Each, Step))
+  ComparedInPart_ += UsableWorkers_.size();
+  for (Worker *Each : UsableWorkers_) {
+    if (!suits(*Each, Step))
       continue;
     const std::uint32_t Copies = maxCopiesOn(*Each, Step, true);
     const auto Advice = Step.Advice_.find(Each->Number_);
     if (Advice == Step.Advice_.end())
-      Unknown.push_back({Each.get(), Copies});
+      Unknown.push_back({Each, Copies});
     else if (Advice->second.Allowed_ && Now_ < Advice->second.ValidUntil_)
       Ticketed += Copies;
     else if (Advice->second.Allowed_ && Copies > 0)
-      Known.push_back({Each.get(), Copies});
+      Known.push_back({Each, Copies});
   }
   auto MoreCopies = [](const Option &A, const Option &B) {
-    return std::tie(A.Copies_, A.Target_->Id_) >
-           std::tie(B.Copies_, B.Target_->Id_);
+    return std::tie(A.Copies_, A.Target_->Number_) >
+           std::tie(B.Copies_, B.Target_->Number_);
   };
   std::sort(Known.begin(), Known.end(), MoreCopies);
   std::sort(Unknown.begin(), Unknown.end(), MoreCopies);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -105,6 +105,7 @@
         First ? Each.Priority_ : std::min(HighestPriority_, Each.Priority_);
     First = false;
   }
+  reorderWaiting();
   PlacementNeeded_ = true;
 }
 
@@ -191,7 +192,7 @@
     if (!Ready)
       continue;
     Each->Ready_ = true;
-    ReadySteps_.push_back(Each.get());
+    addWaiting(*Each);
     PlacementNeeded_ = true;
   }
 }
@@ -386,6 +387,8 @@
   TargetTask.Phase_ = Task::Phase::Waiting;
   TargetTask.AssignedWorker_ = nullptr;
   --Step.ActiveCount_;
+  if (Step.Ready_)
+    addWaiting(Step);
   PlacementNeeded_ = true;
 }
 
@@ -488,6 +491,7 @@
 void Cell::Engine::detachSteps(Job &TargetJob) {
   for (const auto &Step : TargetJob.Steps_) {
     Step->Ready_ = false;
+    removeWaiting(*Step);
     const auto Open = PendingAdvice_.find(Step->AdviceToken_);
     if (Open != PendingAdvice_.end())
       Open->second.Step_ = nullptr;
@@ -495,7 +499,6 @@
   const auto Own = [&](const StepRun *Each) {
     return Each->Job_ == &TargetJob;
   };
-  std::erase_if(ReadySteps_, Own);
   std::erase_if(AssemblingGangs_, Own);
   for (const auto &[Id, Each] : Workers_)
     if (Each->ReservedFor_ != nullptr && Own(Each->ReservedFor_))
@@ -558,7 +561,7 @@
   CellStats Out;
   Out.Jobs_ = Jobs_.size();
   Out.EndedJobs_ = EndedRecords_.size();
-  Out.WaitingSteps_ = ReadySteps_.size();
+  Out.WaitingSteps_ = WaitingSteps_.size();
   std::int64_t Used = 0;
   std::int64_t All = 0;
   for (const auto &[Id, Each] : Workers_) {
@@ -575,6 +578,7 @@
         std::max(Out.OldestUnstoredEnd_, Now_ - Each->EndedAt_);
   Out.StepsExamined_ = StepsExamined_;
   Out.WorkersExamined_ = WorkersExamined_;
+  Out.WorkersCompared_ = WorkersCompared_;
   Out.UsedShare_ =
       All == 0 ? 0 : static_cast<double>(Used) / static_cast<double>(All);
   return Out;
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -1,7 +1,7 @@
 // Placement: orders the waiting steps and selects workers for their tasks.
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 #include "cell/engine.h"
 
@@ -13,9 +13,15 @@
 /// Share of each worker's processors that is reserved for work of the highest
 /// priority, so that short urgent work does not wait for the end of long work.
 constexpr double UrgentReserveShare = 0.10;
-/// Number of waiting steps that a pass examines in about a millisecond. The
-/// interval grows with the duration of a pass.
-constexpr std::size_t StepsPerMilli = 40;
+/// Longest pause after a placement pass, for a process that did not run for a
+/// while.
+constexpr Millis MaxPlacementPause = 100;
+/// Largest number of steps that each of the two parts of a pass examines: the
+/// most urgent ones, and the next ones in turn.
+constexpr std::size_t MaxMostUrgent = 256;
+constexpr std::size_t MaxInTurn = 128;
+/// Number of workers compared for steps after which a part of a pass ends.
+constexpr std::size_t MaxComparedInPart = 8192;
 /// Time for which room on a worker stays reserved for the step that it was
 /// freed for.
 constexpr Millis ReservationTime = 700;
@@ -24,13 +30,20 @@
 
 } // namespace
 
+/// Returns whether the worker accepts new tasks.
+bool Cell::Engine::acceptsTasks(const Worker &Target) const {
+  return Target.Listed_ && !Target.Draining_ && !Target.DrainingForUpkeep_ &&
+         Target.Reachable_ && Target.FenceAccepted_ && Target.Recorded_ &&
+         Now_ >= Target.QuarantineUntil_ &&
+         WithdrawnDomains_.count(Target.Domain_) == 0;
+}
+
 /// Returns whether the worker accepts new tasks and suits the step.
 bool Cell::Engine::isUsable(const Worker &Target, const StepRun &Step) const {
-  if (!Target.Listed_ || Target.Draining_ || Target.DrainingForUpkeep_ ||
-      !Target.Reachable_ || !Target.FenceAccepted_ || !Target.Recorded_ ||
-      Now_ < Target.QuarantineUntil_ ||
-      WithdrawnDomains_.count(Target.Domain_) != 0)
-    return false;
+  return acceptsTasks(Target) && suits(Target, Step);
+}
+
+bool Cell::Engine::suits(const Worker &Target, const StepRun &Step) const {
   const Queue *JobQueue = queueOf(*Step.Job_);
   if (JobQueue == nullptr || JobQueue->Service_ != Target.Service_)
     return false;
@@ -126,11 +139,13 @@
   if (JobQueue == nullptr)
     return Out;
   if (!JobQueue->Advice_) {
-    for (const auto &[Id, Each] : Workers_)
-      if (isUsable(*Each, Step))
-        Out.push_back(Each.get());
+    ComparedInPart_ += UsableWorkers_.size();
+    for (Worker *Each : UsableWorkers_)
+      if (suits(*Each, Step))
+        Out.push_back(Each);
     return Out;
   }
+  ComparedInPart_ += Step.Advice_.size();
   for (const auto &[Number, Each] : Step.Advice_)
     if (Each.Allowed_ && Now_ < Each.ValidUntil_ &&
         isUsable(*Each.Target_, Step))
@@ -331,51 +346,136 @@
     placeTasks(Step);
 }
 
-/// Removes the finished steps and sorts the others by urgency.
-void Cell::Engine::sortReadySteps() {
-  ReadySteps_.erase(std::remove_if(ReadySteps_.begin(), ReadySteps_.end(),
-                                   [](const StepRun *Each) {
-                                     return Each->DoneCount_ ==
-                                            Each->Tasks_.size();
-                                   }),
-                    ReadySteps_.end());
-  // Steps that can still meet their objective go first, then late ones, then
-  // those over the team's share or too late to be of value. Each class is
-  // ordered by priority and latest start, so that an overloaded cell runs the
-  // most urgent steps first.
-  auto Key = [this](const StepRun *Each) {
-    const Job &TargetJob = *Each->Job_;
-    int Class = 0;
-    if (Each->spec().Service_)
-      // Services go first however full the workers are, since their users wait.
-      Class = -1;
-    else if (TargetJob.OverTeamShare_ ||
-             Now_ > Each->Objective_ + 2 * TargetJob.ObjectiveSpan_)
-      Class = 2;
-    else if (Now_ > Each->Objective_)
-      Class = 1;
-    return std::tuple(Class, priorityOf(*Each), Each->LatestStart_,
-                      std::string_view(Each->Name_));
-  };
-  std::sort(
-      ReadySteps_.begin(), ReadySteps_.end(),
-      [&](const StepRun *A, const StepRun *B) { return Key(A) < Key(B); });
+Urgency::Class Cell::Engine::urgencyClassOf(const StepRun &Step) const {
+  const Job &TargetJob = *Step.Job_;
+  // Services go first however full the workers are, since their users wait.
+  if (Step.spec().Service_)
+    return Urgency::Class::Service;
+  if (TargetJob.OverTeamShare_ ||
+      Now_ > Step.Objective_ + 2 * TargetJob.ObjectiveSpan_)
+    return Urgency::Class::Worthless;
+  return Now_ > Step.Objective_ ? Urgency::Class::Late : Urgency::Class::OnTime;
+}
+
+void Cell::Engine::addWaiting(StepRun &Step) {
+  if (Step.InWaiting_)
+    return;
+  Step.InWaiting_ = true;
+  Step.Urgency_ = {urgencyClassOf(Step), priorityOf(Step), Step.LatestStart_,
+                   Step.Name_};
+  WaitingSteps_.emplace(Step.Urgency_, &Step);
+}
+
+void Cell::Engine::removeWaiting(StepRun &Step) {
+  if (Step.InWaiting_)
+    WaitingSteps_.erase(Step.Urgency_);
+  Step.InWaiting_ = false;
+}
+
+/// Sorts the waiting steps again after their priorities have changed.
+void Cell::Engine::reorderWaiting() {
+  for (const auto &[Place, Step] : std::exchange(WaitingSteps_, {})) {
+    Step->InWaiting_ = false;
+    addWaiting(*Step);
+  }
+}
+
+/// Returns the next steps after \p After, or the most urgent ones if it is
+/// null. Classes only rise with time, so that a step whose class has changed
+/// is reached before its new place and moves on.
+std::vector<StepRun *> Cell::Engine::takeWaiting(const Urgency *After) {
+  std::vector<StepRun *> Out;
+  const std::size_t Most = After == nullptr ? MaxMostUrgent : MaxInTurn;
+  auto It = After == nullptr ? WaitingSteps_.begin()
+                             : WaitingSteps_.upper_bound(*After);
+  while (It != WaitingSteps_.end() && Out.size() < Most) {
+    StepRun &Step = *It->second;
+    const bool Moved = urgencyClassOf(Step) != Step.Urgency_.Class_;
+    if (Step.waiting() > 0 && !Moved) {
+      Out.push_back(&Step);
+      ++It;
+      continue;
+    }
+    It = WaitingSteps_.erase(It);
+    Step.InWaiting_ = false;
+    if (Step.waiting() == 0)
+      continue;
+    addWaiting(Step);
+    // The new place may be directly behind the old one.
+    if (It == WaitingSteps_.end() || Step.Urgency_ < It->first)
+      It = WaitingSteps_.find(Step.Urgency_);
+  }
+  return Out;
+}
+
+/// Places the steps in their order until this part of the pass has done its
+/// share of work. Returns the number of steps examined.
+std::size_t Cell::Engine::examine(const std::vector<StepRun *> &Steps) {
+  AdviceSelections_ = 0;
+  ComparedInPart_ = 0;
+  std::size_t Examined = 0;
+  for (StepRun *Step : Steps) {
+    if (ComparedInPart_ >= MaxComparedInPart)
+      break;
+    ++Examined;
+    placeStep(*Step);
+    if (Step->waiting() == 0)
+      removeWaiting(*Step);
+  }
+  StepsExamined_ += Examined;
+  WorkersCompared_ += ComparedInPart_;
+  return Examined;
+}
+
+void Cell::Engine::collectUsableWorkers() {
+  UsableWorkers_.clear();
+  for (const auto &[Id, Each] : Workers_)
+    if (acceptsTasks(*Each))
+      UsableWorkers_.push_back(Each.get());
 }
 
-/// Runs a placement pass over the ready steps if one is due.
+/// Runs a placement pass over the waiting steps if one is due. A pass first
+/// examines the most urgent steps, which gain most from room that has become
+/// free, and then some of the others, where the previous pass left off. So
+/// the work of a pass is bounded, and a step that fits is found however many
+/// stand before it.
 void Cell::Engine::placeReadySteps() {
-  if (!PlacementNeeded_ || !Authorized_ || Now_ < NextPlacement_)
+  if (!PassEnded_) {
+    // The pass and its effects have taken until now. The pause lasts as long,
+    // so that passes take at most half of the owner's time.
+    PassEnded_ = true;
+    NextPlacement_ = Now_ + std::clamp(Now_ - PassStartedAt_, PlacementInterval,
+                                       MaxPlacementPause);
+  }
+  const bool Due = PlacementNeeded_ || ExaminationsLeft_ > 0;
+  if (!Due || !Authorized_ || Now_ < NextPlacement_)
     return;
+  PassStartedAt_ = Now_;
+  PassEnded_ = false;
+  collectUsableWorkers();
+  const std::vector<StepRun *> First = takeWaiting(nullptr);
+  const std::size_t Waiting = WaitingSteps_.size();
+  const std::size_t Examined = examine(First);
+  if (PlacementNeeded_)
+    ExaminationsLeft_ = Waiting - Examined;
   PlacementNeeded_ = false;
-  AdviceSelections_ = 0;
-  sortReadySteps();
-  NextPlacement_ = Now_ + PlacementInterval +
-                   static_cast<Millis>(ReadySteps_.size() / StepsPerMilli);
-  const std::vector<StepRun *> Order = ReadySteps_;
-  StepsExamined_ += Order.size();
-  for (StepRun *Step : Order)
-    if (Step->waiting() > 0)
-      placeStep(*Step);
+  if (ExaminationsLeft_ > 0 && Examined > 0)
+    examineFurther(First[Examined - 1]->Urgency_);
+}
+
+/// Examines further steps, from the end of the previous pass on, which is
+/// beyond \p Border unless all steps have had their turn.
+void Cell::Engine::examineFurther(const Urgency &Border) {
+  const Urgency From = std::max(Border, LastExamined_);
+  std::vector<StepRun *> Next = takeWaiting(&From);
+  if (Next.empty())
+    Next = takeWaiting(&Border);
+  const std::size_t Examined = examine(Next);
+  ExaminationsLeft_ =
+      Examined == 0 ? 0
+                    : ExaminationsLeft_ - std::min(ExaminationsLeft_, Examined);
+  if (Examined > 0)
+    LastExamined_ = Next[Examined - 1]->Urgency_;
 }
 
 } // namespace oleandergauge::cell
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -90,6 +90,20 @@
   }
 };
 
+/// The place of a step in the order in which waiting steps are examined.
+struct Urgency {
+  /// Steps that can still meet their objective go first, then late ones, then
+  /// those over the team's share or too late to be of value. Each class is
+  /// ordered by priority and latest start, so that an overloaded cell runs the
+  /// most urgent steps first.
+  enum class Class { Service, OnTime, Late, Worthless };
+  Class Class_ = Class::OnTime;
+  int Priority_ = 0;
+  Millis LatestStart_ = 0;
+  std::string Name_;
+  friend auto operator<=>(const Urgency &, const Urgency &) = default;
+};
+
 /// One step of one occurrence of a job.
 struct StepRun {
   Job *Job_ = nullptr;
@@ -106,6 +120,9 @@
   /// Time by which the first task should start for the job to meet its
   /// objective.
   Millis LatestStart_ = 0;
+  /// The step is in the set of waiting steps, at Urgency_.
+  bool InWaiting_ = false;
+  Urgency Urgency_;
   std::unordered_map<std::uint32_t, Advice> Advice_; ///< By Worker::Number_.
   Token AdviceToken_ = 0;      ///< The pending call for advice, or zero.
   Millis AdviceNotBefore_ = 0; ///< Earliest time of the next call.
