Preempt only for tasks that will use the room

A fifth to a third of all runs were stopped, most of them as preempted. Causes found in the source, each with a test: - A worker with room reserved for a step counted for one task, however many it was freed for, so the next pass preempted on further workers for the same tasks. Workers now keep the number of tasks the room is for. - Advice named the workers with the most room after preemption, so that workers full of less urgent work were asked about, and preempted on, while others had room. Workers with room now go first, and while advice takes at most half the time of a stop, such workers are asked about before anything is preempted. - Victims were taken until the room sufficed, small useless ones included. Those whose room is not needed stay now. - Nothing is preempted where the ticket ends before the start that would follow; a gang whose room is being freed waits for it and stays with the workers it was freed on. room_reserved logs the step and the worker for which runs were stopped.

cell_placement_test with the code of stops 3 runs where 2 suffice, 5 where 1 suffices, and 4 where enough workers are free. FreesTheRoomOfAGangOnce passed there already. cell_test, cell_gang_test, cell_upkeep_test and cell_fuzz_test pass.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -239,14 +239,22 @@
   std::size_t examine(const std::vector<StepRun *> &Steps);
   void examineFurther(const Urgency &Border);
   void collectUsableWorkers();
+  std::uint32_t reservedCopies(const Worker &Target, const StepRun &Step) const;
+  bool isAllowedAfterStop(const Worker &Target, const StepRun &Step) const;
   std::uint64_t nextAttempt(Task &TargetTask, std::uint32_t &StartCount) const;
   bool isOwnAttempt(std::uint64_t Attempt) const;
 
   // engine_advice.cc
-  void requestAdvice(StepRun &Step);
+  bool requestAdvice(StepRun &Step);
+  bool askBeforePreemption(StepRun &Step);
   bool hasAdviceOnAllWorkers(const StepRun &Step) const;
   std::size_t minWorkersAsked(const StepRun &Step) const;
-  std::vector<Worker *> chooseWorkersToAsk(const StepRun &Step);
+  /// The workers to ask about in one call.
+  struct WorkersToAsk {
+    std::vector<Worker *> Workers_;
+    bool HaveRoom_ = false; ///< Some of them have room without preemption.
+  };
+  WorkersToAsk chooseWorkersToAsk(const StepRun &Step);
   AdviceHost *chooseAdviceHost(double Cost);
   void dropAdviceOn(const Worker &Gone);
 
--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -119,11 +119,14 @@
 
 /// Selects the workers to ask about: allowed workers whose tickets have expired
 /// first. If they do not provide enough room, adds workers for which no advice
-/// is known.
-std::vector<Worker *> Cell::Engine::chooseWorkersToAsk(const StepRun &Step) {
+/// is known. Workers with room go before those where runs would have to be
+/// preempted.
+Cell::Engine::WorkersToAsk
+Cell::Engine::chooseWorkersToAsk(const StepRun &Step) {
   struct Option {
     Worker *Target_;
-    std::uint32_t Copies_;
+    std::uint32_t FreeCopies_;
+    std::uint32_t Copies_; ///< With the room that preemption can free.
   };
   std::vector<Option> Known;
   std::vector<Option> Unknown;
@@ -132,36 +135,41 @@
   for (Worker *Each : UsableWorkers_) {
     if (!suits(*Each, Step))
       continue;
+    const std::uint32_t Free = maxCopiesOn(*Each, Step, false);
     const std::uint32_t Copies = maxCopiesOn(*Each, Step, true);
     const auto Advice = Step.Advice_.find(Each->Number_);
     if (Advice == Step.Advice_.end())
-      Unknown.push_back({Each, Copies});
+      Unknown.push_back({Each, Free, Copies});
     else if (Advice->second.Allowed_ && Now_ < Advice->second.ValidUntil_)
       Ticketed += Copies;
     else if (Advice->second.Allowed_ && Copies > 0)
-      Known.push_back({Each, Copies});
+      Known.push_back({Each, Free, Copies});
   }
   auto MoreCopies = [](const Option &A, const Option &B) {
-    return std::tie(A.Copies_, A.Target_->Number_) >
-           std::tie(B.Copies_, B.Target_->Number_);
+    return std::tie(A.FreeCopies_, A.Copies_, A.Target_->Number_) >
+           std::tie(B.FreeCopies_, B.Copies_, B.Target_->Number_);
   };
   std::sort(Known.begin(), Known.end(), MoreCopies);
   std::sort(Unknown.begin(), Unknown.end(), MoreCopies);
   const bool Gang = Step.spec().Gang_;
   const std::uint32_t Wanted = Step.waiting();
-  std::vector<Worker *> Out;
+  WorkersToAsk Out;
+  const auto Add = [&Out](const Option &Each) {
+    Out.Workers_.push_back(Each.Target_);
+    Out.HaveRoom_ = Out.HaveRoom_ || Each.FreeCopies_ > 0;
+  };
   std::uint32_t Have = Gang ? Ticketed : 0;
   for (const Option &Each : Known) {
     if (Have >= Wanted + Wanted / 4 && Have > 0)
       break;
     Have += Each.Copies_;
-    Out.push_back(Each.Target_);
+    Add(Each);
   }
   if (Have >= Wanted || (!Gang && Have > 0))
     return Out;
   const bool First = Step.Advice_.empty();
   if (!First && (Unknown.empty() || Unknown.front().Copies_ == 0))
-    return Gang ? std::vector<Worker *>{} : Out;
+    return Gang ? WorkersToAsk{} : Out;
   auto &Ratio =
       AllowedRatio_.try_emplace(Step.Job_->Queue_, InitialAllowedRatio)
           .first->second;
@@ -169,44 +177,64 @@
   double Expected = Have;
   std::size_t Asked = 0;
   for (const Option &Each : Unknown) {
-    if (Out.size() >= MaxWorkersAsked ||
+    if (Out.Workers_.size() >= MaxWorkersAsked ||
         (Asked >= Least && Expected >= Wanted * AskedWorkersMargin))
       break;
     Expected += std::max<std::uint32_t>(1, Each.Copies_) * Ratio;
-    Out.push_back(Each.Target_);
+    Add(Each);
     ++Asked;
   }
   return Out;
 }
 
+/// Requests advice on workers with room before runs are preempted for the step,
+/// if an answer is expected sooner than the end of a stop. Returns whether
+/// preemption has to wait for it.
+bool Cell::Engine::askBeforePreemption(StepRun &Step) {
+  const Queue *JobQueue = queueOf(*Step.Job_);
+  if (JobQueue == nullptr || !JobQueue->Advice_)
+    return false;
+  const AdviceCost &Rates = *JobQueue->Advice_;
+  const double Cost =
+      Rates.Base_ +
+      Rates.PerWorker_ * static_cast<double>(minWorkersAsked(Step));
+  if (Cost > static_cast<double>(Limits_.StopTime_) / 2)
+    return false;
+  const bool Asking = Step.AdviceToken_ != 0 || (Now_ < Step.AdviceNotBefore_ &&
+                                                 Step.NoRoomBackoff_ == 0);
+  return Asking ? Step.AskedFreeWorkers_ : requestAdvice(Step);
+}
+
 /// Requests advice for a step if its queue needs it and no call is pending.
-void Cell::Engine::requestAdvice(StepRun &Step) {
+/// Returns whether a call was made that names workers with room.
+bool Cell::Engine::requestAdvice(StepRun &Step) {
   const Queue *JobQueue = queueOf(*Step.Job_);
   if (JobQueue == nullptr || !JobQueue->Advice_ || Step.AdviceToken_ != 0 ||
       Now_ < Step.AdviceNotBefore_ || !Step.Ready_)
-    return;
+    return false;
   if (!Step.Job_->Stored_ && !Step.Advice_.empty())
-    return;
+    return false;
   const AdviceCost &Rates = *JobQueue->Advice_;
   if (AdviceSelections_ >= MaxAdviceSelections ||
       chooseAdviceHost(Rates.Base_) == nullptr)
-    return; // The answer to a pending call triggers another pass.
+    return false; // The answer to a pending call triggers another pass.
   ++AdviceSelections_;
-  const std::vector<Worker *> Asked = chooseWorkersToAsk(Step);
+  const WorkersToAsk Chosen = chooseWorkersToAsk(Step);
+  const std::vector<Worker *> &Asked = Chosen.Workers_;
   if (Asked.empty()) {
     const bool OnTime = !Step.Advice_.empty() && Now_ <= Step.Objective_;
     const Millis Longest = OnTime ? FirstNoRoomBackoff : LongestNoRoomBackoff;
     Step.NoRoomBackoff_ =
         std::clamp(2 * Step.NoRoomBackoff_, FirstNoRoomBackoff, Longest);
     Step.AdviceNotBefore_ = Now_ + Step.NoRoomBackoff_;
-    return;
+    return false;
   }
   Step.NoRoomBackoff_ = 0;
   const double Cost =
       Rates.Base_ + Rates.PerWorker_ * static_cast<double>(Asked.size());
   AdviceHost *ChosenHost = chooseAdviceHost(Cost);
   if (ChosenHost == nullptr)
-    return;
+    return false;
   const Token Id = NextToken_++;
   PendingAdvice &Open = PendingAdvice_[Id];
   Open.Step_ = &Step;
@@ -222,7 +250,9 @@
   ++ChosenHost->Calls_;
   ChosenHost->Backlog_ += Cost;
   Step.AdviceToken_ = Id;
+  Step.AskedFreeWorkers_ = Chosen.HaveRoom_;
   Effects_.push_back(std::move(Out));
+  return Chosen.HaveRoom_;
 }
 
 /// Gives up calls whose answer is overdue. An answer is lost if the connection
--- a/src/cell/engine_gangs.cc
+++ b/src/cell/engine_gangs.cc
@@ -24,7 +24,9 @@
 } // namespace
 
 /// Distributes a gang over \p Workers, starting with those that can hold the
-/// most members. Returns an empty list if they cannot hold the whole gang.
+/// most members. With victims, only workers on which the gang may still start
+/// after a stop count. Returns an empty list if they cannot hold the whole
+/// gang.
 std::vector<GangAssignment>
 Cell::Engine::assignGang(const StepRun &Step,
                          const std::vector<Worker *> &Workers,
@@ -32,16 +34,21 @@
   std::vector<GangAssignment> Out;
   std::size_t Room = 0;
   for (Worker *Each : Workers) {
-    if (Now_ < Each->GangsNotBefore_)
+    if (Now_ < Each->GangsNotBefore_ ||
+        (WithVictims && !isAllowedAfterStop(*Each, Step)))
       continue;
     Out.push_back({Each, maxCopiesOn(*Each, Step, WithVictims)});
     Room += Out.back().Members_;
   }
   if (Room < Step.Tasks_.size())
     return {};
+  // Workers on which room is already being freed for the gang stay chosen.
+  const auto Place = [&](const GangAssignment &Each) {
+    return std::pair(reservedCopies(*Each.Target_, Step), Each.Members_);
+  };
   std::sort(Out.begin(), Out.end(),
-            [](const GangAssignment &A, const GangAssignment &B) {
-              return A.Members_ > B.Members_;
+            [&](const GangAssignment &A, const GangAssignment &B) {
+              return Place(A) > Place(B);
             });
   auto Left = static_cast<std::uint32_t>(Step.Tasks_.size());
   for (GangAssignment &Each : Out) {
@@ -63,8 +70,11 @@
     if (Now_ < Each.NotBefore_)
       return;
   std::map<std::string, std::vector<Worker *>> Racks;
-  for (Worker *Each : eligibleWorkers(Step))
+  std::uint32_t Reserved = 0;
+  for (Worker *Each : eligibleWorkers(Step)) {
     Racks[Step.spec().SameRack_ ? Each->Rack_ : ""].push_back(Each);
+    Reserved += reservedCopies(*Each, Step);
+  }
   for (const bool WithVictims : {false, true}) {
     for (const auto &[Rack, Workers] : Racks) {
       const std::vector<GangAssignment> Assignments =
@@ -78,6 +88,8 @@
           makeRoom(*Each.Target_, Step, Each.Members_);
       return;
     }
+    if (Reserved >= Size)
+      return; // The room for all members is already being freed.
   }
   requestAdvice(Step);
 }
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -22,6 +22,9 @@
 constexpr std::size_t MaxInTurn = 128;
 /// Number of workers compared for steps after which a part of a pass ends.
 constexpr std::size_t MaxComparedInPart = 8192;
+/// Time besides the stop itself until the end of a preempted run is listed and
+/// the start that takes its room arrives at the worker.
+constexpr Millis PreemptionOverhead = 150;
 /// Time for which room on a worker stays reserved for the step that it was
 /// freed for.
 constexpr Millis ReservationTime = 700;
@@ -232,6 +235,9 @@
   const auto Known = Step.Advice_.find(Target.Number_);
   if (Known != Step.Advice_.end())
     NewRun.Ticket_ = Known->second.Ticket_;
+  if (Target.ReservedFor_ == &Step && Target.ReservedCopies_ > 0 &&
+      --Target.ReservedCopies_ == 0)
+    Target.ReservedFor_ = nullptr;
   const std::string Name = taskName(Step, Index);
   addRun(Target, Name, std::move(NewRun));
   Effects_.push_back(Decision{"task_start", Name, Target.Id_,
@@ -267,13 +273,41 @@
   const std::uint32_t Out = Fitting();
   if (Out == 0)
     return 0;
-  for (const std::string &Name : Victims)
-    stopRun(Target, Name, Target.Runs_[Name], "preempted");
+  for (const std::string &Name : Victims) {
+    Run &Victim = Target.Runs_[Name];
+    const Resources Before = Free;
+    Free = Free - Victim.Need_;
+    if (Fitting() == Out)
+      continue; // The room of the other victims suffices.
+    Free = Before;
+    stopRun(Target, Name, Victim, "preempted");
+  }
   Target.ReservedFor_ = &Step;
   Target.ReservedUntil_ = Now_ + ReservationTime;
+  Target.ReservedCopies_ = Out;
+  Effects_.push_back(Decision{"room_reserved", Step.Name_, Target.Id_, 0});
   return Out;
 }
 
+/// Returns the number of tasks of the step for which room on the worker is
+/// being freed.
+std::uint32_t Cell::Engine::reservedCopies(const Worker &Target,
+                                           const StepRun &Step) const {
+  return Target.ReservedFor_ == &Step && Now_ < Target.ReservedUntil_
+             ? Target.ReservedCopies_
+             : 0;
+}
+
+/// Returns whether a start on the worker will still be allowed when a run that
+/// is preempted now has ended. Otherwise the room would be freed in vain.
+bool Cell::Engine::isAllowedAfterStop(const Worker &Target,
+                                      const StepRun &Step) const {
+  const auto Known = Step.Advice_.find(Target.Number_);
+  return Known == Step.Advice_.end() ||
+         Now_ + Limits_.StopTime_ + PreemptionOverhead <
+             Known->second.ValidUntil_;
+}
+
 /// Returns whether the worker runs a task that has a tail latency goal.
 bool Cell::Engine::runsTaskWithTailGoal(const Worker &Target) const {
   return std::any_of(Target.Runs_.begin(), Target.Runs_.end(),
@@ -317,15 +351,15 @@
     startTask(Step, Index, *Best, nextAttempt(TargetTask, TargetTask.Starts_));
     --Left;
   }
-  if (Left == 0)
+  for (const Worker *Each : Open) // Room that is already being freed.
+    Left -= std::min(Left, reservedCopies(*Each, Step));
+  if (Left == 0 || askBeforePreemption(Step))
     return;
   for (Worker *Each : Open) {
     if (Left == 0)
       return;
-    if (Each->ReservedFor_ == &Step && Now_ < Each->ReservedUntil_) {
-      --Left; // Room on this worker is already being freed.
+    if (reservedCopies(*Each, Step) > 0 || !isAllowedAfterStop(*Each, Step))
       continue;
-    }
     const std::uint32_t Copies = maxCopiesOn(*Each, Step, true);
     if (Copies > 0)
       Left -= std::min(Left, makeRoom(*Each, Step, std::min(Left, Copies)));
@@ -381,8 +415,8 @@
 }
 
 /// Returns the next steps after \p After, or the most urgent ones if it is
-/// null. Classes only rise with time, so that a step whose class has changed
-/// is reached before its new place and moves on.
+/// null. Classes only rise with time, so that a step whose class has changed is
+/// reached before its new place and moves on.
 std::vector<StepRun *> Cell::Engine::takeWaiting(const Urgency *After) {
   std::vector<StepRun *> Out;
   const std::size_t Most = After == nullptr ? MaxMostUrgent : MaxInTurn;
@@ -436,9 +470,9 @@
 
 /// Runs a placement pass over the waiting steps if one is due. A pass first
 /// examines the most urgent steps, which gain most from room that has become
-/// free, and then some of the others, where the previous pass left off. So
-/// the work of a pass is bounded, and a step that fits is found however many
-/// stand before it.
+/// free, and then some of the others, where the previous pass left off. So the
+/// work of a pass is bounded, and a step that fits is found however many stand
+/// before it.
 void Cell::Engine::placeReadySteps() {
   if (!PassEnded_) {
     // The pass and its effects have taken until now. The pause lasts as long,
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -124,8 +124,9 @@
   bool InWaiting_ = false;
   Urgency Urgency_;
   std::unordered_map<std::uint32_t, Advice> Advice_; ///< By Worker::Number_.
-  Token AdviceToken_ = 0;      ///< The pending call for advice, or zero.
-  Millis AdviceNotBefore_ = 0; ///< Earliest time of the next call.
+  Token AdviceToken_ = 0;         ///< The pending call for advice, or zero.
+  Millis AdviceNotBefore_ = 0;    ///< Earliest time of the next call.
+  bool AskedFreeWorkers_ = false; ///< The latest call names workers with room.
   /// Doubles while there is no worker worth asking about.
   Millis NoRoomBackoff_ = 0;
   std::uint32_t GangStarts_ = 0;
@@ -220,6 +221,9 @@
   /// The step for which freed room is reserved until ReservedUntil_.
   StepRun *ReservedFor_ = nullptr;
   Millis ReservedUntil_ = 0;
+  /// Tasks of that step for which the room was freed and that have not started
+  /// yet.
+  std::uint32_t ReservedCopies_ = 0;
   /// Milli-cores in use by work of the highest priority.
   std::int64_t UrgentCpu_ = 0;
   /// Sums over Runs_: resources of stopping runs, and resources of preemptible
--- a/test/cell/cell_placement_test.cc
+++ b/test/cell/cell_placement_test.cc
@@ -13,6 +13,16 @@
   return Out;
 }
 
+std::pair<Millis, bool> run10Seconds(const std::string &) {
+  return {Millis{10000}, false};
+}
+
+JobSpec checkpointedJob(std::uint32_t Count, std::int64_t Cpu) {
+  JobSpec Out = simpleJob(Count, Cpu);
+  Out.Steps_[0].Checkpointed_ = true;
+  return Out;
+}
+
 /// Submits \p Count jobs that no worker can run and that stay more urgent than
 /// jobs with a longer estimate.
 void submitHopelessJobs(CellSimulation &Sim, int Count,
@@ -122,5 +132,81 @@
   EXPECT_LE(Passes, Calls / 6);
 }
 
+// Guards against preemption on further workers while the room that was freed
+// for the same tasks is about to become free.
+TEST(CellPlacement, PreemptsOnlyAsManyRunsAsItsTasksNeed) {
+  CellSimulation Sim(1, 2);
+  Sim.TaskBehaviour_ = run10Seconds;
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(numberedId(1), checkpointedJob(8, 900));
+  Sim.run(500);
+  ASSERT_EQ(Sim.starts(), 8U);
+  Sim.submit(JobId, simpleJob(2, 900), "fast");
+  Sim.run(2000);
+  EXPECT_EQ(Sim.Stops_["preempted"], 2);
+  EXPECT_EQ(Sim.starts(), 10U);
+}
+
+// Guards against stopping small runs whose room does not matter beside the
+// room of a larger one.
+TEST(CellPlacement, PreemptsNoRunWhoseRoomIsNotNeeded) {
+  CellSimulation Sim(1, 1);
+  Sim.TaskBehaviour_ = run10Seconds;
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(numberedId(1), checkpointedJob(1, 2500));
+  for (int At = 0; At < 4; ++At)
+    Sim.submit(numberedId(10 + At), checkpointedJob(1, 250));
+  Sim.run(500);
+  ASSERT_EQ(Sim.starts(), 5U);
+  Sim.submit(JobId, simpleJob(1, 2500), "fast");
+  Sim.run(1000);
+  EXPECT_EQ(Sim.Stops_["preempted"], 1);
+  EXPECT_EQ(Sim.worker(0).Runs_.count(JobId + ".0.0.0"), 1U);
+}
+
+// Guards against asking about, and then preempting on, workers that are full of
+// less urgent work while others are free.
+TEST(CellPlacement, AsksAboutFreeWorkersBeforeItPreempts) {
+  CellSimulation Sim(1, 40);
+  for (std::size_t At = 0; At < 40; ++At)
+    Sim.worker(At).Capacity_ = {400, 8000, 0, 0, 0};
+  Sim.TaskBehaviour_ = run10Seconds;
+  Sim.setPriority("advised", 0);
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(numberedId(1), checkpointedJob(20, 350));
+  Sim.run(500);
+  ASSERT_EQ(Sim.starts(), 20U);
+  for (int At = 0; At < 6; ++At) {
+    Sim.submit(numberedId(100 + At), simpleJob(1, 300), "advised");
+    Sim.run(100);
+  }
+  Sim.run(1000);
+  EXPECT_EQ(Sim.Stops_["preempted"], 0);
+  EXPECT_EQ(Sim.starts(), 26U);
+}
+
+// Guards against a gang that waits forever, or preempts again and again, where
+// its room has to be freed on many workers.
+TEST(CellPlacement, FreesTheRoomOfAGangOnce) {
+  CellSimulation Sim(1, 8);
+  for (std::size_t At = 0; At < 8; ++At)
+    Sim.worker(At).Capacity_ = {1000, 8000, 0, 0, 0};
+  Sim.TaskBehaviour_ = run10Seconds;
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(numberedId(1), checkpointedJob(16, 400));
+  Sim.run(500);
+  ASSERT_EQ(Sim.starts(), 16U);
+  JobSpec Gang = simpleJob(4, 600);
+  Gang.Steps_[0].Gang_ = true;
+  Sim.submit(JobId, Gang, "fast");
+  Sim.run(1500);
+  EXPECT_EQ(Sim.Stops_["preempted"], 4);
+  EXPECT_EQ(Sim.starts(), 20U);
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -137,6 +137,14 @@
     AdviceCost_ = Cost;
     AllowedEvery_ = AllowedEvery;
   }
+  /// Sets the priority of a queue for the next owner.
+  void setPriority(const std::string &Queue, int Priority) {
+    auto State = std::make_shared<DesiredState>(*State_);
+    for (auto &Each : State->Queues_)
+      if (Each.Name_ == Queue)
+        Each.Priority_ = Priority;
+    State_ = State;
+  }
   /// Returns the times at which calls for advice were sent and answered.
   const std::vector<std::pair<Millis, Millis>> &adviceCalls() const {
     return AdviceCalls_;
@@ -202,6 +210,7 @@
   /// The latest report by wave; true if complete.
   std::map<std::uint64_t, bool> WaveStates_;
   std::map<std::string, int> Paces_; ///< The latest pace order by task.
+  std::map<std::string, int> Stops_; ///< Number of stopped runs by reason.
   /// Rows in the store, by table and key.
   std::map<std::pair<std::string, std::string>, std::string> Rows_;
 
@@ -693,7 +702,10 @@
     WaveStates_[Each.Wave_] = Each.Complete_;
   }
   void applyEffect(const DurationSample &) {}
-  void applyEffect(const Decision &) {}
+  void applyEffect(const Decision &Each) {
+    if (Each.Event_ == "task_stopping")
+      ++Stops_[Each.Reason_];
+  }
 
   std::mt19937_64 Random_;
   Millis Now_ = 1000;
