--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -140,6 +140,7 @@
   std::uint64_t RepeatedStarts_ = 0;
   std::uint64_t StepsExamined_ = 0;
   std::uint64_t WorkersExamined_ = 0;
+  std::uint64_t WorkersCompared_ = 0;
 
 private:
   // engine_jobs.cc
@@ -157,9 +158,9 @@
   void countJob(Job &TargetJob);
   void setAnswerTime(Job &TargetJob, Millis Timeout) const;
   void scheduleOccurrence(const Job &TargetJob);
-  void removeDetachedSteps();
   void forgetJob(Job &Ended);
   JobState stateOf(const Job &TargetJob) const;
+  const Queue *findQueue(const std::string &Name) const;
   const Queue *queueOf(const Job &TargetJob) const;
   int priorityOf(const StepRun &Step) const;
   StepRun *findStep(const TaskName &Name);
@@ -206,7 +207,7 @@
                                          bool WithVictims) const;
   void placeGang(StepRun &Step);
   void startGang(StepRun &Step, const std::vector<GangAssignment> &Assignments);
-  void confirmStart(Run &TargetRun);
+  void confirmStart(Worker &Target, Run &TargetRun);
   void confirmMember(StepRun &Step);
   void markAssembled(StepRun &Step, std::string_view Why);
   void recordProgress(const Run &TargetRun, const RunningEntry &Entry);
@@ -237,6 +238,8 @@
   void addWaveChanges(std::vector<RowChange> &Out);
 
   // engine_placement.cc
+  bool acceptsTasks(const Worker &Target) const;
+  bool suits(const Worker &Target, const StepRun &Step) const;
   bool isUsable(const Worker &Target, const StepRun &Step) const;
   Resources freeResourcesFor(const Worker &Target, const StepRun &Step) const;
   std::uint32_t maxCopiesOn(const Worker &Target, const StepRun &Step,
@@ -248,22 +251,41 @@
   bool isPreemptible(const Run &Victim) const;
   int minPreemptiblePriority(const StepRun &Step) const;
   bool runsTaskWithTailGoal(const Worker &Target) const;
-  void sumRunNeeds();
+  void setPhase(Worker &Target, Run &TargetRun, Run::Phase Phase);
+  Resources *needSumOf(Worker &Target, const Run &TargetRun);
+  void addNeedSum(Worker &Target, const Run &TargetRun);
+  void subtractNeedSum(Worker &Target, const Run &TargetRun);
   std::vector<Worker *> eligibleWorkers(const StepRun &Step);
   void placeStep(StepRun &Step);
   void placeTasks(StepRun &Step);
   void startTask(StepRun &Step, std::uint32_t Index, Worker &Target,
                  std::uint64_t Attempt);
-  void sortReadySteps();
+  Urgency::Class urgencyClassOf(const StepRun &Step) const;
+  void addWaiting(StepRun &Step);
+  void removeWaiting(StepRun &Step);
+  void reorderWaiting();
+  std::vector<StepRun *> takeWaiting(const Urgency *After);
+  std::size_t examine(const std::vector<StepRun *> &Steps);
+  void examineFurther(const Urgency &Border);
+  void collectUsableWorkers();
+  std::uint32_t reservedCopies(const Worker &Target, const StepRun &Step) const;
+  bool isAllowedAfterStop(const Worker &Target, const StepRun &Step) const;
   std::uint64_t nextAttempt(Task &TargetTask, std::uint32_t &StartCount) const;
   bool isOwnAttempt(std::uint64_t Attempt) const;
 
   // engine_advice.cc
-  void requestAdvice(StepRun &Step);
+  bool requestAdvice(StepRun &Step);
+  bool askBeforePreemption(StepRun &Step);
   bool hasAdviceOnAllWorkers(const StepRun &Step) const;
   std::size_t minWorkersAsked(const StepRun &Step) const;
-  std::vector<Worker *> chooseWorkersToAsk(const StepRun &Step);
+  /// The workers to ask about in one call.
+  struct WorkersToAsk {
+    std::vector<Worker *> Workers_;
+    bool HaveRoom_ = false; ///< Some of them have room without preemption.
+  };
+  WorkersToAsk chooseWorkersToAsk(const StepRun &Step);
   AdviceHost *chooseAdviceHost(double Cost);
+  void dropAdviceOn(const Worker &Gone);
 
   // engine_commit.cc
   void markChanged(Job &TargetJob);
@@ -309,6 +331,7 @@
   std::unordered_map<std::string, std::unique_ptr<Worker>> Workers_;
   /// The earliest DueAt_ of all workers.
   Millis NextWorkerDue_ = 0;
+  std::uint32_t KnownWorkers_ = 0; ///< Number of workers known so far.
   /// Workers that may still run tasks of a former owner.
   std::set<std::string> UnconfirmedWorkers_;
   /// When all leases of a former owner have certainly ended.
@@ -319,13 +342,23 @@
   std::unordered_map<Token, PendingAdvice> PendingAdvice_;
   std::unordered_map<std::string, double> AllowedRatio_; ///< By queue.
 
-  /// Includes steps of ended jobs, which are no longer marked as ready, until
-  /// removeDetachedSteps() is called.
-  std::vector<StepRun *> ReadySteps_;
+  /// Ready steps with waiting tasks. Steps whose tasks have all started, or
+  /// whose class has changed, are moved when a pass reaches them.
+  std::map<Urgency, StepRun *> WaitingSteps_;
   /// Gangs that wait for the confirmation of some members.
   std::vector<StepRun *> AssemblingGangs_;
   Millis NextPlacement_ = 0;
-  std::size_t AdviceSelections_ = 0; ///< In the present placement pass.
+  Millis PassStartedAt_ = 0; ///< Start of the latest placement pass.
+  bool PassEnded_ = true;    ///< A call after the latest pass has been made.
+  /// The latest step that passes examined beyond the most urgent ones, and the
+  /// number of steps to be examined there before all have been.
+  Urgency LastExamined_;
+  std::size_t ExaminationsLeft_ = 0;
+  std::size_t ComparedInPart_ = 0; ///< Workers, in the present part of a pass.
+  /// Workers that accept tasks in the present placement pass.
+  std::vector<Worker *> UsableWorkers_;
+  /// Selections of workers to ask about, in the present part of a pass.
+  std::size_t AdviceSelections_ = 0;
   Millis NextJobAdvance_ = 0;
   /// Scheduled jobs by the time since 1970 at which their next occurrence is
   /// due.
--- a/src/cell/engine_commit.cc
+++ b/src/cell/engine_commit.cc
@@ -308,7 +308,6 @@
 void Cell::Engine::answerEndedJobs() {
   if (CommitEndingJobs_.empty())
     return;
-  removeDetachedSteps();
   EndedRow Stored{CommitEndedKey_, {}};
   for (Job *Each : std::exchange(CommitEndingJobs_, {})) {
     EndedRecords_[Each->Id_] = {*Each->EndState_, Wall_, Each->Queue_};
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -79,15 +79,14 @@
     refreshReadySteps(TargetJob);
 }
 
-/// Returns the queue of a job, or null if no desired state has contained it.
-/// Queues are never removed, so that one that was found remains valid.
+/// Returns the configuration of a queue, which stays at its address, or null.
+const Queue *Cell::Engine::findQueue(const std::string &Name) const {
+  const auto It = Queues_.find(Name);
+  return It == Queues_.end() ? nullptr : &It->second;
+}
+
 const Queue *Cell::Engine::queueOf(const Job &TargetJob) const {
-  if (TargetJob.FoundQueue_ != nullptr)
-    return TargetJob.FoundQueue_;
-  const auto It = Queues_.find(TargetJob.Queue_);
-  if (It != Queues_.end())
-    TargetJob.FoundQueue_ = &It->second;
-  return TargetJob.FoundQueue_;
+  return TargetJob.QueueConfig_;
 }
 
 int Cell::Engine::priorityOf(const StepRun &Step) const {
@@ -101,12 +100,15 @@
   State_ = std::move(State);
   for (const Queue &Each : State_->Queues_)
     Queues_[Each.Name_] = Each;
+  for (const auto &[Id, Each] : Jobs_)
+    Each->QueueConfig_ = findQueue(Each->Queue_);
   bool First = true;
   for (const Queue &Each : State_->Queues_) {
     HighestPriority_ =
         First ? Each.Priority_ : std::min(HighestPriority_, Each.Priority_);
     First = false;
   }
+  reorderWaiting();
   PlacementNeeded_ = true;
 }
 
@@ -137,6 +139,7 @@
   NewJob.Id_ = Id;
   NewJob.Spec_ = std::make_shared<const JobSpec>(Record.Spec_);
   NewJob.Queue_ = Record.Queue_;
+  NewJob.QueueConfig_ = findQueue(Record.Queue_);
   NewJob.Team_ = Record.Team_;
   NewJob.AcceptedWall_ = Record.AcceptedAt_;
   const Queue *JobQueue = queueOf(NewJob);
@@ -206,7 +209,7 @@
     if (!Ready)
       continue;
     Each->Ready_ = true;
-    ReadySteps_.push_back(Each.get());
+    addWaiting(*Each);
     PlacementNeeded_ = true;
   }
 }
@@ -440,6 +443,8 @@
   TargetTask.Phase_ = Task::Phase::Waiting;
   TargetTask.AssignedWorker_ = nullptr;
   --Step.ActiveCount_;
+  if (Step.Ready_)
+    addWaiting(Step);
   PlacementNeeded_ = true;
 }
 
@@ -541,8 +546,7 @@
   detachSteps(Ended);
 }
 
-/// Removes the steps of a job from placement and advice. ReadySteps_ still
-/// contains them until removeDetachedSteps() is called.
+/// Removes the steps of a job from placement and advice.
 void Cell::Engine::detachSteps(Job &TargetJob) {
   bool HasReservations = false;
   bool HasGangs = false;
@@ -550,6 +554,7 @@
     Step->Ready_ = false;
     HasReservations = HasReservations || Step->HasReservations_;
     HasGangs = HasGangs || Step->spec().Gang_;
+    removeWaiting(*Step);
     const auto Open = PendingAdvice_.find(Step->AdviceToken_);
     if (Open != PendingAdvice_.end())
       Open->second.Step_ = nullptr;
@@ -566,12 +571,6 @@
       Each->ReservedFor_ = nullptr;
 }
 
-/// Removes the steps of ended jobs from ReadySteps_. Called before any ended
-/// job is destroyed.
-void Cell::Engine::removeDetachedSteps() {
-  std::erase_if(ReadySteps_, [](const StepRun *Each) { return !Each->Ready_; });
-}
-
 /// Returns whether the transaction in flight has been unanswered for too long
 /// while the store is unreachable.
 bool Cell::Engine::storeStalled() const {
@@ -608,7 +607,6 @@
         Stalled ? "store stalled" : "not stored in time", Now_ - LastCommit_});
     detachSteps(*Each);
   }
-  removeDetachedSteps();
   for (Job *Each : Refused)
     forgetJob(*Each);
 }
@@ -648,7 +646,7 @@
   CellStats Out;
   Out.Jobs_ = Jobs_.size();
   Out.EndedJobs_ = EndedRecords_.size();
-  Out.WaitingSteps_ = ReadySteps_.size();
+  Out.WaitingSteps_ = WaitingSteps_.size();
   std::int64_t Used = 0;
   std::int64_t All = 0;
   for (const auto &[Id, Each] : Workers_) {
@@ -665,6 +663,7 @@
         std::max(Out.OldestUnstoredEnd_, Now_ - Each->EndedAt_);
   Out.StepsExamined_ = StepsExamined_;
   Out.WorkersExamined_ = WorkersExamined_;
+  Out.WorkersCompared_ = WorkersCompared_;
   Out.UsedShare_ =
       All == 0 ? 0 : static_cast<double>(Used) / static_cast<double>(All);
   return Out;
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -58,6 +58,7 @@
 /// The advice on one worker for one step. Whether the worker is allowed never
 /// changes; only the ticket expires.
 struct Advice {
+  Worker *Target_ = nullptr;
   bool Allowed_ = false;
   std::string Ticket_;
   Millis ValidUntil_ = 0;
@@ -90,6 +91,20 @@
   }
 };
 
+/// The place of a step in the order in which waiting steps are examined.
+struct Urgency {
+  /// Steps that can still meet their objective go first, then late ones, then
+  /// those over the team's share or too late to be of value. Each class is
+  /// ordered by priority and latest start, so that an overloaded cell runs the
+  /// most urgent steps first.
+  enum class Class { Service, OnTime, Late, Worthless };
+  Class Class_ = Class::OnTime;
+  int Priority_ = 0;
+  Millis LatestStart_ = 0;
+  std::string Name_;
+  friend auto operator<=>(const Urgency &, const Urgency &) = default;
+};
+
 /// One step of one occurrence of a job.
 struct StepRun {
   Job *Job_ = nullptr;
@@ -107,9 +122,13 @@
   /// Time by which the first task should start for the job to meet its
   /// objective.
   Millis LatestStart_ = 0;
-  std::unordered_map<std::string, Advice> Advice_; ///< By worker id.
-  Token AdviceToken_ = 0;      ///< The pending call for advice, or zero.
-  Millis AdviceNotBefore_ = 0; ///< Earliest time of the next call.
+  /// The step is in the set of waiting steps, at Urgency_.
+  bool InWaiting_ = false;
+  Urgency Urgency_;
+  std::unordered_map<std::uint32_t, Advice> Advice_; ///< By Worker::Number_.
+  Token AdviceToken_ = 0;         ///< The pending call for advice, or zero.
+  Millis AdviceNotBefore_ = 0;    ///< Earliest time of the next call.
+  bool AskedFreeWorkers_ = false; ///< The latest call names workers with room.
   /// Doubles while there is no worker worth asking about.
   Millis NoRoomBackoff_ = 0;
   std::uint32_t GangStarts_ = 0;
@@ -143,8 +162,8 @@
   std::string Id_;
   std::shared_ptr<const JobSpec> Spec_;
   std::string Queue_;
-  /// The queue, if it is known already; read by queueOf() only.
-  mutable const Queue *FoundQueue_ = nullptr;
+  /// The queue's configuration; null if the operators have not set one.
+  const Queue *QueueConfig_ = nullptr;
   std::string Team_;
   Millis AcceptedWall_ = 0; ///< In milliseconds since 1970.
   Millis Objective_ = 0; ///< Time by which an unscheduled job should be done.
@@ -177,6 +196,8 @@
 /// A worker as this owner knows it.
 struct Worker {
   std::string Id_;
+  /// Distinguishes the workers that this owner has known.
+  std::uint32_t Number_ = 0;
   std::string Service_;
   std::string Address_;
   std::string Domain_;
@@ -228,10 +249,13 @@
   /// The step for which freed room is reserved until ReservedUntil_.
   StepRun *ReservedFor_ = nullptr;
   Millis ReservedUntil_ = 0;
+  /// Tasks of that step for which the room was freed and that have not started
+  /// yet.
+  std::uint32_t ReservedCopies_ = 0;
   /// Milli-cores in use by work of the highest priority.
   std::int64_t UrgentCpu_ = 0;
-  /// Sums over Runs_ in the latest placement pass: resources of stopping runs,
-  /// and resources of preemptible runs by priority.
+  /// Sums over Runs_: resources of stopping runs, and resources of preemptible
+  /// runs by priority.
   Resources StoppingNeed_;
   std::map<int, Resources> PreemptibleNeed_;
 
