Parse addresses with one checked parser

Callers saw the hosts that read the workers' list end one after another. A worker's entry with the address "127.0.0.1:" reached the constructor of HttpConnectionPool, where std::stoi throws; the exception leaves an event callback and ends the process. The next owner reads the same entry. With the unchanged program the owner ended with signal 6 at the ports, "x" and the empty one ("terminate called after throwing an instance of 'std::out_of_range' what(): stoi", and std::invalid_argument); the ports 0, 65536 and -1, a host name and an IPv6 address were used as they stood.

PeerLink and HttpServer read ports with std::atoi and took an address without an IP number for 0.0.0.0. A host name in a pool would be resolved within the event loop, which blocks it.

parseSocketAddress() accepts an IPv4 address and a port from 1 to 65535. A pool without a usable address answers its calls as unanswered, a link to one never connects, and neither the owner row nor a peer's frame leads to a connection to one.

--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -3,6 +3,7 @@
 
 #include "cell.pb.h"
 #include "node/entry_host.h"
+#include "node/socket_address.h"
 
 namespace oleandergauge::node {
 namespace {
@@ -60,9 +61,9 @@
 }
 
 /// Opens the link to the owner of \p OwnerEpoch, unless a later epoch is known
-/// or \p Address has just refused a connection.
+/// or \p Address cannot be used or has just refused a connection.
 void EntryHost::connectToOwner(Epoch OwnerEpoch, const std::string &Address) {
-  if (OwnerEpoch < OwnerEpoch_ || Address.empty())
+  if (OwnerEpoch < OwnerEpoch_ || !parseSocketAddress(Address))
     return;
   const bool JustRefused = Address == RefusedAddress_ &&
                            bootTime() - RefusedAt_ < RefusedAddressRetryDelay;
@@ -226,7 +227,7 @@
   Announcement.set_address(ownAddress());
   AnnouncementLinks_.clear();
   for (const std::string &Address : PeerAddresses_) {
-    if (Address.empty() || Address == ownAddress())
+    if (!parseSocketAddress(Address) || Address == ownAddress())
       continue;
     AnnouncementLinks_.push_back(std::make_shared<PeerLink>(Loop_, Address));
     AnnouncementLinks_.back()->send(Out);
--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -10,6 +10,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "node/socket_address.h"
+
 namespace oleandergauge::node {
 namespace {
 
@@ -60,9 +62,9 @@
                                        const std::string &Address,
                                        std::size_t MaxConnections)
     : Loop_(Loop), Address_(Address), MaxConnections_(MaxConnections) {
-  const std::size_t Colon = Address.rfind(':');
-  Ip_ = Address.substr(0, Colon);
-  Port_ = static_cast<unsigned short>(std::stoi(Address.substr(Colon + 1)));
+  const auto To = parseSocketAddress(Address).value_or(SocketAddress{});
+  Ip_ = To.Ip_;
+  Port_ = To.Port_;
 }
 
 HttpConnectionPool::~HttpConnectionPool() {
@@ -74,6 +76,13 @@
 
 void HttpConnectionPool::send(HttpCall Call, Millis Timeout,
                               ReplyHandler Then) {
+  if (Port_ == 0) {
+    Loop_.runAfter(0, [Then = std::move(Then), Alive = Alive_] {
+      if (*Alive)
+        Then({});
+    });
+    return;
+  }
   QueuedCall Next{std::move(Call), Timeout, std::move(Then)};
   for (const auto &Each : Connections_)
     if (!Each->Busy_) {
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -23,7 +23,7 @@
 class HttpConnectionPool {
 public:
   /// \p MaxConnections limits the calls in flight; further calls are queued.
-  /// \p Address is "ip:port".
+  /// \p Address is "ip:port"; at any other address calls get no answer.
   HttpConnectionPool(EventLoop &Loop, const std::string &Address,
                      std::size_t MaxConnections);
   ~HttpConnectionPool();
--- a/src/node/http_server.cc
+++ b/src/node/http_server.cc
@@ -9,6 +9,8 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 
+#include "node/socket_address.h"
+
 namespace oleandergauge::node {
 namespace {
 
@@ -18,14 +20,12 @@
 
 bool parseAddress(const std::string &Address, sockaddr_in &Out) {
   std::memset(&Out, 0, sizeof Out);
-  const std::size_t Colon = Address.rfind(':');
-  if (Colon == std::string::npos)
+  const auto Parsed = parseSocketAddress(Address);
+  if (!Parsed)
     return false;
   Out.sin_family = AF_INET;
-  Out.sin_port = htons(
-      static_cast<unsigned short>(std::atoi(Address.c_str() + Colon + 1)));
-  return inet_pton(AF_INET, Address.substr(0, Colon).c_str(), &Out.sin_addr) ==
-         1;
+  Out.sin_port = htons(Parsed->Port_);
+  return inet_pton(AF_INET, Parsed->Ip_.c_str(), &Out.sin_addr) == 1;
 }
 
 const char *reasonPhrase(int Status) {
--- a/src/node/peer_link.cc
+++ b/src/node/peer_link.cc
@@ -12,6 +12,7 @@
 #include <netinet/tcp.h>
 
 #include "cell.pb.h"
+#include "node/socket_address.h"
 
 namespace oleandergauge::node {
 namespace {
@@ -40,10 +41,11 @@
 
 PeerLink::PeerLink(EventLoop &Loop, const std::string &Address)
     : Loop_(Loop), LastReceivedAt_(bootTime()) {
-  const std::size_t Colon = Address.rfind(':');
-  const sockaddr_in To = toSocketAddress(
-      Address.substr(0, Colon), std::atoi(Address.c_str() + Colon + 1));
   createStream(-1);
+  const auto Parsed = parseSocketAddress(Address);
+  if (!Parsed)
+    return; // The link stays silent.
+  const sockaddr_in To = toSocketAddress(Parsed->Ip_, Parsed->Port_);
   bufferevent_socket_connect(Stream_, reinterpret_cast<const sockaddr *>(&To),
                              sizeof To);
   disableNagle(bufferevent_getfd(Stream_));
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -32,7 +32,8 @@
   enum class End { Silent, Closed, Refused };
   using EndHandler = std::function<void(End How)>;
 
-  /// Starts to connect to \p Address ("ip:port").
+  /// Starts to connect to \p Address ("ip:port"). With any other address the
+  /// link never connects.
   PeerLink(EventLoop &Loop, const std::string &Address);
   /// Takes over an accepted connection.
   PeerLink(EventLoop &Loop, int Socket);
