--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -44,6 +44,8 @@
 
   // Operator's rows.
   void readOperatorRows();
+  void applyOperatorRow(const platform::Row &Changed,
+                        platform::OperatorRows &To);
   void watchOperatorRows();
   void publishOperatorRows();
   // Ownership.
@@ -104,6 +106,8 @@
   platform::OperatorRows OperatorRows_;
   std::uint64_t OperatorRowsVersion_ = 0;
   bool OperatorFeedDown_ = false;
+  /// Version of each row that was logged as unusable, by key.
+  std::map<std::string, std::uint64_t> UnusableOperatorRows_;
   std::unique_ptr<Owner> Owner_;
   Millis OwnedSince_ = 0; ///< Start of Owner_.
   /// Whether the operator's rows were read after the takeover.
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -12,7 +12,7 @@
 /// Time for which a request waits for a reachable owner before it is refused. A
 /// new owner usually takes over before the caller would retry.
 constexpr Millis MaxOwnerWait = 500;
-/// Used if the request has no timeout header.
+/// Used if the request has no timeout header that can be read.
 constexpr Millis DefaultCallerTimeout = 3000;
 /// Share of the caller's timeout after which a request that an owner may have
 /// carried out is answered with "outcome unknown".
@@ -79,11 +79,10 @@
   auto NewRequest = std::make_shared<PendingRequest>();
   NewRequest->Request_ = Request;
   NewRequest->ReceivedAt_ = bootTime();
-  const std::string CallerTimeout =
-      Request->header(platform::CallerTimeoutHeader);
-  if (!CallerTimeout.empty())
-    NewRequest->CallerTimeout_ = std::clamp<Millis>(
-        std::atoll(CallerTimeout.c_str()), 100, 10 * DefaultCallerTimeout);
+  if (const auto Timeout = platform::decodeCallerTimeout(
+          Request->header(platform::CallerTimeoutHeader)))
+    NewRequest->CallerTimeout_ =
+        std::clamp<Millis>(*Timeout, 100, 10 * DefaultCallerTimeout);
   cell::pb::Forward &Out = NewRequest->Forward_;
   const HttpMethod Method = Request->method();
   const cell::CallerRequest CallerRequest{
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -78,24 +78,36 @@
 /// Reads all of the operator's rows, with retries, and then watches for
 /// changes.
 void EntryHost::readOperatorRows() {
-  Store_.readTable(
-      platform::TableSpace::Operator, "",
-      [this](const std::optional<platform::RowPage> &Page) {
-        if (!Page) {
-          Loop_.runAfter(OperatorReadRetryDelay,
-                         [this] { readOperatorRows(); });
-          return;
-        }
-        platform::OperatorRows Read;
-        Read.DesiredState_ = OperatorRows_.DesiredState_;
-        for (const platform::Row &Each : Page->Rows_)
-          if (!platform::applyOperatorRow(Each, Read))
-            Log_.logEvent("operator row cannot be read", {{"key", Each.Key_}});
-        OperatorRows_ = std::move(Read);
-        OperatorRowsVersion_ = Page->Version_;
-        publishOperatorRows();
-        watchOperatorRows();
-      });
+  Store_.readTable(platform::TableSpace::Operator, "",
+                   [this](const std::optional<platform::RowPage> &Page) {
+                     if (!Page) {
+                       Loop_.runAfter(OperatorReadRetryDelay,
+                                      [this] { readOperatorRows(); });
+                       return;
+                     }
+                     platform::OperatorRows Read;
+                     Read.DesiredState_ = OperatorRows_.DesiredState_;
+                     for (const platform::Row &Each : Page->Rows_)
+                       applyOperatorRow(Each, Read);
+                     OperatorRows_ = std::move(Read);
+                     OperatorRowsVersion_ = Page->Version_;
+                     publishOperatorRows();
+                     watchOperatorRows();
+                   });
+}
+
+/// Applies a row to \p To. Logs a row that cannot be used, once for each
+/// version of it.
+void EntryHost::applyOperatorRow(const platform::Row &Changed,
+                                 platform::OperatorRows &To) {
+  const auto Applied = platform::applyOperatorRow(Changed, To);
+  if (Applied)
+    return;
+  std::uint64_t &LoggedVersion = UnusableOperatorRows_[Changed.Key_];
+  if (LoggedVersion != Changed.Version_)
+    Log_.logEvent("operator row cannot be read",
+                  {{"key", Changed.Key_}, {"why", Applied.error()}});
+  LoggedVersion = Changed.Version_;
 }
 
 /// Waits for changes of the operator's rows and applies them, in an endless
@@ -121,8 +133,7 @@
           return;
         }
         for (const platform::Row &Each : Answer.Rows_->Rows_)
-          if (!platform::applyOperatorRow(Each, OperatorRows_))
-            Log_.logEvent("operator row cannot be read", {{"key", Each.Key_}});
+          applyOperatorRow(Each, OperatorRows_);
         OperatorRowsVersion_ =
             std::max(OperatorRowsVersion_, Answer.Rows_->Version_);
         if (!Answer.Rows_->Rows_.empty())
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -202,7 +202,7 @@
           return;
         }
         for (const platform::Row &Each : Page->Rows_)
-          platform::applyOperatorRow(Each, OperatorRows_);
+          applyOperatorRow(Each, OperatorRows_);
         OwnerHasOperatorRows_ = true;
         publishOperatorRows();
       });
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -314,7 +314,7 @@
 }
 
 /// Reads the list of workers at most once per WorkerReadInterval and passes it
-/// to the cell. Each unusable entry is logged once.
+/// to the cell. Each unusable entry is logged once with its cause.
 void Owner::readWorkerEntries() {
   if (ReadingWorkerEntries_ || bootTime() < NextWorkerReadAt_)
     return;
@@ -330,16 +330,20 @@
         if (!Page)
           return;
         std::vector<cell::WorkerEntry> Entries;
-        std::set<std::string> Bad;
+        std::map<std::string, std::string> Bad;
         for (const platform::Row &Each : Page->Rows_) {
-          if (auto Entry = platform::decodeWorker(Each)) {
+          auto Entry = platform::decodeWorker(Each);
+          if (Entry) {
             Entries.push_back(std::move(*Entry));
             continue;
           }
-          Bad.insert(Each.Key_);
-          if (UnusableWorkerEntries_.count(Each.Key_) == 0)
-            Context_.Log_.logEvent("worker entry cannot be used",
-                                   {{"worker", Each.Key_}});
+          const auto Logged = UnusableWorkerEntries_.find(Each.Key_);
+          if (Logged == UnusableWorkerEntries_.end() ||
+              Logged->second != Entry.error())
+            Context_.Log_.logEvent(
+                "worker entry cannot be used",
+                {{"worker", Each.Key_}, {"why", Entry.error()}});
+          Bad[Each.Key_] = Entry.error();
         }
         UnusableWorkerEntries_ = std::move(Bad);
         const bool Fresh = bootTime() - Context_.Store_.lastFailureAt() >
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -140,7 +140,8 @@
   Millis CommitPendingSince_ = 0; ///< Time of the first attempt.
   std::vector<cell::RowChange> CommitChanges_;
   ReleaseHandler ReleaseHandler_;
-  std::set<std::string> UnusableWorkerEntries_; ///< Already logged.
+  /// The cause by worker id of each unusable entry, as logged.
+  std::map<std::string, std::string> UnusableWorkerEntries_;
   std::unique_ptr<HttpConnectionPool>
       MachineService_; ///< Null if no machine service is set.
   std::vector<cell::MachineEntry> ListedMachines_;
