Keep a page of rows that has a name which is no text

A name with bytes that are not UTF-8, or with half of a surrogate pair, made the whole page unreadable, so that the workers' list was no longer followed while the row stood there. With the unchanged program the owner did not name an entry whose key has a lone surrogate within 4 s.

A name with a zero byte at the end of a page was cut there in the request for the next page, which began at the same row again, without an end.

On the unchanged code OddPages.OneOddRowDoesNotHideTheOthers and TheNextPageBeginsAfterANameWithAZeroByte failed.

--- a/src/node/store_client.cc
+++ b/src/node/store_client.cc
@@ -145,14 +145,15 @@
                            TableHandler Then) {
   const Millis SentAt = bootTime();
   ReadPool_.send(platform::encodeRead(Space, Table, From), ReadTimeout,
-                 [this, SentAt, Space, Table, PagesRead,
+                 [this, SentAt, Space, Table, From, PagesRead,
                   Then = std::move(Then)](const HttpReply &Reply) {
                    if (Space == platform::TableSpace::Own)
                      recordOwnRowsReply(Reply, SentAt);
                    else
                      recordReply(Reply);
                    auto Page = platform::decodeRead(Reply);
-                   if (!Page) {
+                   // Reading on from a key before From would never end.
+                   if (!Page || (Page->More_ && !Page->advancesFrom(From))) {
                      Then(std::nullopt);
                      return;
                    }
--- a/test/platform/odd_values_test.cc
+++ b/test/platform/odd_values_test.cc
@@ -242,6 +242,36 @@
   }
 }
 
+// The rest of a page holds, whatever one of its rows contains.
+TEST(OddPages, OneOddRowDoesNotHideTheOthers) {
+  const std::string Good = R"({"key":"k","value":"YQ==","ver":3})";
+  for (const std::string &Odd :
+       {std::string("7"), std::string("null"), nestedArrays(), nestedObjects(),
+        std::string(R"({"key":7,"value":7,"ver":"x"})"),
+        R"({"key":"o","value":)" + nestedArrays() + "}",
+        R"({"key":"o","value":{"a":)" + nestedObjects() + "}}",
+        std::string(R"({"key":"o","value":"!!!!","ver":1e308})"),
+        std::string(R"({"key":"o\ud800","value":"","ver":-1})"),
+        std::string("{\"key\":\"o\xff\xfe\x80\",\"value\":\"YQ==\"}"),
+        "{\"key\":\"" + repeat("\xc3", 200) + "\",\"value\":\"YQ==\"}",
+        std::string(R"({"key":"o\u0000p","value":"YQ=="})")}) {
+    const auto Page =
+        decodeRead({200, R"({"rows":[)" + Odd + "," + Good + R"(],"ver":9})"});
+    ASSERT_TRUE(Page) << Odd.substr(0, 60);
+    ASSERT_FALSE(Page->Rows_.empty());
+    EXPECT_EQ(Page->Rows_.back(), (Row{"", "k", "a", 3, false}))
+        << Odd.substr(0, 60);
+  }
+}
+
+// A name that contains a zero byte was cut there, so that the read of the next
+// page began again at the same row, without an end.
+TEST(OddPages, TheNextPageBeginsAfterANameWithAZeroByte) {
+  const std::string Key("a\0b", 3);
+  EXPECT_EQ(encodeRead(TableSpace::Workers, "", keyAfter(Key)).Path_,
+            "/rows-get?table=servers&part=&from=a%00b%01");
+}
+
 // Numbers of runs and ends are compared with those of this system, and clocks
 // are added to.
 TEST(OddReports, RowsWithNumbersOutOfRangeAreSkipped) {
