Keep a wave whose row can no longer be used

A wave that was being worked on was dropped as soon as its row was replaced by one that cannot be read, although only the removal of the row withdraws it. The desired state already stayed in that case. Both hold now until the row is valid again or removed, also when all rows are read anew.

On the unchanged code OddOperatorRows.AnUnreadableWaveLeavesTheEarlierOne failed at the first odd row.

--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -85,8 +85,8 @@
                                       [this] { readOperatorRows(); });
                        return;
                      }
-                     platform::OperatorRows Read;
-                     Read.DesiredState_ = OperatorRows_.DesiredState_;
+                     platform::OperatorRows Read =
+                         platform::keepLastRead(OperatorRows_, Page->Rows_);
                      for (const platform::Row &Each : Page->Rows_)
                        applyOperatorRow(Each, Read);
                      OperatorRows_ = std::move(Read);
--- a/test/platform/odd_values_test.cc
+++ b/test/platform/odd_values_test.cc
@@ -226,6 +226,22 @@
   EXPECT_EQ(Rows.DesiredState_->Version_, 3U);
 }
 
+// A wave that was being worked on ended when its row became unreadable.
+TEST(OddOperatorRows, AnUnreadableWaveLeavesTheEarlierOne) {
+  const std::string Good =
+      R"({"wave":7,"machines":["m-1"],"duration_s":20,"max_count":2})";
+  OperatorRows Rows;
+  ASSERT_TRUE(applyOperatorRow(operatorRow("wave/7", Good), Rows));
+  for (const std::string &Odd :
+       {std::string("[1]"), std::string("\xff\xfe"), nestedArrays(),
+        replaced(Good, ":7", ":-1"), replaced(Good, ":7", ":1e308"),
+        replaced(Good, ":7", ":18446744073709551615")}) {
+    EXPECT_FALSE(applyOperatorRow(operatorRow("wave/7", Odd), Rows));
+    ASSERT_EQ(Rows.Waves_.count("wave/7"), 1U);
+    EXPECT_EQ(Rows.Waves_.at("wave/7"), (cell::Wave{7, {"m-1"}, 20000, 2}));
+  }
+}
+
 TEST(OddOperatorRows, NumbersOfAWaveStayInRange) {
   for (const std::string &Number : ExtremeNumbers) {
     if (Number.size() >= 400)
