--- a/test/standin/platform_world.py
+++ b/test/standin/platform_world.py
@@ -89,6 +89,13 @@
                 self.rows[(table, part, key)] = (text, self.version)
             self.changed.notify_all()
 
+    def put_bytes(self, table, key, value, part=""):
+        """Writes a row whose value need not be JSON."""
+        with self.changed:
+            self.version += 1
+            self.rows[(table, part, key)] = (base64.b64encode(value).decode(), self.version)
+            self.changed.notify_all()
+
     def value(self, table, key, part=""):
         with self.changed:
             text = self.rows.get((table, part, key), (None, 0))[0]
