Write a transaction in one turn of the loop; a truer time to retry

Two changes on the way of a transaction and of a refusal.

libevent writes 16 KiB a turn, so that a full transaction of some 40 KB takes more turns, each of 40 ms and more in a busy owner.

A refused submission was told to come back after the whole wait, which grows with an outage of the store. It is now told the time after which it would be accepted, and none (so 1 s) while the store does not answer.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -156,6 +156,7 @@
   void markDirty(Job &TargetJob);
   void countJob(Job &TargetJob);
   void setAnswerTime(Job &TargetJob, Millis Timeout) const;
+  Millis retryTime(Millis Timeout) const;
   void scheduleOccurrence(const Job &TargetJob);
   void removeDetachedSteps();
   void forgetJob(Job &Ended);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -28,6 +28,12 @@
 /// Interval at which due occurrences, expired advice and old ends are checked.
 constexpr Millis JobAdvanceInterval = 40;
 
+/// Returns the time within which a submission has to be stored.
+Millis maxStoreWait(Millis CallerTimeout) {
+  return static_cast<Millis>(MaxStoreWaitShare *
+                             static_cast<double>(CallerTimeout));
+}
+
 } // namespace
 
 Cell::Engine::Engine(std::string Self, Epoch OwnEpoch, Bounds Limits)
@@ -311,23 +317,29 @@
     return true;
   }
   const Millis Wait = expectedStoreWait();
-  const double Limit = MaxStoreWaitShare * static_cast<double>(Timeout);
   const bool Stalled = storeStalled();
-  if (!Stalled && static_cast<double>(Wait) <= Limit)
+  if (!Stalled && Wait <= maxStoreWait(Timeout))
     return false;
   Effects_.push_back(Decision{"job_refused", Request.JobId_,
                               Stalled ? "store stalled" : "not stored in time",
                               Wait});
-  Effects_.push_back(Reply{Caller, Answer::Busy, JobState::Queued, 0, Wait});
+  Effects_.push_back(
+      Reply{Caller, Answer::Busy, JobState::Queued, 0, retryTime(Timeout)});
   return true;
 }
 
 /// Sets the time by which a submission that arrived now must be stored.
 void Cell::Engine::setAnswerTime(Job &TargetJob, Millis Timeout) const {
   TargetJob.AnswerBy_ =
-      std::max(TargetJob.AnswerBy_,
-               Now_ + static_cast<Millis>(MaxStoreWaitShare *
-                                          static_cast<double>(Timeout)));
+      std::max(TargetJob.AnswerBy_, Now_ + maxStoreWait(Timeout));
+}
+
+/// Returns after which time a refused submission is likely to be accepted, or
+/// zero if that is not known because the store does not answer.
+Millis Cell::Engine::retryTime(Millis Timeout) const {
+  if (storeStalled())
+    return 0;
+  return std::max(CommitTime_, expectedStoreWait() - maxStoreWait(Timeout));
 }
 
 void Cell::Engine::submit(Token Caller, const Resolution &Request,
@@ -596,11 +608,11 @@
   NewJobs_.erase(Late, NewJobs_.end());
   std::erase_if(EndingJobs_,
                 [&](const Job *Each) { return !Each->Sent_ && IsLate(Each); });
-  const Millis Wait = expectedStoreWait();
+  const Millis RetryAfter = retryTime(DefaultCallerTimeout);
   for (Job *Each : Refused) {
     for (Token Caller : Each->Callers_)
       Effects_.push_back(
-          Reply{Caller, Answer::Busy, JobState::Queued, 0, Wait});
+          Reply{Caller, Answer::Busy, JobState::Queued, 0, RetryAfter});
     for (Token Caller : Each->Cancellers_)
       Effects_.push_back(Reply{Caller, Answer::NoJob});
     Effects_.push_back(Decision{
--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -13,6 +13,10 @@
 namespace oleandergauge::node {
 namespace {
 
+/// Maximum number of bytes written to a connection in one turn of the event
+/// loop. libevent's 16 KiB would spread a transaction over several turns, each
+/// of which takes tens of milliseconds in a busy process.
+constexpr std::size_t MaxBytesPerTurn = std::size_t{1} << 20;
 /// Time after which a connection without a call is closed.
 constexpr Millis IdleTimeout = 30000;
 
@@ -89,6 +93,8 @@
   NewConnection->Link_ =
       evhttp_connection_base_new(Loop_.base(), nullptr, Ip_.c_str(), Port_);
   evhttp_connection_set_retries(NewConnection->Link_, 0);
+  bufferevent_set_max_single_write(
+      evhttp_connection_get_bufferevent(NewConnection->Link_), MaxBytesPerTurn);
   Connections_.push_back(std::move(NewConnection));
   startCall(*Connections_.back(), std::move(Next));
 }
--- a/test/cell/cell_commit_test.cc
+++ b/test/cell/cell_commit_test.cc
@@ -172,6 +172,24 @@
   EXPECT_LT(Sim.longestSubmissionWait(), 2500);
   for (const std::string &Id : Sim.Refused_)
     EXPECT_EQ(Sim.stateOf(Id), std::nullopt);
+  for (const Millis Each : Sim.RetryTimes_) {
+    EXPECT_GT(Each, 0);
+    EXPECT_LE(Each, 3 * Sim.CommitTime_);
+  }
+}
+
+// Guards against a time to retry that grows with the outage of the store: it
+// may answer again at any moment.
+TEST(CellCommit, NamesNoRetryTimeWhileTheStoreDoesNotAnswer) {
+  CellSimulation Sim(1);
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.setStoreDown(true);
+  Sim.submit("00000000000000a1", simpleJob(1, 1000));
+  Sim.run(4000);
+  Sim.submit(JobId, simpleJob(1, 1000));
+  ASSERT_EQ(Sim.Refused_.count(JobId), 1U);
+  EXPECT_EQ(Sim.RetryTimes_, std::vector<Millis>{0});
 }
 
 } // namespace
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -195,6 +195,7 @@
   }
   std::set<std::string> Accepted_;
   std::set<std::string> Refused_;
+  std::vector<Millis> RetryTimes_; ///< As told with refusals.
   std::map<std::string, Millis> CancelledAt_;
   Faults Faults_;
   Millis CommitTime_ = 8;                ///< Duration of a transaction.
@@ -575,8 +576,10 @@
     }
     if (Each.Answer_ == Answer::Accepted)
       Accepted_.insert(Callers_[Each.Token_]);
-    if (Each.Answer_ == Answer::Busy)
+    if (Each.Answer_ == Answer::Busy) {
       Refused_.insert(Callers_[Each.Token_]);
+      RetryTimes_.push_back(Each.RetryAfter_);
+    }
     if (Each.Answer_ == Answer::Cancelled)
       CancelledAt_.emplace(Callers_[Each.Token_], Now_);
   }
