--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -157,7 +157,9 @@
   void markDirty(Job &TargetJob);
   void countJob(Job &TargetJob);
   void setAnswerTime(Job &TargetJob, Millis Timeout) const;
+  Millis retryTime(Millis Timeout) const;
   void scheduleOccurrence(const Job &TargetJob);
+  void advanceOccurrences();
   void forgetJob(Job &Ended);
   JobState stateOf(const Job &TargetJob) const;
   const Queue *findQueue(const std::string &Name) const;
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -32,6 +32,12 @@
 /// owner until it loses ownership.
 constexpr std::size_t MaxOccurrencesOpened = 1000;
 
+/// Returns the time within which a submission has to be stored.
+Millis maxStoreWait(Millis CallerTimeout) {
+  return static_cast<Millis>(MaxStoreWaitShare *
+                             static_cast<double>(CallerTimeout));
+}
+
 } // namespace
 
 Cell::Engine::Engine(std::string Self, Epoch OwnEpoch, Bounds Limits)
@@ -320,23 +326,29 @@
     return true;
   }
   const Millis Wait = expectedStoreWait();
-  const double Limit = MaxStoreWaitShare * static_cast<double>(Timeout);
   const bool Stalled = storeStalled();
-  if (!Stalled && static_cast<double>(Wait) <= Limit)
+  if (!Stalled && Wait <= maxStoreWait(Timeout))
     return false;
   Effects_.push_back(Decision{"job_refused", Request.JobId_,
                               Stalled ? "store stalled" : "not stored in time",
                               Wait});
-  Effects_.push_back(Reply{Caller, Answer::Busy, JobState::Queued, 0, Wait});
+  Effects_.push_back(
+      Reply{Caller, Answer::Busy, JobState::Queued, 0, retryTime(Timeout)});
   return true;
 }
 
 /// Sets the time by which a submission that arrived now must be stored.
 void Cell::Engine::setAnswerTime(Job &TargetJob, Millis Timeout) const {
   TargetJob.AnswerBy_ =
-      std::max(TargetJob.AnswerBy_,
-               Now_ + static_cast<Millis>(MaxStoreWaitShare *
-                                          static_cast<double>(Timeout)));
+      std::max(TargetJob.AnswerBy_, Now_ + maxStoreWait(Timeout));
+}
+
+/// Returns after which time a refused submission is likely to be accepted, or
+/// zero if that is not known because the store does not answer.
+Millis Cell::Engine::retryTime(Millis Timeout) const {
+  if (storeStalled())
+    return 0;
+  return std::max(CommitTime_, expectedStoreWait() - maxStoreWait(Timeout));
 }
 
 void Cell::Engine::submit(Token Caller, const Resolution &Request,
@@ -601,11 +613,11 @@
   NewJobs_.erase(Late, NewJobs_.end());
   std::erase_if(EndingJobs_,
                 [&](const Job *Each) { return !Each->Sent_ && IsLate(Each); });
-  const Millis Wait = expectedStoreWait();
+  const Millis RetryAfter = retryTime(DefaultCallerTimeout);
   for (Job *Each : Refused) {
     for (Token Caller : Each->Callers_)
       Effects_.push_back(
-          Reply{Caller, Answer::Busy, JobState::Queued, 0, Wait});
+          Reply{Caller, Answer::Busy, JobState::Queued, 0, RetryAfter});
     for (Token Caller : Each->Cancellers_)
       Effects_.push_back(Reply{Caller, Answer::NoJob});
     Effects_.push_back(Decision{
@@ -623,6 +635,23 @@
   Jobs_.erase(Id);
 }
 
+/// Opens the occurrences that are due. A job of which many are overdue opens
+/// the others at the next check.
+void Cell::Engine::advanceOccurrences() {
+  const auto End = DueOccurrences_.upper_bound(Wall_);
+  std::vector<std::string> Ids;
+  for (auto It = DueOccurrences_.begin(); It != End; ++It)
+    Ids.push_back(It->second);
+  DueOccurrences_.erase(DueOccurrences_.begin(), End);
+  for (const std::string &Id : Ids) {
+    Job *Due = findJob(Id);
+    if (Due == nullptr || Due->EndState_)
+      continue;
+    openDueOccurrences(*Due);
+    scheduleOccurrence(*Due);
+  }
+}
+
 void Cell::Engine::advanceJobs() {
   if (Now_ < NextJobAdvance_)
     return;
@@ -630,14 +659,7 @@
   refuseLateJobs();
   PlacementNeeded_ = true; // Tickets and backoffs expire without an event.
   expireAdvice();
-  while (!DueOccurrences_.empty() && DueOccurrences_.begin()->first <= Wall_) {
-    Job *Due = findJob(DueOccurrences_.begin()->second);
-    DueOccurrences_.erase(DueOccurrences_.begin());
-    if (Due == nullptr || Due->EndState_)
-      continue;
-    openDueOccurrences(*Due);
-    scheduleOccurrence(*Due);
-  }
+  advanceOccurrences();
   while (!EndedByTime_.empty() &&
          EndedByTime_.begin()->first + Limits_.StatusRetention_ * 3 / 2 <
              Wall_) {
--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -16,6 +16,10 @@
 namespace oleandergauge::node {
 namespace {
 
+/// Maximum number of bytes written to a connection in one turn of the event
+/// loop. libevent's 16 KiB would spread a transaction over several turns, each
+/// of which takes tens of milliseconds in a busy process.
+constexpr std::size_t MaxBytesPerTurn = std::size_t{1} << 20;
 /// Time after which a connection without a call is closed. It is longer than
 /// the timeout of any call.
 constexpr int IdleTimeoutSeconds = 30;
@@ -115,6 +119,8 @@
   evhttp_connection_set_timeout(NewConnection->Link_, IdleTimeoutSeconds);
   NewConnection->Timer_ =
       event_new(Loop_.base(), -1, 0, onTimeout, NewConnection.get());
+  bufferevent_set_max_single_write(
+      evhttp_connection_get_bufferevent(NewConnection->Link_), MaxBytesPerTurn);
   Connections_.push_back(std::move(NewConnection));
   startCall(*Connections_.back(), std::move(Next));
 }
