Stop the other runs of a task that is done

A worker that was cut off for longer than its lease comes back and lists the end of a run of the former owner. The owner had started the task elsewhere by then, and that start had no answer yet; it was repeated after the end was stored and acknowledged.

An end that completes a task or a gang now stops its other runs.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -131,6 +131,7 @@
   void recordDuration(std::string_view What, const Job &TargetJob);
   void requeueTask(StepRun &Step, std::uint32_t Index);
   void finishGang(StepRun &Step);
+  void stopOtherRuns(StepRun &Step, std::uint32_t Index, std::uint64_t Attempt);
   void markDirty(Job &TargetJob);
   void forgetJob(Job &Ended);
   JobState stateOf(const Job &TargetJob) const;
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -403,6 +403,22 @@
   Step.Gang_.Phase_ = GangAttempt::Phase::Finished;
 }
 
+/// Stops the runs of the tasks that the run \p Attempt has completed, other
+/// than that run itself. Such a run is started when the lease of a lost worker
+/// has ended, before that worker lists the end.
+void Cell::Engine::stopOtherRuns(StepRun &Step, std::uint32_t Index,
+                                 std::uint64_t Attempt) {
+  for (std::uint32_t At = 0; At < Step.Tasks_.size(); ++At) {
+    Worker *Target = Step.Tasks_[At].AssignedWorker_;
+    if (Target == nullptr || (At != Index && !Step.spec().Gang_))
+      continue;
+    const std::string Name = taskName(Step, At);
+    const auto It = Target->Runs_.find(Name);
+    if (It != Target->Runs_.end() && It->second.Attempt_ != Attempt)
+      stopRun(*Target, Name, It->second, "task is done");
+  }
+}
+
 /// Applies the end of a run to its task: completes it, counts a failure, or
 /// requeues it.
 void Cell::Engine::handleTaskEnd(StepRun &Step, std::uint32_t Index,
@@ -417,6 +433,7 @@
     return;
   const bool IsService = Step.spec().Service_;
   if (End.Kind_ == EndKind::Done && !IsService) {
+    stopOtherRuns(Step, Index, End.Attempt_);
     if (Step.spec().Gang_) {
       finishGang(Step);
     } else {
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -444,6 +444,38 @@
   EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
 }
 
+// Guards against repeating the unanswered start of a task that is done: a
+// worker that was cut off for longer than its lease lists the end of an earlier
+// run.
+TEST(Cell, RepeatsNoStartOfADoneTask) {
+  for (const bool Gang : {false, true}) {
+    CellSimulation Sim(1, 2);
+    Sim.TaskBehaviour_ = [](const std::string &) {
+      return std::pair(Millis{500}, false);
+    };
+    Sim.takeOver();
+    Sim.run(300);
+    JobSpec Spec = simpleJob(1, 1000);
+    Spec.Steps_[0].Gang_ = Gang;
+    Sim.submit(JobId, Spec, "fast");
+    Sim.run(200);
+    ASSERT_EQ(Sim.starts(), 1U);
+    const std::size_t First = Sim.worker(0).Runs_.empty() ? 1 : 0;
+    Sim.worker(First).Disconnected_ = true;
+    Sim.killOwner();
+    Sim.takeOver();
+    Sim.Faults_.LateOrder_ = 1;
+    Sim.run(6800);
+    Sim.worker(First).Disconnected_ = false;
+    Sim.run(300);
+    Sim.Faults_.LateOrder_ = 0;
+    Sim.run(12000);
+    EXPECT_EQ(Sim.starts(), 1U);
+    EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
+    EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
+  }
+}
+
 // Guards against a late occurrence that waits forever behind work that no
 // worker can run, because each pass selects workers to ask for a few steps
 // only.
