--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -19,14 +19,14 @@
 /// stored at once.
 class FullCell {
 public:
-  explicit FullCell(std::optional<AdviceCost> Advice) {
+  explicit FullCell(const std::optional<AdviceCost> &Advice) {
     auto State = std::make_shared<DesiredState>();
     State->Version_ = 1;
-    State->Queues_ = {
-        {"q", "h", "/q/", "svc", 0, 2, 2, 500, std::move(Advice), false}};
+    State->Queues_ = {{"q", "h", "/q/", "svc", 0, 2, 2, 500, Advice, false}};
     Subject_.setDesiredState(Now_, State);
     Subject_.restore(Now_, Wall, {});
     std::vector<WorkerEntry> Entries;
+    Entries.reserve(WorkerCount);
     for (int At = 0; At < WorkerCount; ++At)
       Entries.push_back({"w" + std::to_string(At),
                          "svc",
