--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -154,6 +154,7 @@
   void recordDuration(std::string_view What, const Job &TargetJob);
   void requeueTask(StepRun &Step, std::uint32_t Index);
   void finishGang(StepRun &Step);
+  void stopOtherRuns(StepRun &Step, std::uint32_t Index, std::uint64_t Attempt);
   void markDirty(Job &TargetJob);
   void countJob(Job &TargetJob);
   void setAnswerTime(Job &TargetJob, Millis Timeout) const;
