Stop a start that was unanswered and then rejected

The first copy arrived 3 s later and was carried out beside newer work. Nothing prevents that but a stop, which raises the number below which the worker rejects.

The rejected run is now stopped like any other.

--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -371,12 +371,9 @@
   else if (Step != nullptr)
     Step->Advice_[Target.Id_].ValidUntil_ = 0;
   if (TargetRun.Unanswered_) {
-    // An earlier copy of the order may have started a run; the run lists tell.
-    TargetRun.Phase_ = Run::Phase::Stopping;
-    TargetRun.StopConfirmed_ = Outcome.ClockMs_ != 0;
-    TargetRun.ConfirmedClock_ =
-        std::max(TargetRun.ConfirmedClock_, Outcome.ClockMs_);
-    abortGangOf(TargetRun, "start of a member was rejected");
+    // An earlier copy of the order may have started a run or may still arrive;
+    // only a stop prevents that.
+    stopRun(Target, Order.Task_, TargetRun, "start rejected");
     return;
   }
   if (Step != nullptr)
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -86,6 +86,33 @@
   EXPECT_EQ(Sim.cell().stats(Sim.now()).Running_, 0U);
 }
 
+// Guards against exceeding a worker's capacity by a late copy of a start whose
+// second copy was rejected: only a stop prevents that the first one is carried
+// out.
+TEST(Cell, StopsAStartThatWasUnansweredAndThenRejected) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CellSimulation Sim(Seed, 1);
+    Sim.TaskBehaviour_ = [](const std::string &) {
+      return std::pair(Millis{60000}, false);
+    };
+    Sim.takeOver();
+    Sim.run(300);
+    Sim.Faults_.LateOrder_ = 1;
+    Sim.submit("00000000000000a1", simpleJob(1, 3000), "fast");
+    Sim.run(50);
+    Sim.Faults_.LateOrder_ = 0;
+    Sim.worker(0).RejectsStarts_ = true;
+    Sim.run(500);
+    Sim.cancel("00000000000000a1");
+    Sim.run(500);
+    Sim.worker(0).RejectsStarts_ = false;
+    Sim.submit("00000000000000a2", simpleJob(1, 3000), "fast");
+    Sim.run(9000);
+    EXPECT_EQ(Sim.starts(), 1U) << Seed;
+    EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
+  }
+}
+
 // Guards against a task that waits forever if the answer to an order is the
 // first sign of a worker's new incarnation.
 TEST(Cell, StartsAgainWhereAnOrderFindsANewLife) {
