--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -178,6 +178,7 @@
 
 void Cell::Engine::addRun(Worker &Target, const std::string &Name, Run NewRun) {
   markDue(Target);
+  dropRun(Target, Name); // An earlier attempt, whose end did not count.
   Target.Used_ = Target.Used_ + NewRun.Need_;
   if (NewRun.Step_ != nullptr) {
     NewRun.Priority_ = priorityOf(*NewRun.Step_);
--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -145,6 +145,8 @@
   Millis DrainingSince_ = 0; ///< Zero unless draining.
   bool StopSoon_ = false;    ///< A second signal has arrived.
   bool Listening_ = true;
+  /// The last turn of the loop, which writes what was answered last, has begun.
+  bool LastTurnGiven_ = false;
 };
 
 } // namespace oleandergauge::node
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -204,7 +204,9 @@
   if (StopSoon_ || Draining > StopAt - AnswerReserve)
     FrontEnd_.refuseAll();
   if (Draining > StopAt) {
-    Loop_.stop();
+    // Answers of this tick are written in the next turn of the loop.
+    if (countOpenRequests() == 0 || std::exchange(LastTurnGiven_, true))
+      Loop_.stop();
     return;
   }
   if (!isDrained(Draining))
--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -28,6 +28,9 @@
 /// process that is slow, the timeout may pass before the loop has looked at the
 /// connection once.
 constexpr std::uint64_t MinTurnsPerCall = 4;
+/// Further turns for a call of which bytes have arrived. libevent reads 4 KiB
+/// per connection and turn, so that a long answer takes many.
+constexpr std::uint64_t MinTurnsAfterInput = 2;
 
 evhttp_cmd_type toCommand(HttpMethod Method) {
   switch (Method) {
@@ -69,6 +72,11 @@
     if (Link_ != nullptr)
       evhttp_connection_free(std::exchange(Link_, nullptr));
   }
+  /// Gives the call at least \p Count turns from now on.
+  void allowTurns(std::uint64_t Count) {
+    FirstTimeoutTurn_ =
+        std::max(FirstTimeoutTurn_, Pool_->Loop_.turns() + Count);
+  }
   void startTimer(Millis Timeout) {
     const timeval Span = {static_cast<time_t>(Timeout / 1000),
                           static_cast<suseconds_t>(Timeout % 1000 * 1000)};
@@ -119,8 +127,9 @@
   evhttp_connection_set_timeout(NewConnection->Link_, IdleTimeoutSeconds);
   NewConnection->Timer_ =
       event_new(Loop_.base(), -1, 0, onTimeout, NewConnection.get());
-  bufferevent_set_max_single_write(
-      evhttp_connection_get_bufferevent(NewConnection->Link_), MaxBytesPerTurn);
+  bufferevent *Stream = evhttp_connection_get_bufferevent(NewConnection->Link_);
+  bufferevent_set_max_single_write(Stream, MaxBytesPerTurn);
+  evbuffer_add_cb(bufferevent_get_input(Stream), onInput, NewConnection.get());
   Connections_.push_back(std::move(NewConnection));
   startCall(*Connections_.back(), std::move(Next));
 }
@@ -134,7 +143,7 @@
 void HttpConnectionPool::startCall(Connection &Target, QueuedCall Next) {
   Target.Busy_ = true;
   Target.Handler_ = std::move(Next.Handler_);
-  Target.FirstTimeoutTurn_ = Loop_.turns() + MinTurnsPerCall;
+  Target.allowTurns(MinTurnsPerCall);
   Target.startTimer(Next.Timeout_);
   evhttp_request *Request = evhttp_request_new(onReply, &Target);
   evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
@@ -154,6 +163,12 @@
     });
 }
 
+void HttpConnectionPool::onInput(evbuffer *, const evbuffer_cb_info *Change,
+                                 void *Argument) {
+  if (Change->n_added > 0)
+    static_cast<Connection *>(Argument)->allowTurns(MinTurnsAfterInput);
+}
+
 /// Ends a call at its timeout, which libevent's own timeouts cannot do: in a
 /// turn in which both have come, they discard the answer.
 void HttpConnectionPool::onTimeout(int, short, void *Argument) {
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -10,6 +10,8 @@
 #include "node/http_types.h"
 #include "node/loop.h"
 
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -48,6 +50,8 @@
   void finishCall(Connection &Target, HttpReply Reply);
   static void onReply(evhttp_request *Request, void *Argument);
   static void onTimeout(int Socket, short What, void *Connection);
+  static void onInput(evbuffer *Input, const evbuffer_cb_info *Change,
+                      void *Connection);
 
   EventLoop &Loop_;
   std::string Ip_;
--- a/test/node/http_client_test.cc
+++ b/test/node/http_client_test.cc
@@ -18,14 +18,15 @@
 /// Serves one connection on loopback and answers each request.
 class FakeHttpServer {
 public:
-  FakeHttpServer() : Listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+  explicit FakeHttpServer(std::size_t BodyBytes = 0)
+      : Body_(BodyBytes, 'x'), Listener_(socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(Listener_, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
-    listen(Listener_, 8);
+    auto *Raw = reinterpret_cast<sockaddr *>(&Address);
     socklen_t Size = sizeof Address;
-    getsockname(Listener_, reinterpret_cast<sockaddr *>(&Address), &Size);
+    Listening_ = bind(Listener_, Raw, Size) == 0 && listen(Listener_, 8) == 0 &&
+                 getsockname(Listener_, Raw, &Size) == 0;
     Port_ = ntohs(Address.sin_port);
     Thread_ = std::thread([this] { serve(); });
   }
@@ -38,6 +39,7 @@
   FakeHttpServer &operator=(const FakeHttpServer &) = delete;
 
   std::string address() const { return "127.0.0.1:" + std::to_string(Port_); }
+  bool isListening() const { return Listening_; }
   /// Accepts requests, but leaves them without an answer.
   void setSilent() { Silent_ = true; }
 
@@ -50,13 +52,17 @@
         answer(Connection);
     close(Connection);
   }
-  static void answer(int Connection) {
+  void answer(int Connection) {
     std::this_thread::sleep_for(AnswerDelay);
-    const std::string Text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    const std::string Text =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body_.size()) +
+        "\r\n\r\n" + Body_;
     send(Connection, Text.data(), Text.size(), MSG_NOSIGNAL);
   }
 
+  std::string Body_;
   int Listener_;
+  bool Listening_ = false;
   int Port_ = 0;
   std::atomic<bool> Silent_ = false;
   std::thread Thread_;
@@ -68,7 +74,7 @@
 constexpr Millis LongTurn = 150;
 constexpr Millis ShortTurn = 5;
 /// Ends a test whose call has no outcome.
-constexpr Millis TestTimeout = 3000;
+constexpr Millis TestTimeout = 10000;
 
 /// Returns the statuses of two calls in sequence while callbacks of length
 /// \p Turn keep the loop busy. The first call opens the connection.
@@ -102,6 +108,16 @@
 // arrived in the meantime was discarded and the order sent again.
 TEST(HttpConnectionPoolTest, AnswerThatArrivedDuringALongTurnIsNotLost) {
   FakeHttpServer Server;
+  ASSERT_TRUE(Server.isListening());
+  EXPECT_EQ(makeTwoCalls(Server.address(), LongTurn),
+            (std::vector<int>{200, 200}));
+}
+
+// The same for an answer that the loop reads in several turns, such as a list
+// of many ended runs.
+TEST(HttpConnectionPoolTest, LongAnswerIsReadOverSeveralLongTurns) {
+  FakeHttpServer Server(32000);
+  ASSERT_TRUE(Server.isListening());
   EXPECT_EQ(makeTwoCalls(Server.address(), LongTurn),
             (std::vector<int>{200, 200}));
 }
--- a/test/platform/odd_values_test.cc
+++ b/test/platform/odd_values_test.cc
@@ -19,6 +19,18 @@
 namespace oleandergauge::platform {
 namespace {
 
+/// Replaces each '#' of a template by a value.
+std::string fill(const std::string &Template, const std::string &Value) {
+  std::string Out;
+  for (const char Each : Template) {
+    if (Each == '#')
+      Out += Value;
+    else
+      Out += Each;
+  }
+  return Out;
+}
+
 constexpr std::size_t DeepNesting = 100000;
 
 std::string repeat(const std::string &Text, std::size_t Times) {
@@ -175,15 +187,15 @@
   for (const std::string &Number : ExtremeNumbers) {
     if (Number.size() >= 400)
       continue; // No JSON parser reads it; the row as a whole is unreadable.
-    const std::string Route =
-        R"({"name":"o","host":"h","prefix":"/o/","service":"s","priority":)" +
-        Number + R"(,"attempts":)" + Number + R"(,"slack_factor":)" + Number +
-        R"(,"slo_ms":)" + Number + R"(,"hint":{"decide_ms":)" + Number +
-        R"(,"period_ms":)" + Number + R"(,"valid_ms":)" + Number + "}}";
-    const std::string Limits = R"({"max_header_bytes":)" + Number +
-                               R"(,"max_body_bytes":)" + Number +
-                               R"(,"header_timeout_ms":)" + Number +
-                               R"(,"idle_timeout_ms":)" + Number + "}";
+    const std::string Route = fill(
+        R"({"name":"o","host":"h","prefix":"/o/","service":"s","priority":#,)"
+        R"("attempts":#,"slack_factor":#,"slo_ms":#,"hint":{"decide_ms":#,)"
+        R"("period_ms":#,"valid_ms":#}})",
+        Number);
+    const std::string Limits =
+        fill(R"({"max_header_bytes":#,"max_body_bytes":#,)"
+             R"("header_timeout_ms":#,"idle_timeout_ms":#})",
+             Number);
     OperatorRows Rows;
     ASSERT_TRUE(applyOperatorRow(
         operatorRow("config", desiredState(Route, Limits)), Rows))
@@ -248,8 +260,10 @@
       continue;
     OperatorRows Rows;
     ASSERT_TRUE(applyOperatorRow(
-        operatorRow("wave/7", R"({"wave":7,"machines":["m"],"duration_s":)" +
-                                  Number + R"(,"max_count":)" + Number + "}"),
+        operatorRow("wave/7",
+                    fill(R"({"wave":7,"machines":["m"],"duration_s":#,)"
+                         R"("max_count":#})",
+                         Number)),
         Rows));
     const cell::Wave &Wave = Rows.Waves_.at("wave/7");
     EXPECT_GE(Wave.Duration_, 0) << Number;
@@ -272,7 +286,7 @@
         "{\"key\":\"" + repeat("\xc3", 200) + "\",\"value\":\"YQ==\"}",
         std::string(R"({"key":"o\u0000p","value":"YQ=="})")}) {
     const auto Page =
-        decodeRead({200, R"({"rows":[)" + Odd + "," + Good + R"(],"ver":9})"});
+        decodeRead({200, fill(R"({"rows":[#,)" + Good + R"(],"ver":9})", Odd)});
     ASSERT_TRUE(Page) << Odd.substr(0, 60);
     ASSERT_FALSE(Page->Rows_.empty());
     EXPECT_EQ(Page->Rows_.back(), (Row{"", "k", "a", 3, false}))
@@ -294,18 +308,18 @@
   for (const std::string Number : {"-1", "9223372036854775807",
                                    "18446744073709551615", "1e308", "-1e308"}) {
     const auto Outcome = decodeRenewalAnswer(
-        {}, {200, R"({"clock_ms":50,"running":[["a",)" + Number +
-                      R"(,"c",41],["b",2,"c",41]],"finished":[[)" + Number +
-                      R"(,"a",1,"done",""],[5,"a",)" + Number +
-                      R"(,"done",""],[6,"a",1,"done",""]]})"});
+        {}, {200, fill(R"({"clock_ms":50,"running":[["a",#,"c",41],)"
+                       R"(["b",2,"c",41]],"finished":[[#,"a",1,"done",""],)"
+                       R"([5,"a",#,"done",""],[6,"a",1,"done",""]]})",
+                       Number)});
     ASSERT_EQ(Outcome.List_.Running_.size(), 1U) << Number;
     EXPECT_EQ(Outcome.List_.Running_[0].Task_, "b");
     ASSERT_EQ(Outcome.List_.Ended_.size(), 1U) << Number;
     const auto Late = decodeRenewalAnswer(
-        {}, {200, R"({"running":[],"clock_ms":)" + Number + "}"});
+        {}, {200, fill(R"({"running":[],"clock_ms":#})", Number)});
     EXPECT_EQ(Late.Result_, cell::OrderResult::NoAnswer) << Number;
-    const auto Order = decodeOrderAnswer(
-        1, {200, R"({"clock_ms":)" + Number + R"(,"born":)" + Number + "}"});
+    const auto Order =
+        decodeOrderAnswer(1, {200, fill(R"({"clock_ms":#,"born":#})", Number)});
     EXPECT_EQ(Order.ClockMs_, 0) << Number;
     EXPECT_EQ(Order.Incarnation_, 0) << Number;
   }
@@ -316,8 +330,8 @@
     if (Number.size() >= 400)
       continue;
     const auto Outcome = decodeRenewalAnswer(
-        {}, {200, R"({"clock_ms":50,"running":[["b",2,"c",)" + Number + "," +
-                      Number + "]]}"});
+        {},
+        {200, fill(R"({"clock_ms":50,"running":[["b",2,"c",#,#]]})", Number)});
     ASSERT_EQ(Outcome.List_.Running_.size(), 1U);
     EXPECT_GE(Outcome.List_.Running_[0].Percent_, 0) << Number;
     EXPECT_LE(Outcome.List_.Running_[0].Percent_, 100) << Number;
@@ -381,9 +395,9 @@
        {"-1", "9223372036854775807", "9223372036854775808",
         "18446744073709551615", "1e308", "-1e308"}) {
     for (const std::string Name : {"count", "cpu", "mem_mb", "gpu"})
-      EXPECT_FALSE(decodeJob(jobWith(",\"" + Name + "\":" + Number, "")))
+      EXPECT_FALSE(decodeJob(jobWith(fill(",\"#\":", Name) + Number, "")))
           << Name << Number;
-    EXPECT_FALSE(decodeJob(jobWith(R"(,"after":[)" + Number + "]", "")))
+    EXPECT_FALSE(decodeJob(jobWith(fill(R"(,"after":[#])", Number), "")))
         << Number;
     EXPECT_FALSE(decodeJob(jobWith("", R"(,"times":)" + Number))) << Number;
   }
@@ -399,11 +413,11 @@
   for (const std::string &Number : ExtremeNumbers) {
     if (Number.size() >= 400)
       continue;
-    const auto Job = decodeJob(jobWith(
-        R"(,"est_ms":)" + Number + R"(,"goal_ms":)" + Number +
-            R"(,"max_per_server":)" + Number + R"(,"max_unavailable":)" +
-            Number,
-        R"(,"times":2,"start_ms":)" + Number + R"(,"interval_ms":)" + Number));
+    const auto Job = decodeJob(
+        jobWith(fill(R"(,"est_ms":#,"goal_ms":#,"max_per_server":#,)"
+                     R"("max_unavailable":#)",
+                     Number),
+                fill(R"(,"times":2,"start_ms":#,"interval_ms":#)", Number)));
     ASSERT_TRUE(Job) << Number;
     EXPECT_GE(Job->Steps_[1].Estimate_, 0) << Number;
     EXPECT_LE(Job->Steps_[1].Estimate_, 1000000000000) << Number;
@@ -484,7 +498,8 @@
     for (const std::string &Number :
          {std::string("1e308"), std::string("1e19"), std::string("-1"),
           std::string("nan"), std::string("inf"), std::string(400, '9')}) {
-      const auto Read = decodeSettings(Settings + Name + "=" + Number + "\n");
+      const auto Read =
+          decodeSettings(Settings + fill(fill("#=", Name) + "#\n", Number));
       ASSERT_FALSE(Read) << Name << Number;
       EXPECT_NE(Read.error().find(Name), std::string::npos);
     }
--- a/test/system/drain_answers_test.py
+++ b/test/system/drain_answers_test.py
@@ -133,6 +133,26 @@
     assert took < 6, took
 
 
+def end_of_grace_missed(cell):
+    """Requests get their answers also where the host does not run during the
+    time that is reserved for them: the turn that answered them ended the
+    process."""
+    host, others = follower(cell)
+    clients = [Client(host) for _ in range(3)]
+    begin = terminate(host)
+    sleep_until(begin + 0.3)
+    pause(others)
+    for number, client in enumerate(clients):
+        client.send(submission(0x900 + number, deadline_ms=30000))
+    sleep_until(begin + 4.6)
+    pause([host])
+    sleep_until(begin + 5.4)
+    resume([host])
+    statuses = [c.answer() for c in clients]
+    resume(others)
+    check(host, statuses, (504,))
+
+
 def second_signal(cell):
     """A second SIGTERM ends the process soon, but not before the requests that
     an owner may have carried out have got 504."""
@@ -327,7 +347,8 @@
 def main():
     build = sys.argv[1]
     names = sys.argv[2:]
-    checks = [refused_while_draining, end_of_grace, second_signal, second_signal_without_owner,
+    checks = [refused_while_draining, end_of_grace, end_of_grace_missed, second_signal,
+              second_signal_without_owner,
               bad_request_with_signal, partly_read, first_request_partly_read, slow_reader,
               client_gone, released_without_successor, successor_drains_too,
               readiness_told_at_once]
--- a/test/system/platform_test.py
+++ b/test/system/platform_test.py
@@ -210,11 +210,11 @@
     submit(cell.hosts[0], "0000000000004000", count=8, cpu=900)
     # An order under way at the cut may still be carried out for 13 s.
     wait_for(lambda: sum(len(w.runs) for w in cell.workers) == 8, 3, "all starts")
-    assert cell.workers[0].runs
-    cell.workers[0].cut = True
+    worker = next(w for w in cell.workers if w.runs)
+    worker.cut = True
     all_complete(cell, ["0000000000004000"], 20)
     no_double_runs(cell)
-    cell.workers[0].cut = False
+    worker.cut = False
     for worker in cell.workers:
         worker.run_s = 0.3
 
