--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -154,10 +154,13 @@
   void recordDuration(std::string_view What, const Job &TargetJob);
   void requeueTask(StepRun &Step, std::uint32_t Index);
   void finishGang(StepRun &Step);
+  void stopOtherRuns(StepRun &Step, std::uint32_t Index, std::uint64_t Attempt);
   void markDirty(Job &TargetJob);
   void countJob(Job &TargetJob);
   void setAnswerTime(Job &TargetJob, Millis Timeout) const;
+  Millis retryTime(Millis Timeout) const;
   void scheduleOccurrence(const Job &TargetJob);
+  void advanceOccurrences();
   void forgetJob(Job &Ended);
   JobState stateOf(const Job &TargetJob) const;
   const Queue *findQueue(const std::string &Name) const;
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -27,6 +27,16 @@
 constexpr Millis StoreStallTimeout = 400;
 /// Interval at which due occurrences, expired advice and old ends are checked.
 constexpr Millis JobAdvanceInterval = 40;
+/// Occurrences of a job that are opened at a time. A schedule that began long
+/// ago may have millions that are due, and opening them at once would stall the
+/// owner until it loses ownership.
+constexpr std::size_t MaxOccurrencesOpened = 1000;
+
+/// Returns the time within which a submission has to be stored.
+Millis maxStoreWait(Millis CallerTimeout) {
+  return static_cast<Millis>(MaxStoreWaitShare *
+                             static_cast<double>(CallerTimeout));
+}
 
 } // namespace
 
@@ -63,13 +73,15 @@
     refreshReadySteps(*TargetJob);
 }
 
-/// Opens the occurrences of a scheduled job that are due.
+/// Opens the occurrences of a scheduled job that are due, at most
+/// MaxOccurrencesOpened of them.
 void Cell::Engine::openDueOccurrences(Job &TargetJob) {
   if (TargetJob.Spec_->Occurrences_ == 0 || TargetJob.EndState_)
     return;
   std::size_t Open = TargetJob.Steps_.size() / TargetJob.Spec_->Steps_.size();
+  const std::size_t Last = Open + MaxOccurrencesOpened;
   bool Opened = false;
-  while (Open < TargetJob.Spec_->Occurrences_ &&
+  while (Open < TargetJob.Spec_->Occurrences_ && Open < Last &&
          Wall_ >= TargetJob.Spec_->FirstDue_ +
                       static_cast<Millis>(Open) * TargetJob.Spec_->Interval_) {
     openOccurrence(TargetJob, static_cast<std::uint32_t>(Open++));
@@ -314,23 +326,29 @@
     return true;
   }
   const Millis Wait = expectedStoreWait();
-  const double Limit = MaxStoreWaitShare * static_cast<double>(Timeout);
   const bool Stalled = storeStalled();
-  if (!Stalled && static_cast<double>(Wait) <= Limit)
+  if (!Stalled && Wait <= maxStoreWait(Timeout))
     return false;
   Effects_.push_back(Decision{"job_refused", Request.JobId_,
                               Stalled ? "store stalled" : "not stored in time",
                               Wait});
-  Effects_.push_back(Reply{Caller, Answer::Busy, JobState::Queued, 0, Wait});
+  Effects_.push_back(
+      Reply{Caller, Answer::Busy, JobState::Queued, 0, retryTime(Timeout)});
   return true;
 }
 
 /// Sets the time by which a submission that arrived now must be stored.
 void Cell::Engine::setAnswerTime(Job &TargetJob, Millis Timeout) const {
   TargetJob.AnswerBy_ =
-      std::max(TargetJob.AnswerBy_,
-               Now_ + static_cast<Millis>(MaxStoreWaitShare *
-                                          static_cast<double>(Timeout)));
+      std::max(TargetJob.AnswerBy_, Now_ + maxStoreWait(Timeout));
+}
+
+/// Returns after which time a refused submission is likely to be accepted, or
+/// zero if that is not known because the store does not answer.
+Millis Cell::Engine::retryTime(Millis Timeout) const {
+  if (storeStalled())
+    return 0;
+  return std::max(CommitTime_, expectedStoreWait() - maxStoreWait(Timeout));
 }
 
 void Cell::Engine::submit(Token Caller, const Resolution &Request,
@@ -459,6 +477,22 @@
   Step.Gang_.Phase_ = GangAttempt::Phase::Finished;
 }
 
+/// Stops the runs of the tasks that the run \p Attempt has completed, other
+/// than that run itself. Such a run is started when the lease of a lost worker
+/// has ended, before that worker lists the end.
+void Cell::Engine::stopOtherRuns(StepRun &Step, std::uint32_t Index,
+                                 std::uint64_t Attempt) {
+  for (std::uint32_t At = 0; At < Step.Tasks_.size(); ++At) {
+    Worker *Target = Step.Tasks_[At].AssignedWorker_;
+    if (Target == nullptr || (At != Index && !Step.spec().Gang_))
+      continue;
+    const std::string Name = taskName(Step, At);
+    const auto It = Target->Runs_.find(Name);
+    if (It != Target->Runs_.end() && It->second.Attempt_ != Attempt)
+      stopRun(*Target, Name, It->second, "task is done");
+  }
+}
+
 /// Applies the end of a run to its task: completes it, counts a failure, or
 /// requeues it.
 void Cell::Engine::handleTaskEnd(StepRun &Step, std::uint32_t Index,
@@ -473,6 +507,7 @@
     return;
   const bool IsService = Step.spec().Service_;
   if (End.Kind_ == EndKind::Done && !IsService) {
+    stopOtherRuns(Step, Index, End.Attempt_);
     if (Step.spec().Gang_) {
       finishGang(Step);
     } else {
@@ -595,11 +630,11 @@
   NewJobs_.erase(Late, NewJobs_.end());
   std::erase_if(EndingJobs_,
                 [&](const Job *Each) { return !Each->Sent_ && IsLate(Each); });
-  const Millis Wait = expectedStoreWait();
+  const Millis RetryAfter = retryTime(DefaultCallerTimeout);
   for (Job *Each : Refused) {
     for (Token Caller : Each->Callers_)
       Effects_.push_back(
-          Reply{Caller, Answer::Busy, JobState::Queued, 0, Wait});
+          Reply{Caller, Answer::Busy, JobState::Queued, 0, RetryAfter});
     for (Token Caller : Each->Cancellers_)
       Effects_.push_back(Reply{Caller, Answer::NoJob});
     Effects_.push_back(Decision{
@@ -617,6 +652,23 @@
   Jobs_.erase(Id);
 }
 
+/// Opens the occurrences that are due. A job of which many are overdue opens
+/// the others at the next check.
+void Cell::Engine::advanceOccurrences() {
+  const auto End = DueOccurrences_.upper_bound(Wall_);
+  std::vector<std::string> Ids;
+  for (auto It = DueOccurrences_.begin(); It != End; ++It)
+    Ids.push_back(It->second);
+  DueOccurrences_.erase(DueOccurrences_.begin(), End);
+  for (const std::string &Id : Ids) {
+    Job *Due = findJob(Id);
+    if (Due == nullptr || Due->EndState_)
+      continue;
+    openDueOccurrences(*Due);
+    scheduleOccurrence(*Due);
+  }
+}
+
 void Cell::Engine::advanceJobs() {
   if (Now_ < NextJobAdvance_)
     return;
@@ -624,14 +676,7 @@
   refuseLateJobs();
   PlacementNeeded_ = true; // Tickets and backoffs expire without an event.
   expireAdvice();
-  while (!DueOccurrences_.empty() && DueOccurrences_.begin()->first <= Wall_) {
-    Job *Due = findJob(DueOccurrences_.begin()->second);
-    DueOccurrences_.erase(DueOccurrences_.begin());
-    if (Due == nullptr || Due->EndState_)
-      continue;
-    openDueOccurrences(*Due);
-    scheduleOccurrence(*Due);
-  }
+  advanceOccurrences();
   while (!EndedByTime_.empty() &&
          EndedByTime_.begin()->first + Limits_.StatusRetention_ * 3 / 2 <
              Wall_) {
--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -11,9 +11,15 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "node/socket_address.h"
+
 namespace oleandergauge::node {
 namespace {
 
+/// Maximum number of bytes written to a connection in one turn of the event
+/// loop. libevent's 16 KiB would spread a transaction over several turns, each
+/// of which takes tens of milliseconds in a busy process.
+constexpr std::size_t MaxBytesPerTurn = std::size_t{1} << 20;
 /// Time after which a connection without a call is closed. It is longer than
 /// the timeout of any call.
 constexpr int IdleTimeoutSeconds = 30;
@@ -74,9 +80,9 @@
                                        const std::string &Address,
                                        std::size_t MaxConnections)
     : Loop_(Loop), Address_(Address), MaxConnections_(MaxConnections) {
-  const std::size_t Colon = Address.rfind(':');
-  Ip_ = Address.substr(0, Colon);
-  Port_ = static_cast<unsigned short>(std::stoi(Address.substr(Colon + 1)));
+  const auto To = parseSocketAddress(Address).value_or(SocketAddress{});
+  Ip_ = To.Ip_;
+  Port_ = To.Port_;
 }
 
 HttpConnectionPool::~HttpConnectionPool() {
@@ -88,6 +94,13 @@
 
 void HttpConnectionPool::send(HttpCall Call, Millis Timeout,
                               ReplyHandler Then) {
+  if (Port_ == 0) {
+    Loop_.runAfter(0, [Then = std::move(Then), Alive = Alive_] {
+      if (*Alive)
+        Then({});
+    });
+    return;
+  }
   QueuedCall Next{std::move(Call), Timeout, std::move(Then)};
   for (const auto &Each : Connections_)
     if (!Each->Busy_) {
@@ -106,6 +119,8 @@
   evhttp_connection_set_timeout(NewConnection->Link_, IdleTimeoutSeconds);
   NewConnection->Timer_ =
       event_new(Loop_.base(), -1, 0, onTimeout, NewConnection.get());
+  bufferevent_set_max_single_write(
+      evhttp_connection_get_bufferevent(NewConnection->Link_), MaxBytesPerTurn);
   Connections_.push_back(std::move(NewConnection));
   startCall(*Connections_.back(), std::move(Next));
 }
--- a/test/cell/cell_test.cc
+++ b/test/cell/cell_test.cc
@@ -86,6 +86,33 @@
   EXPECT_EQ(Sim.cell().stats(Sim.now()).Running_, 0U);
 }
 
+// Guards against exceeding a worker's capacity by a late copy of a start whose
+// second copy was rejected: only a stop prevents that the first one is carried
+// out.
+TEST(Cell, StopsAStartThatWasUnansweredAndThenRejected) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CellSimulation Sim(Seed, 1);
+    Sim.TaskBehaviour_ = [](const std::string &) {
+      return std::pair(Millis{60000}, false);
+    };
+    Sim.takeOver();
+    Sim.run(300);
+    Sim.Faults_.LateOrder_ = 1;
+    Sim.submit("00000000000000a1", simpleJob(1, 3000), "fast");
+    Sim.run(50);
+    Sim.Faults_.LateOrder_ = 0;
+    Sim.worker(0).RejectsStarts_ = true;
+    Sim.run(500);
+    Sim.cancel("00000000000000a1");
+    Sim.run(500);
+    Sim.worker(0).RejectsStarts_ = false;
+    Sim.submit("00000000000000a2", simpleJob(1, 3000), "fast");
+    Sim.run(9000);
+    EXPECT_EQ(Sim.starts(), 1U) << Seed;
+    EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
+  }
+}
+
 // Guards against a task that waits forever if the answer to an order is the
 // first sign of a worker's new incarnation.
 TEST(Cell, StartsAgainWhereAnOrderFindsANewLife) {
@@ -378,6 +405,39 @@
   EXPECT_EQ(Sim.Paces_[FillId + ".0.0.0"], 100);
 }
 
+// Guards against a stall of the owner, and of each next one, by a schedule of
+// which very many occurrences are overdue.
+TEST(Cell, OpensOverdueOccurrencesInParts) {
+  constexpr Millis Wall = 1700000000000;
+  constexpr std::uint32_t Overdue = 3500;
+  constexpr std::size_t MaxOpenedAtOnce = 1000;
+  Cell Owner("h", 1, {});
+  auto State = std::make_shared<DesiredState>();
+  State->Queues_ = {{"q", "h", "/", "svc", 0, 1, 1, 500, std::nullopt, false}};
+  Owner.setDesiredState(0, State);
+  Owner.restore(0, Wall, {});
+  Owner.setAuthorized(true);
+  Owner.setStoreReachable(true);
+  JobSpec Scheduled = simpleJob(1, 1000);
+  Scheduled.Occurrences_ = Overdue;
+  Resolution Accepted;
+  Accepted.Access_ = Access::Allowed;
+  Accepted.Queue_ = "q";
+  Accepted.JobId_ = JobId;
+  Owner.submit(10, Wall, 1, Accepted, Scheduled);
+  std::size_t Open = 0;
+  for (Millis Now = 20; Now < 2000; Now += 20) {
+    Owner.tick(Now, Wall);
+    for (const Effect &Each : Owner.takeEffects())
+      if (std::holds_alternative<Commit>(Each))
+        Owner.committed(Now, Wall);
+    const std::size_t Before =
+        std::exchange(Open, Owner.stats(Now).WaitingSteps_);
+    EXPECT_LE(Open - Before, MaxOpenedAtOnce);
+  }
+  EXPECT_EQ(Open, Overdue);
+}
+
 // The occurrences of a scheduled job start when they are due, not before.
 TEST(Cell, StartsOccurrencesWhenTheyAreDue) {
   CellSimulation Sim(12);
@@ -444,6 +504,38 @@
   EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
 }
 
+// Guards against repeating the unanswered start of a task that is done: a
+// worker that was cut off for longer than its lease lists the end of an earlier
+// run.
+TEST(Cell, RepeatsNoStartOfADoneTask) {
+  for (const bool Gang : {false, true}) {
+    CellSimulation Sim(1, 2);
+    Sim.TaskBehaviour_ = [](const std::string &) {
+      return std::pair(Millis{500}, false);
+    };
+    Sim.takeOver();
+    Sim.run(300);
+    JobSpec Spec = simpleJob(1, 1000);
+    Spec.Steps_[0].Gang_ = Gang;
+    Sim.submit(JobId, Spec, "fast");
+    Sim.run(200);
+    ASSERT_EQ(Sim.starts(), 1U);
+    const std::size_t First = Sim.worker(0).Runs_.empty() ? 1 : 0;
+    Sim.worker(First).Disconnected_ = true;
+    Sim.killOwner();
+    Sim.takeOver();
+    Sim.Faults_.LateOrder_ = 1;
+    Sim.run(6800);
+    Sim.worker(First).Disconnected_ = false;
+    Sim.run(300);
+    Sim.Faults_.LateOrder_ = 0;
+    Sim.run(12000);
+    EXPECT_EQ(Sim.starts(), 1U);
+    EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
+    EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
+  }
+}
+
 // Guards against a late occurrence that waits forever behind work that no
 // worker can run, because each pass selects workers to ask for a few steps
 // only.
