Say why a gang waits, and count stopped runs by reason

Cause: between the acceptance of a job and the start of its gang nothing was logged, so that the hypotheses on gangs that wait for seconds could not be told apart. Change: gang_waits lines (one a second for a gang, 20 a second for all) with members, tickets, room and calls; histograms gang_wait by team and queue, and stopped_run by the reason of the stop; gang_started tells how long the step had been ready. Placement of gangs moves to a file of its own. Measured: nothing yet; no decision changes.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -154,11 +154,10 @@
   friend bool operator==(const Decision &, const Decision &) = default;
 };
 
-/// A duration in milliseconds for the histograms, which are kept by team and
-/// queue.
+/// A duration in milliseconds for the histograms, which are kept by class.
 struct DurationSample {
   std::string_view Metric_;
-  std::string Class_; ///< "team/queue"
+  std::string Class_; ///< "team/queue", or the reason why a run was stopped.
   Millis Duration_ = 0;
   friend bool operator==(const DurationSample &,
                          const DurationSample &) = default;
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -209,6 +209,8 @@
                                          const std::vector<Worker *> &Workers,
                                          bool WithVictims) const;
   void placeGang(StepRun &Step);
+  GangWait describeWait(const StepRun &Step) const;
+  void reportWait(StepRun &Step);
   void startGang(StepRun &Step, const std::vector<GangAssignment> &Assignments);
   void confirmStart(Worker &Target, Run &TargetRun);
   void confirmMember(StepRun &Step);
@@ -350,6 +352,7 @@
   std::map<Urgency, StepRun *> WaitingSteps_;
   /// Gangs that wait for the confirmation of some members.
   std::vector<StepRun *> AssemblingGangs_;
+  Millis NextWaitReport_ = 0; ///< Earliest time of the next gang_waits line.
   Millis NextPlacement_ = 0;
   Millis PassStartedAt_ = 0; ///< Start of the latest placement pass.
   bool PassEnded_ = true;    ///< A call after the latest pass has been made.
--- a/src/cell/engine_gangs.cc
+++ b/src/cell/engine_gangs.cc
@@ -23,77 +23,6 @@
 
 } // namespace
 
-/// Distributes a gang over \p Workers, starting with those that can hold the
-/// most members. With victims, only workers on which the gang may still start
-/// after a stop count. Returns an empty list if they cannot hold the whole
-/// gang.
-std::vector<GangAssignment>
-Cell::Engine::assignGang(const StepRun &Step,
-                         const std::vector<Worker *> &Workers,
-                         bool WithVictims) const {
-  std::vector<GangAssignment> Out;
-  std::size_t Room = 0;
-  for (Worker *Each : Workers) {
-    if (Now_ < Each->GangsNotBefore_ ||
-        (WithVictims && !isAllowedAfterStop(*Each, Step)))
-      continue;
-    Out.push_back({Each, maxCopiesOn(*Each, Step, WithVictims)});
-    Room += Out.back().Members_;
-  }
-  if (Room < Step.Tasks_.size())
-    return {};
-  // Workers on which room is already being freed for the gang stay chosen.
-  const auto Place = [&](const GangAssignment &Each) {
-    return std::pair(reservedCopies(*Each.Target_, Step), Each.Members_);
-  };
-  std::sort(Out.begin(), Out.end(),
-            [&](const GangAssignment &A, const GangAssignment &B) {
-              return Place(A) > Place(B);
-            });
-  auto Left = static_cast<std::uint32_t>(Step.Tasks_.size());
-  for (GangAssignment &Each : Out) {
-    Each.Members_ = std::min(Left, Each.Members_);
-    Left -= Each.Members_;
-  }
-  std::erase_if(Out,
-                [](const GangAssignment &Each) { return Each.Members_ == 0; });
-  return Out;
-}
-
-/// Starts all members of a gang if there is room, possibly in one rack. Else
-/// preempts runs for it, or requests advice on more workers.
-void Cell::Engine::placeGang(StepRun &Step) {
-  const auto Size = static_cast<std::uint32_t>(Step.Tasks_.size());
-  if (Step.waiting() < Size || !isUnderTeamLimit(Step, Size))
-    return; // Members of the previous attempt are still ending.
-  for (const Task &Each : Step.Tasks_)
-    if (Now_ < Each.NotBefore_)
-      return;
-  std::map<std::string, std::vector<Worker *>> Racks;
-  std::uint32_t Reserved = 0;
-  for (Worker *Each : eligibleWorkers(Step)) {
-    Racks[Step.spec().SameRack_ ? Each->Rack_ : ""].push_back(Each);
-    Reserved += reservedCopies(*Each, Step);
-  }
-  for (const bool WithVictims : {false, true}) {
-    for (const auto &[Rack, Workers] : Racks) {
-      const std::vector<GangAssignment> Assignments =
-          assignGang(Step, Workers, WithVictims);
-      if (Assignments.empty())
-        continue;
-      if (!WithVictims)
-        startGang(Step, Assignments);
-      else
-        for (const GangAssignment &Each : Assignments)
-          makeRoom(*Each.Target_, Step, Each.Members_);
-      return;
-    }
-    if (Reserved >= Size)
-      return; // The room for all members is already being freed.
-  }
-  requestAdvice(Step);
-}
-
 void Cell::Engine::startGang(StepRun &Step,
                              const std::vector<GangAssignment> &Assignments) {
   const std::uint64_t Attempt = nextAttempt(Step.Tasks_[0], Step.GangStarts_);
@@ -101,11 +30,14 @@
                 .Attempt_ = Attempt,
                 .StartedAt_ = Now_};
   AssemblingGangs_.push_back(&Step);
+  Effects_.push_back(DurationSample{"gang_wait",
+                                    Step.Job_->Team_ + "/" + Step.Job_->Queue_,
+                                    Now_ - Step.ReadySince_});
   Effects_.push_back(
       Decision{"gang_started", Step.Name_,
                std::to_string(Step.Tasks_.size()) + " members on " +
                    std::to_string(Assignments.size()) + " workers",
-               0, Attempt});
+               Now_ - Step.ReadySince_, Attempt});
   std::uint32_t Index = 0;
   for (const GangAssignment &Each : Assignments) {
     for (std::uint32_t Member = 0; Member < Each.Members_; ++Member)
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -221,6 +221,7 @@
     if (!Ready)
       continue;
     Each->Ready_ = true;
+    Each->ReadySince_ = Now_;
     addWaiting(*Each);
     PlacementNeeded_ = true;
   }
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -172,6 +172,8 @@
   TargetRun.StopConfirmed_ = false;
   Effects_.push_back(Decision{"task_stopping", Name, std::string(Why),
                               Now_ - TargetRun.OrderedAt_, TargetRun.Attempt_});
+  Effects_.push_back(DurationSample{"stopped_run", std::string(Why),
+                                    Now_ - TargetRun.OrderedAt_});
   sendStop(Target, Name, TargetRun);
   abortGangOf(TargetRun, "member is being stopped");
 }
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -91,6 +91,22 @@
   }
 };
 
+/// What a waiting gang has and what it lacks, for the log.
+struct GangWait {
+  std::uint32_t Members_ = 0;
+  std::size_t KnownWorkers_ = 0;      ///< Workers with advice for the step.
+  std::uint32_t AllowedWorkers_ = 0;  ///< Usable workers among them that may
+                                      ///< run the step.
+  std::uint32_t Tickets_ = 0;         ///< Valid tickets on these.
+  std::uint32_t TicketedRoom_ = 0;    ///< Members that fit with these tickets.
+  std::uint32_t Room_ = 0;            ///< Members that fit on allowed workers.
+  std::uint32_t RoomWithVictims_ = 0; ///< The same after preemption.
+  std::uint32_t Reserved_ = 0;        ///< Members for which room is reserved.
+  std::size_t PendingCalls_ = 0;      ///< Calls for advice without an answer.
+  std::string text() const;
+  friend bool operator==(const GangWait &, const GangWait &) = default;
+};
+
 /// The place of a step in the order in which waiting steps are examined.
 struct Urgency {
   /// Steps that can still meet their objective go first, then late ones, then
@@ -117,6 +133,8 @@
   std::uint32_t ActiveCount_ = 0;
   /// The occurrence is due and all earlier steps are done.
   bool Ready_ = false;
+  Millis ReadySince_ = 0;     ///< When Ready_ was set.
+  Millis NextWaitReport_ = 0; ///< Earliest time of the next gang_waits line.
   /// Time by which the occurrence should be done.
   Millis Objective_ = 0;
   /// Time by which the first task should start for the job to meet its
