--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -17,6 +17,10 @@
 /// the estimate of that clock has an error.
 constexpr Millis LeaseClockSlack = LeaseTime * 3 / 100 + 100;
 
+/// Time besides the stop itself until the end of a preempted run is listed and
+/// the start that takes its room arrives at the worker.
+constexpr Millis PreemptionOverhead = 150;
+
 /// Assumed duration of a transaction before the first one is completed.
 constexpr Millis InitialCommitTime = 20;
 /// An entry host that requests advice. It processes its calls one after
@@ -47,6 +51,8 @@
   std::string EntryHost_;
   double Cost_ = 0; ///< Expected duration in milliseconds.
   std::vector<std::string> Workers_;
+  /// Tasks of a gang that are expected to fit on the workers that are allowed.
+  double ExpectedRoom_ = 0;
   Millis ExpiresAt_ = 0; ///< When the answer counts as lost.
 };
 
@@ -56,6 +62,22 @@
   std::uint32_t Members_ = 0;
 };
 
+/// The room for a gang on one worker that may run it.
+struct GangOption {
+  Worker *Target_ = nullptr;
+  std::uint32_t Reserved_ = 0;
+  std::uint32_t Free_ = 0;  ///< Members that fit now.
+  std::uint32_t Total_ = 0; ///< Members that fit after preemption.
+  bool HasTicket_ = false;  ///< A start is allowed now.
+};
+
+/// Which room counts for a gang.
+enum class GangRoom {
+  Ready, ///< Free room on workers with a valid ticket.
+  Free,  ///< Free room on all workers that may run the gang.
+  Total  ///< The same, with the room that preemption can free.
+};
+
 /// A stored row that contains ended jobs.
 struct EndedRow {
   std::string Key_;
@@ -129,6 +151,8 @@
   /// Advances all state machines to the present time and emits the effects that
   /// are due.
   void advanceAll();
+
+  // Reports (engine_reports.cc).
   CellStats stats() const;
 
   Millis Now_ = 0;  ///< Time of the present call.
@@ -205,12 +229,6 @@
                 std::uint32_t Index);
 
   // engine_gangs.cc
-  std::vector<GangAssignment> assignGang(const StepRun &Step,
-                                         const std::vector<Worker *> &Workers,
-                                         bool WithVictims) const;
-  void placeGang(StepRun &Step);
-  GangWait describeWait(const StepRun &Step) const;
-  void reportWait(StepRun &Step);
   void startGang(StepRun &Step, const std::vector<GangAssignment> &Assignments);
   void confirmStart(Worker &Target, Run &TargetRun);
   void confirmMember(StepRun &Step);
@@ -224,6 +242,35 @@
   bool isOverdue(const GangAttempt &Gang) const;
   void abortOverdueGangs();
 
+  // engine_gang_plan.cc
+  using GangOptions = std::map<std::string, std::vector<GangOption>>;
+  void placeGang(StepRun &Step);
+  GangOptions gangOptions(const StepRun &Step);
+  bool planGang(StepRun &Step, const GangOptions &Racks, GangRoom Room);
+  void collectGangRoom(StepRun &Step, const GangOptions &Racks);
+  bool keepsGangPlan(StepRun &Step, const GangOptions &Racks);
+  bool reserveGang(StepRun &Step,
+                   const std::vector<GangAssignment> &Assignments,
+                   GangRoom Room);
+  std::vector<Worker *>
+  workersWithoutTicket(const StepRun &Step,
+                       const std::vector<Worker *> &Workers,
+                       Millis Until) const;
+
+  // engine_reservations.cc
+  void reserve(Worker &Target, StepRun &Step, std::uint32_t Copies,
+               Millis Until);
+  void useReservation(Worker &Target, StepRun &Step);
+  void releaseReservations(StepRun &Step);
+  void dropReservationsOn(Worker &Gone);
+  std::uint32_t reservedCopies(const Worker &Target, const StepRun &Step) const;
+  Resources reservedForOthers(const Worker &Target, const StepRun &Step) const;
+
+  // engine_reports.cc
+  GangWait describeWait(const StepRun &Step) const;
+  void reportWait(StepRun &Step);
+  void reportUsage();
+
   // engine_pace.cc
   void adjustFillerPaces(Worker &Target);
   void sendPaces(Worker &Target);
@@ -249,9 +296,11 @@
   Resources freeResourcesFor(const Worker &Target, const StepRun &Step) const;
   std::uint32_t maxCopiesOn(const Worker &Target, const StepRun &Step,
                             bool WithVictims) const;
+  std::uint32_t copiesIn(const Resources &Room, const StepRun &Step) const;
   Resources preemptibleRoom(const Worker &Target, const StepRun &Step) const;
   bool mayPreempt(const StepRun &Step, const Run &Victim) const;
-  std::uint32_t makeRoom(Worker &Target, StepRun &Step, std::uint32_t Copies);
+  std::uint32_t makeRoom(Worker &Target, StepRun &Step, std::uint32_t Copies,
+                         Millis Until);
   bool isUnderTeamLimit(const StepRun &Step, std::uint32_t Copies) const;
   bool isPreemptible(const Run &Victim) const;
   int minPreemptiblePriority(const StepRun &Step) const;
@@ -273,15 +322,26 @@
   std::size_t examine(const std::vector<StepRun *> &Steps);
   void examineFurther(const Urgency &Border);
   void collectUsableWorkers();
-  std::uint32_t reservedCopies(const Worker &Target, const StepRun &Step) const;
   bool isAllowedAfterStop(const Worker &Target, const StepRun &Step) const;
   std::uint64_t nextAttempt(Task &TargetTask, std::uint32_t &StartCount) const;
   bool isOwnAttempt(std::uint64_t Attempt) const;
 
   // engine_advice.cc
   bool requestAdvice(StepRun &Step);
+  bool mayRequestAdvice(const StepRun &Step);
+  bool sendAdviceCall(StepRun &Step, const std::vector<Worker *> &Asked);
+  bool sendAdviceCalls(StepRun &Step, const std::vector<Worker *> &Asked);
+  bool requestGangAdvice(StepRun &Step);
+  double expectedGangRoom(const StepRun &Step, bool WithVictims) const;
+  void askForGang(StepRun &Step, const std::vector<Worker *> &Asked,
+                  double Room);
+  Millis adviceCallTime(const StepRun &Step, std::size_t Count) const;
+  std::vector<Worker *> unknownWorkersForGang(const StepRun &Step);
   bool askBeforePreemption(StepRun &Step);
-  bool hasAdviceOnAllWorkers(const StepRun &Step) const;
+  bool isAdviceQuick(const StepRun &Step) const;
+  bool areFewHostsAsked() const;
+  void backOffWithoutRoom(StepRun &Step);
+  double &allowedRatioOf(const StepRun &Step);
   std::size_t minWorkersAsked(const StepRun &Step) const;
   /// The workers to ask about in one call.
   struct WorkersToAsk {
@@ -352,7 +412,8 @@
   std::map<Urgency, StepRun *> WaitingSteps_;
   /// Gangs that wait for the confirmation of some members.
   std::vector<StepRun *> AssemblingGangs_;
-  Millis NextWaitReport_ = 0; ///< Earliest time of the next gang_waits line.
+  Millis NextWaitReport_ = 0;  ///< Earliest time of the next gang_waits line.
+  Millis NextUsageReport_ = 0; ///< Time of the next cell_usage line.
   Millis NextPlacement_ = 0;
   Millis PassStartedAt_ = 0; ///< Start of the latest placement pass.
   bool PassEnded_ = true;    ///< A call after the latest pass has been made.
@@ -363,6 +424,9 @@
   std::size_t ComparedInPart_ = 0; ///< Workers, in the present part of a pass.
   /// Workers that accept tasks in the present placement pass.
   std::vector<Worker *> UsableWorkers_;
+  std::int64_t UsableCpu_ = 0; ///< Milli-cores of these workers.
+  /// Milli-cores that gangs without enough room keep, in the present pass.
+  std::int64_t CollectedCpu_ = 0;
   /// Selections of workers to ask about, in the present part of a pass.
   std::size_t AdviceSelections_ = 0;
   Millis NextJobAdvance_ = 0;
--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -12,13 +12,18 @@
 /// that short calls do not wait behind them.
 constexpr double LongCallMs = 50; // ms
 /// Share of the entry hosts that process long calls.
-constexpr double LongHostShare = 0.6;
+constexpr double LongHostShare = 0.8;
 /// Expected duration of unanswered calls at one entry host above which it
 /// receives no further short call.
 constexpr double ShortCallBacklogMs = 15; // ms
 /// Factor of workers asked over workers needed, for refusals and for room that
 /// is taken in the meantime.
 constexpr double AskedWorkersMargin = 1.5;
+/// The same factor for a gang while few entry hosts are in use. Only free room
+/// counts then, so that the gang is likely to start without preemption.
+constexpr double AskedWorkersIdleMargin = 2.5;
+/// Share of the entry hosts for long calls up to which few are in use.
+constexpr double FewHostsShare = 0.7;
 /// Minimum and maximum number of workers that one call names.
 constexpr std::size_t MinWorkersAsked = 4;
 /// Each call has a fixed base cost, so a call names at least as many workers as
@@ -31,6 +36,8 @@
 constexpr double InitialAllowedRatio = 0.5;
 /// Margin of a call's timeout over its expected duration.
 constexpr Millis AdviceTimeoutSlack = 700;
+/// Time that messages add to a call.
+constexpr Millis AdviceLatency = 50;
 /// Time after the timeout of a call when its answer counts as lost.
 constexpr Millis LostAdviceDelay = 500;
 /// Delay before a step without an answer requests advice again.
@@ -45,6 +52,15 @@
 /// about.
 constexpr std::size_t MaxAdviceSelections = 16;
 
+/// Returns the number of workers that a call may name. The calls for a gang
+/// run side by side, so that each takes at most twice its base cost.
+std::size_t maxWorkersInCall(const AdviceCost &Rates) {
+  if (Rates.PerWorker_ <= 0)
+    return MaxWorkersAsked;
+  return std::clamp(static_cast<std::size_t>(Rates.Base_ / Rates.PerWorker_),
+                    MinWorkersAsked, MaxWorkersAsked);
+}
+
 } // namespace
 
 void Cell::Engine::addAdviceHost(const std::string &Host, double Strength) {
@@ -89,19 +105,13 @@
   return Best;
 }
 
-/// Returns whether advice is known for each usable worker.
-bool Cell::Engine::hasAdviceOnAllWorkers(const StepRun &Step) const {
-  return std::all_of(Workers_.begin(), Workers_.end(), [&](const auto &Each) {
-    return Step.Advice_.count(Each.second->Number_) != 0 ||
-           !isUsable(*Each.second, Step);
-  });
-}
-
 /// Removes the advice on a worker that is being forgotten.
 void Cell::Engine::dropAdviceOn(const Worker &Gone) {
   for (const auto &[Id, Each] : Jobs_)
-    for (const auto &Step : Each->Steps_)
-      Step->Advice_.erase(Gone.Number_);
+    for (const auto &Step : Each->Steps_) {
+      Step->Allowed_.erase(Gone.Number_);
+      Step->Refused_.erase(Gone.Number_);
+    }
 }
 
 /// Returns how many workers a call for the step should name at least.
@@ -117,10 +127,10 @@
                     MaxWorkersAsked);
 }
 
-/// Selects the workers to ask about: allowed workers whose tickets have expired
-/// first. If they do not provide enough room, adds workers for which no advice
-/// is known. Workers with room go before those where runs would have to be
-/// preempted.
+/// Selects the workers to ask about for single tasks: allowed workers whose
+/// tickets have expired first. If there are none, adds workers for which no
+/// advice is known. Workers with room go before those where runs would have to
+/// be preempted.
 Cell::Engine::WorkersToAsk
 Cell::Engine::chooseWorkersToAsk(const StepRun &Step) {
   struct Option {
@@ -130,19 +140,17 @@
   };
   std::vector<Option> Known;
   std::vector<Option> Unknown;
-  std::uint32_t Ticketed = 0; // Tasks that fit on workers with a valid ticket.
   ComparedInPart_ += UsableWorkers_.size();
   for (Worker *Each : UsableWorkers_) {
     if (!suits(*Each, Step))
       continue;
     const std::uint32_t Free = maxCopiesOn(*Each, Step, false);
     const std::uint32_t Copies = maxCopiesOn(*Each, Step, true);
-    const auto Advice = Step.Advice_.find(Each->Number_);
-    if (Advice == Step.Advice_.end())
+    const auto Permitted = Step.Allowed_.find(Each->Number_);
+    if (!Step.hasAdviceOn(Each->Number_))
       Unknown.push_back({Each, Free, Copies});
-    else if (Advice->second.Allowed_ && Now_ < Advice->second.ValidUntil_)
-      Ticketed += Copies;
-    else if (Advice->second.Allowed_ && Copies > 0)
+    else if (Permitted != Step.Allowed_.end() && Copies > 0 &&
+             Now_ >= Permitted->second.ValidUntil_)
       Known.push_back({Each, Free, Copies});
   }
   auto MoreCopies = [](const Option &A, const Option &B) {
@@ -151,30 +159,27 @@
   };
   std::sort(Known.begin(), Known.end(), MoreCopies);
   std::sort(Unknown.begin(), Unknown.end(), MoreCopies);
-  const bool Gang = Step.spec().Gang_;
   const std::uint32_t Wanted = Step.waiting();
   WorkersToAsk Out;
   const auto Add = [&Out](const Option &Each) {
     Out.Workers_.push_back(Each.Target_);
     Out.HaveRoom_ = Out.HaveRoom_ || Each.FreeCopies_ > 0;
   };
-  std::uint32_t Have = Gang ? Ticketed : 0;
+  std::uint32_t Have = 0;
   for (const Option &Each : Known) {
-    if (Have >= Wanted + Wanted / 4 && Have > 0)
+    if (Have >= Wanted + Wanted / 4)
       break;
     Have += Each.Copies_;
     Add(Each);
   }
-  if (Have >= Wanted || (!Gang && Have > 0))
+  if (Have > 0)
     return Out;
-  const bool First = Step.Advice_.empty();
+  const bool First = !Step.hasAdvice();
   if (!First && (Unknown.empty() || Unknown.front().Copies_ == 0))
-    return Gang ? WorkersToAsk{} : Out;
-  auto &Ratio =
-      AllowedRatio_.try_emplace(Step.Job_->Queue_, InitialAllowedRatio)
-          .first->second;
+    return Out;
+  const double Ratio = allowedRatioOf(Step);
   const std::size_t Least = minWorkersAsked(Step);
-  double Expected = Have;
+  double Expected = 0;
   std::size_t Asked = 0;
   for (const Option &Each : Unknown) {
     if (Out.Workers_.size() >= MaxWorkersAsked ||
@@ -187,10 +192,15 @@
   return Out;
 }
 
-/// Requests advice on workers with room before runs are preempted for the step,
-/// if an answer is expected sooner than the end of a stop. Returns whether
-/// preemption has to wait for it.
-bool Cell::Engine::askBeforePreemption(StepRun &Step) {
+/// Returns the expected share of workers that may run a step of its queue.
+double &Cell::Engine::allowedRatioOf(const StepRun &Step) {
+  return AllowedRatio_.try_emplace(Step.Job_->Queue_, InitialAllowedRatio)
+      .first->second;
+}
+
+/// Returns whether an answer about further workers is expected sooner than the
+/// end of a stop.
+bool Cell::Engine::isAdviceQuick(const StepRun &Step) const {
   const Queue *JobQueue = queueOf(*Step.Job_);
   if (JobQueue == nullptr || !JobQueue->Advice_)
     return false;
@@ -198,38 +208,68 @@
   const double Cost =
       Rates.Base_ +
       Rates.PerWorker_ * static_cast<double>(minWorkersAsked(Step));
-  if (Cost > static_cast<double>(Limits_.StopTime_) / 2)
+  return Cost <= static_cast<double>(Limits_.StopTime_) / 2;
+}
+
+/// Requests advice on workers with room before runs are preempted for the step,
+/// if the answer is expected sooner than the room. Returns whether preemption
+/// has to wait for it.
+bool Cell::Engine::askBeforePreemption(StepRun &Step) {
+  if (!isAdviceQuick(Step))
     return false;
-  const bool Asking = Step.AdviceToken_ != 0 || (Now_ < Step.AdviceNotBefore_ &&
-                                                 Step.NoRoomBackoff_ == 0);
+  const bool Asking =
+      !Step.AdviceCalls_.empty() ||
+      (Now_ < Step.AdviceNotBefore_ && Step.NoRoomBackoff_ == 0);
   return Asking ? Step.AskedFreeWorkers_ : requestAdvice(Step);
 }
 
-/// Requests advice for a step if its queue needs it and no call is pending.
-/// Returns whether a call was made that names workers with room.
-bool Cell::Engine::requestAdvice(StepRun &Step) {
+/// Returns whether the step may select workers to ask about in this part of the
+/// pass.
+bool Cell::Engine::mayRequestAdvice(const StepRun &Step) {
   const Queue *JobQueue = queueOf(*Step.Job_);
-  if (JobQueue == nullptr || !JobQueue->Advice_ || Step.AdviceToken_ != 0 ||
+  if (JobQueue == nullptr || !JobQueue->Advice_ ||
       Now_ < Step.AdviceNotBefore_ || !Step.Ready_)
     return false;
-  if (!Step.Job_->Stored_ && !Step.Advice_.empty())
+  if (!Step.Job_->Stored_ && (Step.hasAdvice() || !Step.AdviceCalls_.empty()))
     return false;
-  const AdviceCost &Rates = *JobQueue->Advice_;
+  // The answer to a pending call triggers another pass.
   if (AdviceSelections_ >= MaxAdviceSelections ||
-      chooseAdviceHost(Rates.Base_) == nullptr)
-    return false; // The answer to a pending call triggers another pass.
+      chooseAdviceHost(JobQueue->Advice_->Base_) == nullptr)
+    return false;
   ++AdviceSelections_;
+  return true;
+}
+
+/// Requests advice for single tasks if their queue needs it and no call is
+/// pending. Returns whether a call was made that names workers with room.
+bool Cell::Engine::requestAdvice(StepRun &Step) {
+  if (!Step.AdviceCalls_.empty() || !mayRequestAdvice(Step))
+    return false;
   const WorkersToAsk Chosen = chooseWorkersToAsk(Step);
-  const std::vector<Worker *> &Asked = Chosen.Workers_;
-  if (Asked.empty()) {
-    const bool OnTime = !Step.Advice_.empty() && Now_ <= Step.Objective_;
-    const Millis Longest = OnTime ? FirstNoRoomBackoff : LongestNoRoomBackoff;
-    Step.NoRoomBackoff_ =
-        std::clamp(2 * Step.NoRoomBackoff_, FirstNoRoomBackoff, Longest);
-    Step.AdviceNotBefore_ = Now_ + Step.NoRoomBackoff_;
+  if (Chosen.Workers_.empty()) {
+    backOffWithoutRoom(Step);
     return false;
   }
   Step.NoRoomBackoff_ = 0;
+  if (!sendAdviceCall(Step, Chosen.Workers_))
+    return false;
+  Step.AskedFreeWorkers_ = Chosen.HaveRoom_;
+  return Chosen.HaveRoom_;
+}
+
+/// Lets a step wait for which no worker is worth asking about.
+void Cell::Engine::backOffWithoutRoom(StepRun &Step) {
+  const bool OnTime = Step.hasAdvice() && Now_ <= Step.Objective_;
+  const Millis Longest = OnTime ? FirstNoRoomBackoff : LongestNoRoomBackoff;
+  Step.NoRoomBackoff_ =
+      std::clamp(2 * Step.NoRoomBackoff_, FirstNoRoomBackoff, Longest);
+  Step.AdviceNotBefore_ = Now_ + Step.NoRoomBackoff_;
+}
+
+/// Makes one call for the step. Returns whether an entry host was free for it.
+bool Cell::Engine::sendAdviceCall(StepRun &Step,
+                                  const std::vector<Worker *> &Asked) {
+  const AdviceCost &Rates = *queueOf(*Step.Job_)->Advice_;
   const double Cost =
       Rates.Base_ + Rates.PerWorker_ * static_cast<double>(Asked.size());
   AdviceHost *ChosenHost = chooseAdviceHost(Cost);
@@ -241,18 +281,146 @@
   Open.EntryHost_ = ChosenHost->Host_;
   Open.Cost_ = Cost;
   AskAdvice Out{Id, ChosenHost->Host_, Step.Name_, {}, 0};
-  for (const Worker *Each : Asked)
+  for (const Worker *Each : Asked) {
     Out.Workers_.push_back(Each->Id_);
+    Step.AskedWorkers_.insert(Each->Id_);
+  }
   Open.Workers_ = Out.Workers_;
   Out.Timeout_ =
       static_cast<Millis>(ChosenHost->Backlog_ + 2 * Cost) + AdviceTimeoutSlack;
   Open.ExpiresAt_ = Now_ + Out.Timeout_ + LostAdviceDelay;
   ++ChosenHost->Calls_;
   ChosenHost->Backlog_ += Cost;
-  Step.AdviceToken_ = Id;
-  Step.AskedFreeWorkers_ = Chosen.HaveRoom_;
+  Step.AdviceCalls_.push_back(Id);
   Effects_.push_back(std::move(Out));
-  return Chosen.HaveRoom_;
+  return true;
+}
+
+/// Asks about the workers in calls of equal size through several entry hosts,
+/// so that the answers arrive together and their tickets are valid at the same
+/// time. Returns whether all calls were made.
+bool Cell::Engine::sendAdviceCalls(StepRun &Step,
+                                   const std::vector<Worker *> &Asked) {
+  if (Asked.empty())
+    return true;
+  const std::size_t Most = maxWorkersInCall(*queueOf(*Step.Job_)->Advice_);
+  const std::size_t Calls = (Asked.size() + Most - 1) / Most;
+  auto First = Asked.begin();
+  for (std::size_t Call = 0; Call < Calls; ++Call) {
+    const std::size_t Left = static_cast<std::size_t>(Asked.end() - First);
+    const std::size_t Size = (Left + Calls - Call - 1) / (Calls - Call);
+    const auto Last = First + static_cast<std::ptrdiff_t>(Size);
+    if (!sendAdviceCall(Step, {First, Last}))
+      return false;
+    First = Last;
+  }
+  return true;
+}
+
+/// Returns the expected time until calls that name \p Count workers are
+/// answered.
+Millis Cell::Engine::adviceCallTime(const StepRun &Step,
+                                    std::size_t Count) const {
+  const AdviceCost &Rates = *queueOf(*Step.Job_)->Advice_;
+  const std::size_t Size = std::min(Count, maxWorkersInCall(Rates));
+  return static_cast<Millis>(Rates.Base_ +
+                             Rates.PerWorker_ * static_cast<double>(Size)) +
+         AdviceLatency;
+}
+
+/// Returns whether few entry hosts have calls without an answer.
+bool Cell::Engine::areFewHostsAsked() const {
+  const auto Busy =
+      std::count_if(AdviceHosts_.begin(), AdviceHosts_.end(),
+                    [](const auto &Each) { return Each.second.Calls_ > 0; });
+  return static_cast<double>(Busy) <
+         FewHostsShare * LongHostShare *
+             static_cast<double>(AdviceHosts_.size());
+}
+
+/// Returns the workers that no call for the gang has named so far, those with
+/// most room first.
+std::vector<Worker *> Cell::Engine::unknownWorkersForGang(const StepRun &Step) {
+  std::vector<GangOption> Options;
+  ComparedInPart_ += UsableWorkers_.size();
+  const bool First = !Step.hasAdvice();
+  for (Worker *Each : UsableWorkers_) {
+    if (Step.hasAdviceOn(Each->Number_) ||
+        Step.AskedWorkers_.count(Each->Id_) != 0 || !suits(*Each, Step))
+      continue;
+    const std::uint32_t Total = maxCopiesOn(*Each, Step, true);
+    if (Total > 0 || First)
+      Options.push_back(
+          {Each, 0, maxCopiesOn(*Each, Step, false), Total, false});
+  }
+  std::sort(Options.begin(), Options.end(),
+            [](const GangOption &A, const GangOption &B) {
+              return std::tie(A.Free_, A.Total_, A.Target_->Number_) >
+                     std::tie(B.Free_, B.Total_, B.Target_->Number_);
+            });
+  std::vector<Worker *> Out;
+  Out.reserve(Options.size());
+  for (const GangOption &Each : Options)
+    Out.push_back(Each.Target_);
+  return Out;
+}
+
+/// Returns the members of a gang that fit on workers which may run it, as far
+/// as advice is known or expected from pending calls.
+double Cell::Engine::expectedGangRoom(const StepRun &Step,
+                                      bool WithVictims) const {
+  double Out = 0;
+  // The room of all workers says little about that in a single rack.
+  if (!Step.spec().SameRack_)
+    for (const auto &[Number, Each] : Step.Allowed_)
+      if (isUsable(*Each.Target_, Step))
+        Out += maxCopiesOn(*Each.Target_, Step, WithVictims);
+  for (const Token Id : Step.AdviceCalls_)
+    Out += PendingAdvice_.at(Id).ExpectedRoom_;
+  return Out;
+}
+
+/// Asks for a gang about workers of which nothing is known, as many as are
+/// expected to provide the room that it lacks. Returns whether an answer is
+/// pending.
+bool Cell::Engine::requestGangAdvice(StepRun &Step) {
+  if (!mayRequestAdvice(Step))
+    return !Step.AdviceCalls_.empty();
+  const bool Idle = areFewHostsAsked();
+  const double Wanted = static_cast<double>(Step.Tasks_.size()) *
+                        (Idle ? AskedWorkersIdleMargin : AskedWorkersMargin);
+  const double Lacking = Wanted - expectedGangRoom(Step, !Idle);
+  if (Lacking <= 0 && !Step.AdviceCalls_.empty())
+    return true;
+  const std::size_t Least = minWorkersAsked(Step);
+  const double Ratio = allowedRatioOf(Step);
+  std::vector<Worker *> Asked;
+  double Room = 0;
+  for (Worker *Each : unknownWorkersForGang(Step)) {
+    if (Asked.size() >= Least && Room >= Lacking)
+      break;
+    const std::uint32_t Copies = maxCopiesOn(*Each, Step, !Idle);
+    Room += (Idle ? Copies : std::max(1U, Copies)) * Ratio;
+    Asked.push_back(Each);
+  }
+  if (!Asked.empty())
+    askForGang(Step, Asked, Room);
+  else if (Step.AdviceCalls_.empty())
+    backOffWithoutRoom(Step);
+  return !Step.AdviceCalls_.empty();
+}
+
+/// Asks about workers that are expected to provide the given room.
+void Cell::Engine::askForGang(StepRun &Step, const std::vector<Worker *> &Asked,
+                              double Room) {
+  Step.NoRoomBackoff_ = 0;
+  const std::size_t Before = Step.AdviceCalls_.size();
+  sendAdviceCalls(Step, Asked);
+  for (std::size_t At = Before; At < Step.AdviceCalls_.size(); ++At) {
+    PendingAdvice &Open = PendingAdvice_.at(Step.AdviceCalls_[At]);
+    Open.ExpectedRoom_ = Room * static_cast<double>(Open.Workers_.size()) /
+                         static_cast<double>(Asked.size());
+  }
 }
 
 /// Gives up calls whose answer is overdue. An answer is lost if the connection
@@ -287,27 +455,29 @@
   if (Open.Step_ == nullptr)
     return;
   StepRun &Step = *Open.Step_;
-  Step.AdviceToken_ = 0;
+  std::erase(Step.AdviceCalls_, Outcome.Token_);
+  for (const std::string &Id : Open.Workers_)
+    Step.AskedWorkers_.erase(Id);
   if (!Outcome.Answered_) {
     Step.AdviceNotBefore_ = Now_ + AdviceRetryDelay;
     return;
   }
   for (const std::string &Id : Open.Workers_)
-    if (Worker *Target = findWorker(Id))
-      Step.Advice_[Target->Number_] = {Target, false, {}, 0};
+    if (Worker *Target = findWorker(Id)) {
+      Step.Allowed_.erase(Target->Number_);
+      Step.Refused_.insert(Target->Number_);
+    }
   for (const auto &[Id, Ticket] : Outcome.Tickets_)
-    if (Worker *Target = findWorker(Id))
-      Step.Advice_[Target->Number_] = {Target, true, Ticket,
-                                       Now_ + Outcome.Valid_};
-  // All tickets of a gang have to be valid at the same time. A gang therefore
-  // asks without a pause until it has advice on all usable workers.
-  if (!Step.spec().Gang_ || hasAdviceOnAllWorkers(Step))
+    if (Worker *Target = findWorker(Id)) {
+      Step.Refused_.erase(Target->Number_);
+      Step.Allowed_[Target->Number_] = {Target, Ticket, Now_ + Outcome.Valid_};
+    }
+  // The tickets of a gang expire while it pauses, so that it asks on at once.
+  if (!Step.spec().Gang_)
     Step.AdviceNotBefore_ =
         Now_ +
         std::min<Millis>(Outcome.Valid_, static_cast<Millis>(Open.Cost_));
-  auto &Ratio =
-      AllowedRatio_.try_emplace(Step.Job_->Queue_, InitialAllowedRatio)
-          .first->second;
+  double &Ratio = allowedRatioOf(Step);
   const double NewestRatio = static_cast<double>(Outcome.Tickets_.size()) /
                              static_cast<double>(Open.Workers_.size());
   Ratio = std::max(0.02, Ratio + AllowedRatioWeight * (NewestRatio - Ratio));
--- a/src/cell/engine_gangs.cc
+++ b/src/cell/engine_gangs.cc
@@ -39,12 +39,10 @@
                    std::to_string(Assignments.size()) + " workers",
                Now_ - Step.ReadySince_, Attempt});
   std::uint32_t Index = 0;
-  for (const GangAssignment &Each : Assignments) {
+  for (const GangAssignment &Each : Assignments)
     for (std::uint32_t Member = 0; Member < Each.Members_; ++Member)
       startTask(Step, Index++, *Each.Target_, Attempt);
-    if (Each.Target_->ReservedFor_ == &Step)
-      Each.Target_->ReservedFor_ = nullptr;
-  }
+  releaseReservations(Step);
 }
 
 /// Handles a worker's confirmation that it runs an ordered start.
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -584,27 +584,20 @@
 
 /// Removes the steps of a job from placement and advice.
 void Cell::Engine::detachSteps(Job &TargetJob) {
-  bool HasReservations = false;
   bool HasGangs = false;
   for (const auto &Step : TargetJob.Steps_) {
     Step->Ready_ = false;
-    HasReservations = HasReservations || Step->HasReservations_;
+    releaseReservations(*Step);
     HasGangs = HasGangs || Step->spec().Gang_;
     removeWaiting(*Step);
-    const auto Open = PendingAdvice_.find(Step->AdviceToken_);
-    if (Open != PendingAdvice_.end())
-      Open->second.Step_ = nullptr;
+    for (const Token Id : Step->AdviceCalls_)
+      PendingAdvice_[Id].Step_ = nullptr;
+    Step->AdviceCalls_.clear();
   }
-  const auto Own = [&](const StepRun *Each) {
-    return Each->Job_ == &TargetJob;
-  };
   if (HasGangs)
-    std::erase_if(AssemblingGangs_, Own);
-  if (!HasReservations)
-    return;
-  for (const auto &[Id, Each] : Workers_)
-    if (Each->ReservedFor_ != nullptr && Own(Each->ReservedFor_))
-      Each->ReservedFor_ = nullptr;
+    std::erase_if(AssemblingGangs_, [&](const StepRun *Each) {
+      return Each->Job_ == &TargetJob;
+    });
 }
 
 /// Returns whether the transaction in flight has been unanswered for too long
@@ -688,33 +681,6 @@
   }
 }
 
-CellStats Cell::Engine::stats() const {
-  CellStats Out;
-  Out.Jobs_ = Jobs_.size();
-  Out.EndedJobs_ = EndedRecords_.size();
-  Out.WaitingSteps_ = WaitingSteps_.size();
-  std::int64_t Used = 0;
-  std::int64_t All = 0;
-  for (const auto &[Id, Each] : Workers_) {
-    Out.Running_ += Each->Runs_.size();
-    Out.Workers_ += Each->Listed_ ? 1 : 0;
-    Out.ReachableWorkers_ += Each->Reachable_ ? 1 : 0;
-    Used += Each->Used_.CpuMilli_;
-    All += Each->Listed_ ? Each->Capacity_.CpuMilli_ : 0;
-  }
-  Out.OpenOrders_ = PendingOrders_.size();
-  Out.RepeatedStarts_ = RepeatedStarts_;
-  for (const Job *Each : EndingJobs_)
-    Out.OldestUnstoredEnd_ =
-        std::max(Out.OldestUnstoredEnd_, Now_ - Each->EndedAt_);
-  Out.StepsExamined_ = StepsExamined_;
-  Out.WorkersExamined_ = WorkersExamined_;
-  Out.WorkersCompared_ = WorkersCompared_;
-  Out.UsedShare_ =
-      All == 0 ? 0 : static_cast<double>(Used) / static_cast<double>(All);
-  return Out;
-}
-
 void Cell::Engine::advanceAll() {
   advanceJobs();
   placeReadySteps();
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -1,6 +1,7 @@
 // Placement: orders the waiting steps and selects workers for their tasks.
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "cell/engine.h"
@@ -22,9 +23,6 @@
 constexpr std::size_t MaxInTurn = 128;
 /// Number of workers compared for steps after which a part of a pass ends.
 constexpr std::size_t MaxComparedInPart = 8192;
-/// Time besides the stop itself until the end of a preempted run is listed and
-/// the start that takes its room arrives at the worker.
-constexpr Millis PreemptionOverhead = 150;
 /// Time for which room on a worker stays reserved for the step that it was
 /// freed for.
 constexpr Millis ReservationTime = 700;
@@ -58,14 +56,9 @@
 /// reservations and the reserve for urgent work.
 Resources Cell::Engine::freeResourcesFor(const Worker &Target,
                                          const StepRun &Step) const {
-  Resources Free = Target.Capacity_ - Target.Used_;
+  Resources Free =
+      Target.Capacity_ - Target.Used_ - reservedForOthers(Target, Step);
   const int Priority = priorityOf(Step);
-  // A gang needs all its room at once, so no other step may use a part of it.
-  if (Target.ReservedFor_ != nullptr && Target.ReservedFor_ != &Step &&
-      Now_ < Target.ReservedUntil_ &&
-      (Priority >= priorityOf(*Target.ReservedFor_) ||
-       Target.ReservedFor_->spec().Gang_))
-    return {};
   // Late steps may use the reserve too, so that none of them starves.
   if (Priority > HighestPriority_ && !Step.spec().Service_ &&
       Now_ < Step.LatestStart_) {
@@ -86,8 +79,10 @@
 }
 
 /// Returns the lowest priority number that \p Step may preempt. A service may
-/// preempt any checkpointed work.
+/// preempt any checkpointed work, and a step without value none.
 int Cell::Engine::minPreemptiblePriority(const StepRun &Step) const {
+  if (Step.Urgency_.Class_ == Urgency::Class::Worthless)
+    return std::numeric_limits<int>::max();
   return Step.spec().Service_ ? HighestPriority_ : priorityOf(Step) + 1;
 }
 
@@ -148,40 +143,46 @@
         Out.push_back(Each);
     return Out;
   }
-  ComparedInPart_ += Step.Advice_.size();
-  for (const auto &[Number, Each] : Step.Advice_)
-    if (Each.Allowed_ && Now_ < Each.ValidUntil_ &&
-        isUsable(*Each.Target_, Step))
+  ComparedInPart_ += Step.Allowed_.size();
+  for (const auto &[Number, Each] : Step.Allowed_)
+    if (Now_ < Each.ValidUntil_ && isUsable(*Each.Target_, Step))
       Out.push_back(Each.Target_);
   return Out;
 }
 
-/// Returns how many tasks of the step fit on the worker, optionally with the
-/// room that preemption can free.
-std::uint32_t Cell::Engine::maxCopiesOn(const Worker &Target,
-                                        const StepRun &Step,
-                                        bool WithVictims) const {
-  Resources Free = freeResourcesFor(Target, Step);
-  if (WithVictims && !(Free == Resources{}))
-    Free = Free + preemptibleRoom(Target, Step);
+/// Returns how many tasks of the step fit into the resources.
+std::uint32_t Cell::Engine::copiesIn(const Resources &Room,
+                                     const StepRun &Step) const {
   const StepSpec &Spec = Step.spec();
   std::int64_t Copies = static_cast<std::int64_t>(Step.Tasks_.size());
   if (!Spec.Fill_ && Spec.Need_.CpuMilli_ > 0)
-    Copies = std::min(Copies, Free.CpuMilli_ / Spec.Need_.CpuMilli_);
+    Copies = std::min(Copies, Room.CpuMilli_ / Spec.Need_.CpuMilli_);
   if (Spec.Need_.MemoryMib_ > 0)
-    Copies = std::min(Copies, Free.MemoryMib_ / Spec.Need_.MemoryMib_);
+    Copies = std::min(Copies, Room.MemoryMib_ / Spec.Need_.MemoryMib_);
   if (Spec.Need_.Accelerators_ > 0)
-    Copies = std::min<std::int64_t>(Copies, Free.Accelerators_ /
+    Copies = std::min<std::int64_t>(Copies, Room.Accelerators_ /
                                                 Spec.Need_.Accelerators_);
-  if (Spec.MaxPerWorker_ > 0) {
-    std::int64_t Here = 0;
-    for (const auto &[Name, Each] : Target.Runs_)
-      Here += Each.Step_ == &Step ? 1 : 0;
-    Copies = std::min(Copies, std::int64_t{Spec.MaxPerWorker_} - Here);
-  }
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, Copies));
 }
 
+/// Returns how many tasks of the step fit on the worker, optionally with the
+/// room that preemption can free.
+std::uint32_t Cell::Engine::maxCopiesOn(const Worker &Target,
+                                        const StepRun &Step,
+                                        bool WithVictims) const {
+  Resources Free = freeResourcesFor(Target, Step);
+  if (WithVictims)
+    Free = Free + preemptibleRoom(Target, Step);
+  const std::uint32_t Copies = copiesIn(Free, Step);
+  const std::uint32_t Most = Step.spec().MaxPerWorker_;
+  if (Most == 0)
+    return Copies;
+  std::uint32_t Here = 0;
+  for (const auto &[Name, Each] : Target.Runs_)
+    Here += Each.Step_ == &Step ? 1 : 0;
+  return std::min(Copies, Most - std::min(Most, Here));
+}
+
 /// Returns whether the team's limit admits this many further tasks.
 bool Cell::Engine::isUnderTeamLimit(const StepRun &Step,
                                     std::uint32_t Copies) const {
@@ -233,12 +234,10 @@
     NewRun.Need_.CpuMilli_ = 0;
   NewRun.OrderedAt_ = Now_;
   NewRun.Checkpoint_ = TargetTask.Checkpoint_;
-  const auto Known = Step.Advice_.find(Target.Number_);
-  if (Known != Step.Advice_.end())
+  const auto Known = Step.Allowed_.find(Target.Number_);
+  if (Known != Step.Allowed_.end())
     NewRun.Ticket_ = Known->second.Ticket_;
-  if (Target.ReservedFor_ == &Step && Target.ReservedCopies_ > 0 &&
-      --Target.ReservedCopies_ == 0)
-    Target.ReservedFor_ = nullptr;
+  useReservation(Target, Step);
   const std::string Name = taskName(Step, Index);
   addRun(Target, Name, std::move(NewRun));
   Effects_.push_back(Decision{"task_start", Name, Target.Id_,
@@ -247,9 +246,9 @@
 }
 
 /// Stops runs on \p Target until \p Copies tasks of \p Step will fit, and
-/// reserves the room. Returns the number of tasks that will fit.
+/// reserves the room until \p Until. Returns the number of tasks that will fit.
 std::uint32_t Cell::Engine::makeRoom(Worker &Target, StepRun &Step,
-                                     std::uint32_t Copies) {
+                                     std::uint32_t Copies, Millis Until) {
   const Resources &Need = Step.spec().Need_;
   Resources Free = freeResourcesFor(Target, Step);
   Free = Free + Target.StoppingNeed_;
@@ -283,29 +282,18 @@
     Free = Before;
     stopRun(Target, Name, Victim, "preempted");
   }
-  Target.ReservedFor_ = &Step;
-  Step.HasReservations_ = true;
-  Target.ReservedUntil_ = Now_ + ReservationTime;
-  Target.ReservedCopies_ = Out;
-  Effects_.push_back(Decision{"room_reserved", Step.Name_, Target.Id_, 0});
+  reserve(Target, Step, Out, Until);
+  if (!Victims.empty())
+    Effects_.push_back(Decision{"room_reserved", Step.Name_, Target.Id_, 0});
   return Out;
 }
 
-/// Returns the number of tasks of the step for which room on the worker is
-/// being freed.
-std::uint32_t Cell::Engine::reservedCopies(const Worker &Target,
-                                           const StepRun &Step) const {
-  return Target.ReservedFor_ == &Step && Now_ < Target.ReservedUntil_
-             ? Target.ReservedCopies_
-             : 0;
-}
-
 /// Returns whether a start on the worker will still be allowed when a run that
 /// is preempted now has ended. Otherwise the room would be freed in vain.
 bool Cell::Engine::isAllowedAfterStop(const Worker &Target,
                                       const StepRun &Step) const {
-  const auto Known = Step.Advice_.find(Target.Number_);
-  return Known == Step.Advice_.end() ||
+  const auto Known = Step.Allowed_.find(Target.Number_);
+  return Known == Step.Allowed_.end() ||
          Now_ + Limits_.StopTime_ + PreemptionOverhead <
              Known->second.ValidUntil_;
 }
@@ -364,7 +352,8 @@
       continue;
     const std::uint32_t Copies = maxCopiesOn(*Each, Step, true);
     if (Copies > 0)
-      Left -= std::min(Left, makeRoom(*Each, Step, std::min(Left, Copies)));
+      Left -= std::min(Left, makeRoom(*Each, Step, std::min(Left, Copies),
+                                      Now_ + ReservationTime));
   }
   if (Left > 0)
     requestAdvice(Step);
@@ -372,7 +361,9 @@
 
 void Cell::Engine::placeStep(StepRun &Step) {
   if (!Step.Job_->Stored_ || (Step.Job_->Inherited_ && isRecovering())) {
-    if (!Step.Job_->Stored_)
+    if (!Step.Job_->Stored_ && Step.spec().Gang_)
+      requestGangAdvice(Step);
+    else if (!Step.Job_->Stored_)
       requestAdvice(Step);
     return;
   }
@@ -465,9 +456,13 @@
 
 void Cell::Engine::collectUsableWorkers() {
   UsableWorkers_.clear();
+  UsableCpu_ = 0;
+  CollectedCpu_ = 0;
   for (const auto &[Id, Each] : Workers_)
-    if (acceptsTasks(*Each))
+    if (acceptsTasks(*Each)) {
       UsableWorkers_.push_back(Each.get());
+      UsableCpu_ += Each->Capacity_.CpuMilli_;
+    }
 }
 
 /// Runs a placement pass over the waiting steps if one is due. A pass first
@@ -489,6 +484,7 @@
   PassStartedAt_ = Now_;
   PassEnded_ = false;
   collectUsableWorkers();
+  reportUsage();
   const std::vector<StepRun *> First = takeWaiting(nullptr);
   const std::size_t Waiting = WaitingSteps_.size();
   const std::size_t Examined = examine(First);
--- /dev/null
+++ b/src/cell/engine_reports.cc
@@ -0,0 +1,142 @@
+// Reports: why gangs wait, how full the cell is, and the counts for metrics.
+
+#include <algorithm>
+
+#include "cell/engine.h"
+
+namespace oleandergauge::cell {
+
+namespace detail {
+
+std::string GangWait::text() const {
+  std::string Out = "members=" + std::to_string(Members_);
+  const auto Add = [&Out](const char *Name, std::size_t Value) {
+    Out += Name;
+    Out += std::to_string(Value);
+  };
+  Add(" known=", KnownWorkers_);
+  Add(" allowed=", AllowedWorkers_);
+  Add(" tickets=", Tickets_);
+  Add(" ticketed_room=", TicketedRoom_);
+  Add(" room=", Room_);
+  Add(" room_with_victims=", RoomWithVictims_);
+  Add(" reserved=", Reserved_);
+  Add(" calls=", PendingCalls_);
+  return Out;
+}
+
+} // namespace detail
+
+namespace {
+
+/// Time between reports on one waiting gang, and between any two reports.
+constexpr Millis GangReportInterval = 1000;
+constexpr Millis AnyGangReportInterval = 50;
+/// Time between lines on the use of the cell.
+constexpr Millis UsageReportInterval = 1000;
+
+std::string percentOf(std::int64_t Part, std::int64_t All) {
+  return std::to_string(All == 0 ? 0 : 100 * Part / All) + "%";
+}
+
+} // namespace
+
+/// Returns what a waiting gang has and what it lacks.
+GangWait Cell::Engine::describeWait(const StepRun &Step) const {
+  GangWait Out;
+  Out.Members_ = static_cast<std::uint32_t>(Step.Tasks_.size());
+  Out.KnownWorkers_ = Step.Allowed_.size() + Step.Refused_.size();
+  Out.PendingCalls_ = Step.AdviceCalls_.size();
+  for (const auto &[Number, Each] : Step.Allowed_) {
+    if (!isUsable(*Each.Target_, Step))
+      continue;
+    ++Out.AllowedWorkers_;
+    Out.Reserved_ += reservedCopies(*Each.Target_, Step);
+    const std::uint32_t Free = maxCopiesOn(*Each.Target_, Step, false);
+    Out.Room_ += Free;
+    Out.RoomWithVictims_ += maxCopiesOn(*Each.Target_, Step, true);
+    if (Now_ >= Each.ValidUntil_)
+      continue;
+    ++Out.Tickets_;
+    Out.TicketedRoom_ += Free;
+  }
+  return Out;
+}
+
+/// Logs why a gang waits. The number of reports is limited for each gang and
+/// for all of them.
+void Cell::Engine::reportWait(StepRun &Step) {
+  if (Now_ < Step.NextWaitReport_ || Now_ < NextWaitReport_)
+    return;
+  Step.NextWaitReport_ = Now_ + GangReportInterval;
+  NextWaitReport_ = Now_ + AnyGangReportInterval;
+  Effects_.push_back(Decision{"gang_waits", Step.Name_,
+                              describeWait(Step).text(),
+                              Now_ - Step.ReadySince_});
+}
+
+/// Logs how much of the cell is in use or reserved, and how much work waits.
+void Cell::Engine::reportUsage() {
+  if (Now_ < NextUsageReport_)
+    return;
+  NextUsageReport_ = Now_ + UsageReportInterval;
+  std::int64_t All = 0;
+  std::int64_t Used = 0;
+  std::int64_t Stopping = 0;
+  std::int64_t Reserved = 0;
+  for (const Worker *Each : UsableWorkers_) {
+    All += Each->Capacity_.CpuMilli_;
+    Used += Each->Used_.CpuMilli_;
+    Stopping += Each->StoppingNeed_.CpuMilli_;
+    for (const Reservation &Kept : Each->Reservations_)
+      if (Now_ < Kept.Until_)
+        Reserved += Kept.Step_->spec().Need_.CpuMilli_ * Kept.Copies_;
+  }
+  std::map<Urgency::Class, std::size_t> Waiting;
+  for (const auto &[Place, Step] : WaitingSteps_)
+    ++Waiting[Place.Class_];
+  const auto Busy =
+      std::count_if(AdviceHosts_.begin(), AdviceHosts_.end(),
+                    [](const auto &Each) { return Each.second.Calls_ > 0; });
+  Effects_.push_back(Decision{
+      "cell_usage", std::to_string(UsableWorkers_.size()) + " workers",
+      "used=" + percentOf(Used, All) + " stopping=" + percentOf(Stopping, All) +
+          " reserved=" + percentOf(Reserved, All) +
+          " services=" + std::to_string(Waiting[Urgency::Class::Service]) +
+          " on_time=" + std::to_string(Waiting[Urgency::Class::OnTime]) +
+          " late=" + std::to_string(Waiting[Urgency::Class::Late]) +
+          " worthless=" + std::to_string(Waiting[Urgency::Class::Worthless]) +
+          " advice_hosts=" + std::to_string(Busy) + "/" +
+          std::to_string(AdviceHosts_.size()) +
+          " calls=" + std::to_string(PendingAdvice_.size()),
+      0});
+}
+
+CellStats Cell::Engine::stats() const {
+  CellStats Out;
+  Out.Jobs_ = Jobs_.size();
+  Out.EndedJobs_ = EndedRecords_.size();
+  Out.WaitingSteps_ = WaitingSteps_.size();
+  std::int64_t Used = 0;
+  std::int64_t All = 0;
+  for (const auto &[Id, Each] : Workers_) {
+    Out.Running_ += Each->Runs_.size();
+    Out.Workers_ += Each->Listed_ ? 1 : 0;
+    Out.ReachableWorkers_ += Each->Reachable_ ? 1 : 0;
+    Used += Each->Used_.CpuMilli_;
+    All += Each->Listed_ ? Each->Capacity_.CpuMilli_ : 0;
+  }
+  Out.OpenOrders_ = PendingOrders_.size();
+  Out.RepeatedStarts_ = RepeatedStarts_;
+  for (const Job *Each : EndingJobs_)
+    Out.OldestUnstoredEnd_ =
+        std::max(Out.OldestUnstoredEnd_, Now_ - Each->EndedAt_);
+  Out.StepsExamined_ = StepsExamined_;
+  Out.WorkersExamined_ = WorkersExamined_;
+  Out.WorkersCompared_ = WorkersCompared_;
+  Out.UsedShare_ =
+      All == 0 ? 0 : static_cast<double>(Used) / static_cast<double>(All);
+  return Out;
+}
+
+} // namespace oleandergauge::cell
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -384,8 +384,8 @@
                               Now_ - TargetRun.OrderedAt_, TargetRun.Attempt_});
   if (Outcome.Result_ != OrderResult::BadTicket)
     Target.GangsNotBefore_ = Now_ + GangAvoidanceTime;
-  else if (Step != nullptr && Step->Advice_.count(Target.Number_) != 0)
-    Step->Advice_[Target.Number_].ValidUntil_ = 0;
+  else if (Step != nullptr && Step->Allowed_.count(Target.Number_) != 0)
+    Step->Allowed_[Target.Number_].ValidUntil_ = 0;
   if (TargetRun.Unanswered_) {
     // An earlier copy of the order may have started a run or may still arrive;
     // only a stop prevents that.
@@ -486,6 +486,7 @@
 void Cell::Engine::forgetUnlistedWorkers(const std::vector<std::string> &Ids) {
   for (const std::string &Id : Ids) {
     dropAdviceOn(*Workers_[Id]);
+    dropReservationsOn(*Workers_[Id]);
     Workers_.erase(Id);
     Effects_.push_back(Decision{"worker_forgotten", Id, "unlisted", 0});
   }
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "cell/cell.h"
 
@@ -55,15 +56,21 @@
   Millis NotBefore_ = 0; ///< Earliest time of the next start.
 };
 
-/// The advice on one worker for one step. Whether the worker is allowed never
-/// changes; only the ticket expires.
-struct Advice {
+/// A worker that may run a step. This never changes; only the ticket expires.
+struct Permission {
   Worker *Target_ = nullptr;
-  bool Allowed_ = false;
   std::string Ticket_;
   Millis ValidUntil_ = 0;
 };
 
+/// Room on a worker that is kept for tasks of one step while runs are being
+/// stopped, or tickets requested, for them.
+struct Reservation {
+  StepRun *Step_ = nullptr;
+  std::uint32_t Copies_ = 0; ///< Tasks that have not started yet.
+  Millis Until_ = 0;
+};
+
 /// One attempt to run a gang. All members carry the same run number and start
 /// working once all of them are present. An attempt either assembles completely
 /// or is aborted as a whole, because members that wait for a missing one only
@@ -143,19 +150,28 @@
   /// The step is in the set of waiting steps, at Urgency_.
   bool InWaiting_ = false;
   Urgency Urgency_;
-  std::unordered_map<std::uint32_t, Advice> Advice_; ///< By Worker::Number_.
-  Token AdviceToken_ = 0;         ///< The pending call for advice, or zero.
+  /// Workers that may run the step and workers that may not, by
+  /// Worker::Number_. Nothing is known of the others.
+  std::unordered_map<std::uint32_t, Permission> Allowed_;
+  std::unordered_set<std::uint32_t> Refused_;
+  std::vector<Token> AdviceCalls_; ///< Calls for advice without an answer.
+  std::unordered_set<std::string> AskedWorkers_; ///< Named by these calls.
   Millis AdviceNotBefore_ = 0;    ///< Earliest time of the next call.
   bool AskedFreeWorkers_ = false; ///< The latest call names workers with room.
   /// Doubles while there is no worker worth asking about.
   Millis NoRoomBackoff_ = 0;
   std::uint32_t GangStarts_ = 0;
-  GangAttempt Gang_; ///< The latest attempt of a gang.
-  /// A worker may be reserved for the step.
-  bool HasReservations_ = false;
+  GangAttempt Gang_;                 ///< The latest attempt of a gang.
+  std::vector<Worker *> ReservedOn_; ///< Workers with a reservation for it.
+  /// Until when room for all members of a gang stays reserved.
+  Millis GangPlanUntil_ = 0;
   Millis GangBackoff_ = 0; ///< Doubles with each attempt that did not assemble.
 
   const StepSpec &spec() const { return *Spec_; }
+  bool hasAdvice() const { return !Allowed_.empty() || !Refused_.empty(); }
+  bool hasAdviceOn(std::uint32_t Worker) const {
+    return Allowed_.count(Worker) != 0 || Refused_.count(Worker) != 0;
+  }
   std::uint32_t waiting() const {
     return static_cast<std::uint32_t>(Tasks_.size()) - DoneCount_ -
            ActiveCount_;
@@ -264,12 +280,7 @@
   /// Time since when all tails have been well below their goals; zero if one is
   /// not.
   Millis BelowGoalSince_ = 0;
-  /// The step for which freed room is reserved until ReservedUntil_.
-  StepRun *ReservedFor_ = nullptr;
-  Millis ReservedUntil_ = 0;
-  /// Tasks of that step for which the room was freed and that have not started
-  /// yet.
-  std::uint32_t ReservedCopies_ = 0;
+  std::vector<Reservation> Reservations_; ///< At most one for each step.
   /// Milli-cores in use by work of the highest priority.
   std::int64_t UrgentCpu_ = 0;
   /// Sums over Runs_: resources of stopping runs, and resources of preemptible
--- a/test/cell/cell_gang_test.cc
+++ b/test/cell/cell_gang_test.cc
@@ -113,10 +113,12 @@
 }
 
 // Guards against gangs that never hold enough tickets at once: if few workers
-// may run a step, a pause between calls lets earlier tickets expire.
+// may run a step, a pause between calls lets earlier tickets expire. The only
+// entry host answers one call after another, and a call names at most 40
+// workers, so that the four workers that may run the gang take two calls.
 TEST(CellGangAdvice, AsksOnWhileItKnowsNothingOfSomeWorkers) {
-  CellSimulation Sim(1, 40);
-  Sim.limitAdvice({200, 5, 1500}, 5);
+  CellSimulation Sim(1, 80);
+  Sim.limitAdvice({200, 5, 1500}, 20);
   Sim.takeOver();
   Sim.run(300);
   Sim.submit(JobId, gangJob(4), "advised");
@@ -124,6 +126,7 @@
   const auto &Calls = Sim.adviceCalls();
   ASSERT_GE(Calls.size(), 2U);
   EXPECT_LT(Calls[1].first - Calls[0].second, 50);
+  EXPECT_EQ(Sim.starts(), 4U);
 }
 
 // Guards against a next owner that aborts a complete attempt.
--- a/test/cell/cell_placement_test.cc
+++ b/test/cell/cell_placement_test.cc
@@ -208,5 +208,31 @@
   EXPECT_EQ(Sim.starts(), 20U);
 }
 
+// Guards against work that can earn nothing any more and stops work that can:
+// after an overload, late work would displace later work again and again.
+TEST(CellPlacement, PreemptsNothingForWorkWithoutValue) {
+  CellSimulation Sim(1, 1);
+  const std::string Blocking = numberedId(1);
+  const std::string TooLate = numberedId(2);
+  const std::string Punctual = numberedId(3);
+  Sim.TaskBehaviour_ = [&](const std::string &Task) {
+    const bool Blocks = Task.substr(0, Blocking.size()) == Blocking;
+    return std::pair(Millis{Blocks ? 8000 : 2000}, false);
+  };
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(Blocking, simpleJob(1, 4000), "fast");
+  Sim.run(100);
+  Sim.submit(TooLate, simpleJob(1, 3500), "fast");
+  Sim.run(7800);
+  Sim.submit(Punctual, checkpointedJob(1, 3500), "slow");
+  Sim.run(1500);
+  EXPECT_EQ(Sim.stateOf(Punctual), JobState::Running);
+  EXPECT_EQ(Sim.stateOf(TooLate), JobState::Queued);
+  EXPECT_EQ(Sim.Stops_["preempted"], 0);
+  Sim.run(5000);
+  EXPECT_EQ(Sim.stateOf(TooLate), JobState::Complete);
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -89,7 +89,8 @@
     Cell_->setDesiredState(Now_, State_);
     Cell_->restore(Now_, wall(), Stored);
     Cell_->setWaves(Now_, Waves_);
-    Cell_->addAdviceHost("agent", 1);
+    for (std::size_t At = 0; At < AdviceHosts_; ++At)
+      Cell_->addAdviceHost("agent" + std::to_string(At), 1);
     listWorkers();
     processEffects();
   }
@@ -138,6 +139,8 @@
     AdviceCost_ = Cost;
     AllowedEvery_ = AllowedEvery;
   }
+  /// Sets the number of entry hosts that the next owner asks for advice.
+  void setAdviceHosts(std::size_t Count) { AdviceHosts_ = Count; }
   /// Sets the priority of a queue for the next owner.
   void setPriority(const std::string &Queue, int Priority) {
     auto State = std::make_shared<DesiredState>(*State_);
@@ -747,6 +750,7 @@
   std::map<std::string, Millis> TicketExpiry_;
   AdviceCost AdviceCost_; ///< Zero if advice is answered without delay.
   std::size_t AllowedEvery_ = 0;
+  std::size_t AdviceHosts_ = 1;
   std::vector<std::pair<Millis, Millis>> AdviceCalls_;
   std::vector<std::string> Violations_;
   std::size_t Starts_ = 0;
