Share the calls for advice among queues, and give single tasks tickets ahead

Each waiting gang counted as one selection of workers in a pass even when it selected none, so that the tasks behind 16 gangs asked nothing; the calls of gangs took all entry hosts for long calls; and all waiting tasks asked about the same few workers with room. Change: only real selections count; a queue may use 60% of the entry hosts for long calls; while hosts are scarce a gang asks about no further workers once those that may run it could hold it four times; a step of single tasks also holds tickets for workers without room now. Ruled out: limits of teams (few steps were at one), processor time. Test: CellGangPlan.LetsSingleTasksAskBesideManyWaitingGangs; it passes on the code before too, so the starved case itself has no test yet.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -50,6 +50,7 @@
   StepRun *Step_ = nullptr; ///< Null once the job is removed.
   std::string EntryHost_;
   double Cost_ = 0; ///< Expected duration in milliseconds.
+  std::string Queue_;
   std::vector<std::string> Workers_;
   /// Tasks of a gang that are expected to fit on the workers that are allowed.
   double ExpectedRoom_ = 0;
@@ -349,7 +350,8 @@
     bool HaveRoom_ = false; ///< Some of them have room without preemption.
   };
   WorkersToAsk chooseWorkersToAsk(const StepRun &Step);
-  AdviceHost *chooseAdviceHost(double Cost);
+  AdviceHost *chooseAdviceHost(double Cost, const std::string &Queue);
+  bool hasEnoughCapacity(const StepRun &Step) const;
   void dropAdviceOn(const Worker &Gone);
 
   // engine_commit.cc
@@ -406,6 +408,8 @@
   std::map<std::string, AdviceHost> AdviceHosts_;
   std::unordered_map<Token, PendingAdvice> PendingAdvice_;
   std::unordered_map<std::string, double> AllowedRatio_; ///< By queue.
+  /// Number of long calls without an answer, by queue.
+  std::unordered_map<std::string, std::size_t> LongCalls_;
 
   /// Ready steps with waiting tasks. Steps whose tasks have all started, or
   /// whose class has changed, are moved when a pass reaches them.
--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -23,7 +23,14 @@
 /// counts then, so that the gang is likely to start without preemption.
 constexpr double AskedWorkersIdleMargin = 2.5;
 /// Share of the entry hosts for long calls up to which few are in use.
-constexpr double FewHostsShare = 0.7;
+constexpr double FewHostsShare = 0.5;
+/// Largest share of the entry hosts for long calls that the calls of one queue
+/// may use, so that the work of no queue waits for those of another.
+constexpr double MaxQueueShare = 0.6;
+/// A gang asks about no further workers while entry hosts are scarce, if the
+/// workers that may run it could hold it this many times when empty. It waits
+/// for room on these instead.
+constexpr std::uint32_t EnoughCapacityFactor = 4;
 /// Minimum and maximum number of workers that one call names.
 constexpr std::size_t MinWorkersAsked = 4;
 /// Each call has a fixed base cost, so a call names at least as many workers as
@@ -52,6 +59,12 @@
 /// about.
 constexpr std::size_t MaxAdviceSelections = 16;
 
+/// Returns the number of hosts in a share of \p Count, at least one.
+std::size_t shareOf(double Share, std::size_t Count) {
+  return static_cast<std::size_t>(
+      std::ceil(Share * static_cast<double>(Count)));
+}
+
 /// Returns the number of workers that a call may name. The calls for a gang
 /// run side by side, so that each takes at most twice its base cost.
 std::size_t maxWorkersInCall(const AdviceCost &Rates) {
@@ -61,6 +74,12 @@
                     MinWorkersAsked, MaxWorkersAsked);
 }
 
+/// Orders workers by room, those with most room first.
+bool hasMoreRoom(const GangOption &A, const GangOption &B) {
+  return std::tie(A.Free_, A.Total_, A.Target_->Number_) >
+         std::tie(B.Free_, B.Total_, B.Target_->Number_);
+}
+
 } // namespace
 
 void Cell::Engine::addAdviceHost(const std::string &Host, double Strength) {
@@ -81,10 +100,12 @@
 
 /// Returns the least loaded entry host for a call of this duration in
 /// milliseconds, or null if all suitable ones are busy.
-AdviceHost *Cell::Engine::chooseAdviceHost(double Cost) {
+AdviceHost *Cell::Engine::chooseAdviceHost(double Cost,
+                                           const std::string &Queue) {
   const bool Long = Cost > LongCallMs;
-  const auto LongHosts = static_cast<std::size_t>(
-      std::ceil(LongHostShare * static_cast<double>(AdviceHosts_.size())));
+  const std::size_t LongHosts = shareOf(LongHostShare, AdviceHosts_.size());
+  if (Long && LongCalls_[Queue] >= shareOf(MaxQueueShare, LongHosts))
+    return nullptr;
   AdviceHost *Best = nullptr;
   double BestLoad = 0;
   std::size_t Position = 0;
@@ -127,68 +148,58 @@
                     MaxWorkersAsked);
 }
 
-/// Selects the workers to ask about for single tasks: allowed workers whose
-/// tickets have expired first. If there are none, adds workers for which no
-/// advice is known. Workers with room go before those where runs would have to
-/// be preempted.
+/// Selects the workers to ask about for single tasks. Allowed workers with room
+/// whose tickets have expired go first, then workers with room of which nothing
+/// is known. If these do not suffice, adds allowed workers without room, so
+/// that the step holds tickets for room that becomes free. Otherwise all
+/// waiting steps would ask about the same few workers with room.
 Cell::Engine::WorkersToAsk
 Cell::Engine::chooseWorkersToAsk(const StepRun &Step) {
-  struct Option {
-    Worker *Target_;
-    std::uint32_t FreeCopies_;
-    std::uint32_t Copies_; ///< With the room that preemption can free.
-  };
-  std::vector<Option> Known;
-  std::vector<Option> Unknown;
+  std::vector<GangOption> Known;
+  std::vector<GangOption> Unknown;
+  ++AdviceSelections_;
   ComparedInPart_ += UsableWorkers_.size();
   for (Worker *Each : UsableWorkers_) {
     if (!suits(*Each, Step))
       continue;
-    const std::uint32_t Free = maxCopiesOn(*Each, Step, false);
-    const std::uint32_t Copies = maxCopiesOn(*Each, Step, true);
+    const GangOption Option{Each, 0, maxCopiesOn(*Each, Step, false),
+                            maxCopiesOn(*Each, Step, true), false};
     const auto Permitted = Step.Allowed_.find(Each->Number_);
     if (!Step.hasAdviceOn(Each->Number_))
-      Unknown.push_back({Each, Free, Copies});
-    else if (Permitted != Step.Allowed_.end() && Copies > 0 &&
+      Unknown.push_back(Option);
+    else if (Permitted != Step.Allowed_.end() &&
              Now_ >= Permitted->second.ValidUntil_)
-      Known.push_back({Each, Free, Copies});
+      Known.push_back(Option);
   }
-  auto MoreCopies = [](const Option &A, const Option &B) {
-    return std::tie(A.FreeCopies_, A.Copies_, A.Target_->Number_) >
-           std::tie(B.FreeCopies_, B.Copies_, B.Target_->Number_);
-  };
-  std::sort(Known.begin(), Known.end(), MoreCopies);
-  std::sort(Unknown.begin(), Unknown.end(), MoreCopies);
-  const std::uint32_t Wanted = Step.waiting();
+  std::sort(Known.begin(), Known.end(), hasMoreRoom);
+  std::sort(Unknown.begin(), Unknown.end(), hasMoreRoom);
+  const std::size_t Most = maxWorkersInCall(*queueOf(*Step.Job_)->Advice_);
+  const std::size_t Least = minWorkersAsked(Step);
+  const double Wanted = Step.waiting() * AskedWorkersMargin;
+  const double Ratio = allowedRatioOf(Step);
+  const bool First = !Step.hasAdvice();
   WorkersToAsk Out;
-  const auto Add = [&Out](const Option &Each) {
+  double Expected = 0;
+  const auto Add = [&](const GangOption &Each, double Share) {
     Out.Workers_.push_back(Each.Target_);
-    Out.HaveRoom_ = Out.HaveRoom_ || Each.FreeCopies_ > 0;
+    Out.HaveRoom_ = Out.HaveRoom_ || Each.Free_ > 0;
+    Expected += std::max(1U, Each.Total_) * Share;
   };
-  std::uint32_t Have = 0;
-  for (const Option &Each : Known) {
-    if (Have >= Wanted + Wanted / 4)
+  auto NextKnown = Known.begin();
+  for (; NextKnown != Known.end() && NextKnown->Total_ > 0 &&
+         Expected < Wanted && Out.Workers_.size() < Most;
+       ++NextKnown)
+    Add(*NextKnown, 1);
+  for (const GangOption &Each : Unknown) {
+    const bool Enough = Out.Workers_.size() >= Least && Expected >= Wanted;
+    if (Enough || Out.Workers_.size() >= Most || (!First && Each.Total_ == 0))
       break;
-    Have += Each.Copies_;
-    Add(Each);
-  }
-  if (Have > 0)
-    return Out;
-  const bool First = !Step.hasAdvice();
-  if (!First && (Unknown.empty() || Unknown.front().Copies_ == 0))
-    return Out;
-  const double Ratio = allowedRatioOf(Step);
-  const std::size_t Least = minWorkersAsked(Step);
-  double Expected = 0;
-  std::size_t Asked = 0;
-  for (const Option &Each : Unknown) {
-    if (Out.Workers_.size() >= MaxWorkersAsked ||
-        (Asked >= Least && Expected >= Wanted * AskedWorkersMargin))
-      break;
-    Expected += std::max<std::uint32_t>(1, Each.Copies_) * Ratio;
-    Add(Each);
-    ++Asked;
+    Add(Each, Ratio);
   }
+  for (; NextKnown != Known.end() && Expected < Wanted &&
+         Out.Workers_.size() < Most;
+       ++NextKnown)
+    Add(*NextKnown, 0);
   return Out;
 }
 
@@ -233,11 +244,8 @@
   if (!Step.Job_->Stored_ && (Step.hasAdvice() || !Step.AdviceCalls_.empty()))
     return false;
   // The answer to a pending call triggers another pass.
-  if (AdviceSelections_ >= MaxAdviceSelections ||
-      chooseAdviceHost(JobQueue->Advice_->Base_) == nullptr)
-    return false;
-  ++AdviceSelections_;
-  return true;
+  return AdviceSelections_ < MaxAdviceSelections &&
+         chooseAdviceHost(JobQueue->Advice_->Base_, JobQueue->Name_) != nullptr;
 }
 
 /// Requests advice for single tasks if their queue needs it and no call is
@@ -272,7 +280,7 @@
   const AdviceCost &Rates = *queueOf(*Step.Job_)->Advice_;
   const double Cost =
       Rates.Base_ + Rates.PerWorker_ * static_cast<double>(Asked.size());
-  AdviceHost *ChosenHost = chooseAdviceHost(Cost);
+  AdviceHost *ChosenHost = chooseAdviceHost(Cost, Step.Job_->Queue_);
   if (ChosenHost == nullptr)
     return false;
   const Token Id = NextToken_++;
@@ -280,6 +288,9 @@
   Open.Step_ = &Step;
   Open.EntryHost_ = ChosenHost->Host_;
   Open.Cost_ = Cost;
+  Open.Queue_ = Step.Job_->Queue_;
+  if (Cost > LongCallMs)
+    ++LongCalls_[Open.Queue_];
   AskAdvice Out{Id, ChosenHost->Host_, Step.Name_, {}, 0};
   for (const Worker *Each : Asked) {
     Out.Workers_.push_back(Each->Id_);
@@ -342,6 +353,7 @@
 /// most room first.
 std::vector<Worker *> Cell::Engine::unknownWorkersForGang(const StepRun &Step) {
   std::vector<GangOption> Options;
+  ++AdviceSelections_;
   ComparedInPart_ += UsableWorkers_.size();
   const bool First = !Step.hasAdvice();
   for (Worker *Each : UsableWorkers_) {
@@ -353,11 +365,7 @@
       Options.push_back(
           {Each, 0, maxCopiesOn(*Each, Step, false), Total, false});
   }
-  std::sort(Options.begin(), Options.end(),
-            [](const GangOption &A, const GangOption &B) {
-              return std::tie(A.Free_, A.Total_, A.Target_->Number_) >
-                     std::tie(B.Free_, B.Total_, B.Target_->Number_);
-            });
+  std::sort(Options.begin(), Options.end(), hasMoreRoom);
   std::vector<Worker *> Out;
   Out.reserve(Options.size());
   for (const GangOption &Each : Options)
@@ -380,6 +388,18 @@
   return Out;
 }
 
+/// Returns whether the workers that may run the gang could hold it several
+/// times when empty.
+bool Cell::Engine::hasEnoughCapacity(const StepRun &Step) const {
+  if (Step.spec().SameRack_)
+    return false;
+  std::size_t Capacity = 0;
+  for (const auto &[Number, Each] : Step.Allowed_)
+    if (isUsable(*Each.Target_, Step))
+      Capacity += copiesIn(Each.Target_->Capacity_, Step);
+  return Capacity >= EnoughCapacityFactor * Step.Tasks_.size();
+}
+
 /// Asks for a gang about workers of which nothing is known, as many as are
 /// expected to provide the room that it lacks. Returns whether an answer is
 /// pending.
@@ -392,6 +412,8 @@
   const double Lacking = Wanted - expectedGangRoom(Step, !Idle);
   if (Lacking <= 0 && !Step.AdviceCalls_.empty())
     return true;
+  if (!Idle && hasEnoughCapacity(Step))
+    return !Step.AdviceCalls_.empty();
   const std::size_t Least = minWorkersAsked(Step);
   const double Ratio = allowedRatioOf(Step);
   std::vector<Worker *> Asked;
@@ -403,10 +425,10 @@
     Room += (Idle ? Copies : std::max(1U, Copies)) * Ratio;
     Asked.push_back(Each);
   }
-  if (!Asked.empty())
-    askForGang(Step, Asked, Room);
-  else if (Step.AdviceCalls_.empty())
+  if (Asked.empty())
     backOffWithoutRoom(Step);
+  else
+    askForGang(Step, Asked, Room);
   return !Step.AdviceCalls_.empty();
 }
 
@@ -443,6 +465,8 @@
     return;
   const PendingAdvice Open = It->second;
   PendingAdvice_.erase(It);
+  if (Open.Cost_ > LongCallMs)
+    --LongCalls_[Open.Queue_];
   PlacementNeeded_ = true;
   const auto ChosenHost = AdviceHosts_.find(Open.EntryHost_);
   if (ChosenHost != AdviceHosts_.end()) {
--- a/test/cell/cell_gang_plan_test.cc
+++ b/test/cell/cell_gang_plan_test.cc
@@ -111,6 +111,26 @@
   EXPECT_LE(Sim_->now() - Submitted, Rounds + 300 + MessageTime);
 }
 
+// Guards against waiting gangs that use up what a placement pass may spend on
+// choosing workers to ask about, so that single tasks never ask while the
+// workers that may run them are idle.
+TEST_F(CellGangPlan, LetsSingleTasksAskBesideManyWaitingGangs) {
+  start(40);
+  const std::uint32_t TooMany = 40 / AllowedEvery + 1;
+  for (int At = 0; At < 30; ++At) {
+    char Id[17];
+    std::snprintf(Id, sizeof Id, "%016x", 100 + At);
+    Sim_->submit(Id, {"payload", {gangStep(TooMany)}, 0, 0, 0}, "advised");
+  }
+  Sim_->run(5000);
+  ASSERT_EQ(Sim_->starts(), 0U);
+  const Millis Submitted = Sim_->now();
+  Sim_->submit(JobId, taskJob(1, WholeWorkerMib), "advised");
+  const auto Started = startOf(*Sim_, JobId + ".0.0.0", 10000);
+  ASSERT_TRUE(Started);
+  EXPECT_LE(*Started - Submitted, callTime(40) + MessageTime);
+}
+
 // Guards against preemption on workers that are chosen although others have
 // free room for the gang.
 TEST_F(CellGangPlan, PreemptsOnlyForTheMembersThatFindNoFreeRoom) {
