review: a fault of a script counts as not run

An exception in a script ended it with 1, as if the rule was broken: seen once, in case 2 with TROUBLE=0, when its temporary folder was removed from outside.

--- a/review/rig.py
+++ b/review/rig.py
@@ -313,6 +313,8 @@
         code = BROKEN if play(record, trouble) else HELD
     except NotRun as why:
         record.write("could not run: %s" % why)
+    except Exception as why:  # A fault of the script itself shows nothing.
+        record.write("could not run: %r" % why)
     finally:
         signal.alarm(0)
     record.write("result: %s" % {HELD: "the rule held", BROKEN: "the rule is broken",
