Draw no conclusion from a worker's list that does not name all ends

Cause: a worker repeats unacknowledged ends, 500 in an answer, and nothing can be acknowledged while nothing can be stored. A run that was neither running nor among these 500 ends was taken for lost, its room was given away and its task was started again. A next owner took the first answer of a worker for its whole state in the same way.

Only a complete list ends a run that it does not name; a next owner waits for a complete list of each worker that answers. A run that ended out of sight keeps its room until its end is listed, which also bounds the ends that wait.

Tests: cell_lists_test (4 tests) and WorkerCalls.RenewalsTellWhetherTheirLists- AreComplete.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -219,6 +219,7 @@
                          Run &TargetRun, const OrderOutcome &Outcome);
   Millis workerClock(const Worker &Target) const;
   bool isRecovering() const;
+  void endRecoveryWithoutContact();
   void recordHealth(Worker &Target, EndKind Kind, const Job &Cause);
 
   // engine_lists.cc
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -40,13 +40,15 @@
     processEnd(Sender, End);
   for (const RunningEntry &Entry : List.Running_)
     processRunning(Sender, Entry, List.ClockMs_);
+  Sender.EndsHidden_ = !List.AllEnds_;
   loseUnlistedRuns(Sender, List);
   adjustFillerPaces(Sender);
   if (!Sender.FenceAccepted_) {
     Sender.FenceAccepted_ = true;
-    UnconfirmedWorkers_.erase(Sender.Id_);
     PlacementNeeded_ = true;
   }
+  if (List.isComplete() && UnconfirmedWorkers_.erase(Sender.Id_) != 0)
+    PlacementNeeded_ = true;
   Sender.NextRenewal_ = Now_ + (Sender.LastSeenEnd_ > Sender.LastStoredEnd_
                                     ? RenewalIntervalWhileStoring
                                     : RenewalInterval);
@@ -169,9 +171,12 @@
     dropRun(Sender, End.Task_);
 }
 
-/// Drops confirmed runs that a newer list does not contain: they have ended or
-/// never began.
+/// Drops confirmed runs that a newer list does not contain: they never began,
+/// or their end was acknowledged. A run whose end may be among those that the
+/// list does not name keeps its room until its end is listed.
 void Cell::Engine::loseUnlistedRuns(Worker &Sender, const WorkerList &List) {
+  if (!List.AllEnds_)
+    return;
   std::vector<std::string> Missing;
   for (const auto &[Name, Each] : Sender.Runs_) {
     if (Each.OrderInFlight_ || Each.ConfirmedClock_ >= List.ClockMs_)
@@ -183,7 +188,7 @@
                     });
     if (Listed)
       continue;
-    const bool Running = Each.Phase_ == Run::Phase::Running;
+    const bool Running = Each.Phase_ == Run::Phase::Running && List.AllRuns_;
     const bool Stopped =
         Each.Phase_ == Run::Phase::Stopping && Each.StopConfirmed_;
     if (Running || Stopped)
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -56,8 +56,22 @@
 }
 
 /// Returns whether runs of a former owner may still exist unseen.
-bool Cell::Engine::isRecovering() const {
-  return !UnconfirmedWorkers_.empty() && Now_ < RecoveryEnd_;
+bool Cell::Engine::isRecovering() const { return !UnconfirmedWorkers_.empty(); }
+
+/// Ends the wait for workers that have not answered since the takeover: the
+/// leases of a former owner have ended. A worker that answers, but has more
+/// ends than a list holds, may still report that an inherited task is done.
+void Cell::Engine::endRecoveryWithoutContact() {
+  if (UnconfirmedWorkers_.empty() || Now_ < RecoveryEnd_)
+    return;
+  const auto HasEnded = [this](const std::string &Id) {
+    const Worker *Target = findWorker(Id);
+    if (Target == nullptr || !Target->FenceAccepted_ || !Target->EndsHidden_)
+      return true;
+    return !Target->Reachable_ && Now_ > Target->LeaseEnd_;
+  };
+  if (std::erase_if(UnconfirmedWorkers_, HasEnded) != 0)
+    PlacementNeeded_ = true;
 }
 
 void Cell::Engine::setWithdrawnDomains(std::set<std::string> Domains) {
@@ -246,6 +260,7 @@
   ++Target.RestartCount_;
   Target.Fence_ = Epoch_ * FencesPerEpoch + Target.RestartCount_;
   Target.FenceAccepted_ = false;
+  Target.EndsHidden_ = false;
   Target.LastSeenEnd_ = 0;
   Target.LastStoredEnd_ = 0;
   Target.LastCommitEnd_ = 0;
@@ -494,10 +509,7 @@
 
 /// Examines the workers for which something is due.
 void Cell::Engine::advanceWorkers() {
-  if (!UnconfirmedWorkers_.empty() && Now_ >= RecoveryEnd_) {
-    UnconfirmedWorkers_.clear();
-    PlacementNeeded_ = true;
-  }
+  endRecoveryWithoutContact();
   if (Now_ < NextWorkerDue_)
     return;
   NextWorkerDue_ = Now_ + MaxExamineInterval;
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -249,6 +249,8 @@
   std::uint64_t Fence_ = 0;
   /// The present incarnation has answered a request with this owner's fence.
   bool FenceAccepted_ = false;
+  /// The latest list did not name all ends that are not acknowledged.
+  bool EndsHidden_ = false;
   bool Reachable_ = false;
   Millis UnreachableSince_ = 0;
   /// Estimate of the worker's clock: it showed ClockMs_ at the time ClockAt_.
--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -177,12 +177,19 @@
   friend bool operator==(const MachineEntry &, const MachineEntry &) = default;
 };
 
-/// The runs that a worker lists at ClockMs_ on its own clock.
+/// The runs that a worker lists at ClockMs_ on its own clock. An answer holds a
+/// limited number of ends, so that the absence of a run proves its end only
+/// where the list says that it is complete.
 struct WorkerList {
   Millis ClockMs_ = 0;
   Millis Incarnation_ = 0;
   std::vector<RunningEntry> Running_;
   std::vector<EndEntry> Ended_;
+  bool AllRuns_ = false; ///< Running_ names every run of the worker.
+  /// Ended_ names every end that is not acknowledged to the worker.
+  bool AllEnds_ = false;
+
+  bool isComplete() const { return AllRuns_ && AllEnds_; }
   friend bool operator==(const WorkerList &, const WorkerList &) = default;
 };
 
--- a/test/cell/cell_fuzz_test.cc
+++ b/test/cell/cell_fuzz_test.cc
@@ -10,6 +10,8 @@
 /// Longer than a lease, the recovery after a takeover and the delay of the
 /// latest order.
 constexpr Millis RecoveryTime = 40000;
+/// Ends in an answer of a worker that often has more of them.
+constexpr std::size_t FewEnds = 3;
 
 JobSpec drawJob(std::mt19937_64 &Random) {
   auto Draw = [&](int Low, int High) {
@@ -79,6 +81,8 @@
   std::mt19937_64 Random(Seed);
   CellSimulation Sim(Seed);
   Sim.Faults_ = {0.05, 0.05, 0.1, 0.02};
+  if (Seed % 2 == 0)
+    Sim.EndsPerList_ = FewEnds;
   Sim.takeOver();
   Sim.run(300);
   std::vector<std::string> Ids;
--- /dev/null
+++ b/test/cell/cell_lists_test.cc
@@ -0,0 +1,109 @@
+#include <gtest/gtest.h>
+
+#include "cell_world.h"
+
+namespace oleandergauge::cell::test {
+namespace {
+
+const std::string JobId = "00000000000000aa";
+constexpr std::uint32_t Tasks = 240;
+constexpr Millis Work = 300;
+constexpr Millis Outage = 4500;
+
+/// Two large workers whose answers hold few ends, and one job of short tasks.
+CellSimulation crowdedCell() {
+  CellSimulation Sim(1, 2);
+  Sim.EndsPerList_ = 20;
+  Sim.TaskBehaviour_ = [](const std::string &) {
+    return std::pair(Work, false);
+  };
+  for (std::size_t At = 0; At < Sim.workerCount(); ++At)
+    Sim.worker(At).Capacity_ = {4000, 64000, 0, 0, 0};
+  return Sim;
+}
+
+std::size_t waitingEnds(CellSimulation &Sim) {
+  std::size_t Out = 0;
+  for (std::size_t At = 0; At < Sim.workerCount(); ++At)
+    Out = std::max(Out, Sim.worker(At).Ends_.size());
+  return Out;
+}
+
+// Guards against tasks that run twice: during an outage of the store more ends
+// wait than an answer of a worker holds, and a run that is neither running nor
+// on the list is taken for one that never ran.
+TEST(CellLists, KeepsRunsWhoseEndsDoNotFitIntoAnAnswer) {
+  CellSimulation Sim = crowdedCell();
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(JobId, simpleJob(Tasks, 100), "fast");
+  Sim.run(100);
+  Sim.setStoreDown(true);
+  Sim.run(Outage);
+  EXPECT_GT(waitingEnds(Sim), Sim.EndsPerList_);
+  Sim.setStoreDown(false);
+  Sim.run(5000);
+  EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
+  EXPECT_EQ(Sim.starts(), Tasks);
+  EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
+}
+
+// Guards against a next owner that takes the first answer of a worker for its
+// whole state, and starts tasks again whose ends did not fit into it.
+TEST(CellLists, NextOwnerWaitsForEndsThatDoNotFitIntoAnAnswer) {
+  CellSimulation Sim = crowdedCell();
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(JobId, simpleJob(Tasks, 100), "fast");
+  Sim.run(100);
+  Sim.setStoreDown(true);
+  Sim.run(Outage);
+  ASSERT_GT(waitingEnds(Sim), Sim.EndsPerList_);
+  Sim.killOwner();
+  Sim.setStoreDown(false);
+  Sim.takeOver();
+  Sim.run(6000);
+  EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
+  EXPECT_EQ(Sim.starts(), Tasks);
+  EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
+}
+
+// Guards against the same start where the leases of the former owner have
+// ended before the last ends are listed, since the store is slow.
+TEST(CellLists, WaitsForHiddenEndsBeyondTheLeasesOfAFormerOwner) {
+  CellSimulation Sim = crowdedCell();
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(JobId, simpleJob(Tasks, 100), "fast");
+  Sim.run(100);
+  Sim.setStoreDown(true);
+  Sim.run(Outage);
+  ASSERT_GT(waitingEnds(Sim), Sim.EndsPerList_);
+  Sim.killOwner();
+  Sim.setStoreDown(false);
+  Sim.takeOver();
+  Sim.setStoreDown(true);
+  Sim.run(9000);
+  Sim.setStoreDown(false);
+  Sim.run(8000);
+  EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
+  EXPECT_EQ(Sim.starts(), Tasks);
+  EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
+}
+
+// Guards against an owner and workers that hold more and more ends while the
+// store is away: hidden ends keep their room, which bounds both.
+TEST(CellLists, BoundsTheEndsThatWaitForTheStore) {
+  CellSimulation Sim = crowdedCell();
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(JobId, simpleJob(4 * Tasks, 100), "fast");
+  Sim.run(100);
+  Sim.setStoreDown(true);
+  Sim.run(5 * Outage);
+  constexpr std::size_t RunsPerWorker = 40;
+  EXPECT_LE(waitingEnds(Sim), Sim.EndsPerList_ + 2 * RunsPerWorker);
+}
+
+} // namespace
+} // namespace oleandergauge::cell::test
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -29,6 +29,9 @@
 struct TaskHistory {
   int RunningCount_ = 0;
   bool Done_ = false;
+  Millis DoneAt_ = 0; ///< Time at which the first run ended as done.
+  std::uint64_t DoneAttempt_ = 0; ///< The number of that run.
+  Millis StartedAt_ = 0;          ///< Time of the latest start.
   /// Run numbers of failures that an owner acknowledged.
   std::set<std::uint64_t> AcknowledgedFailures_;
 };
@@ -210,6 +213,7 @@
   std::map<std::string, Millis> CancelledAt_;
   Faults Faults_;
   Millis CommitTime_ = 8;                ///< Duration of a transaction.
+  std::size_t EndsPerList_ = 500;        ///< Ends in one answer of a worker.
   std::vector<std::size_t> CommitSizes_; ///< Rows written by transactions.
   /// Run time and failure of a task; drawn at random if not set.
   std::function<std::pair<Millis, bool>(const std::string &Task)>
@@ -306,6 +310,10 @@
     Receiver.end(Task, Kind);
     TaskHistory &History = Tasks_[Task];
     --History.RunningCount_;
+    if (Kind == EndKind::Done && !History.Done_) {
+      History.DoneAt_ = Now_;
+      History.DoneAttempt_ = EndedRun.Attempt_;
+    }
     History.Done_ = History.Done_ || Kind == EndKind::Done;
     if (Kind == EndKind::Alone)
       checkAloneEnd(Task, EndedRun);
@@ -427,6 +435,7 @@
           TaskBehaviour_(Order.Task_);
     Receiver.Runs_[Order.Task_] = Created;
     ++Tasks_[Order.Task_].RunningCount_;
+    Tasks_[Order.Task_].StartedAt_ = Now_;
     ++Starts_;
     Out.Result_ = OrderResult::Done;
     return Out;
@@ -530,6 +539,18 @@
     }
   }
 
+  /// Notes that a task's end counts. A start since then ran the task twice,
+  /// unless the worker's lease lapsed after the end.
+  void recordAcknowledgedDone(const FakeWorker &Receiver,
+                              const EndEntry &Entry) {
+    AcknowledgedDone_.insert(Entry.Task_);
+    const TaskHistory &History = Tasks_[Entry.Task_];
+    if (Entry.Attempt_ == History.DoneAttempt_ &&
+        History.StartedAt_ > History.DoneAt_ &&
+        Receiver.LapsedAt_ < History.DoneAt_)
+      addViolation("started again after an end that counts: " + Entry.Task_);
+  }
+
   void answerRenewal(FakeWorker &Receiver, const SendRenewal &Renewal) {
     RenewalOutcome Out{
         Renewal.Worker_.Id_, Renewal.Worker_.Fence_, OrderResult::Done, {}};
@@ -547,7 +568,7 @@
              Receiver.Ends_.front().Number_ <= Renewal.AcknowledgedEnd_) {
         const EndEntry &AcknowledgedEntry = Receiver.Ends_.front();
         if (AcknowledgedEntry.Kind_ == EndKind::Done)
-          AcknowledgedDone_.insert(AcknowledgedEntry.Task_);
+          recordAcknowledgedDone(Receiver, AcknowledgedEntry);
         if (AcknowledgedEntry.Kind_ == EndKind::Failed)
           Tasks_[AcknowledgedEntry.Task_].AcknowledgedFailures_.insert(
               AcknowledgedEntry.Attempt_);
@@ -559,7 +580,12 @@
         Out.List_.Running_.push_back({Name, Each.Attempt_, "",
                                       Each.Gang_ && !Each.Assembled_ ? 0 : 100,
                                       ReportedTail_ ? ReportedTail_(Name) : 0});
-      Out.List_.Ended_.assign(Receiver.Ends_.begin(), Receiver.Ends_.end());
+      Out.List_.AllRuns_ = true;
+      const std::size_t Count = std::min(Receiver.Ends_.size(), EndsPerList_);
+      Out.List_.Ended_.assign(Receiver.Ends_.begin(),
+                              Receiver.Ends_.begin() +
+                                  static_cast<std::ptrdiff_t>(Count));
+      Out.List_.AllEnds_ = Count < EndsPerList_;
     }
     schedule(drawBetween(1, 3), [this, Out, Generation = OwnerGeneration_] {
       if (Cell_ && Generation == OwnerGeneration_) {
--- a/test/cell/fake_worker.h
+++ b/test/cell/fake_worker.h
@@ -45,6 +45,7 @@
   std::map<std::string, ActiveRun> Runs_;
   std::deque<EndEntry> Ends_;
   std::uint64_t LastEndNumber_ = 0;
+  Millis LapsedAt_ = -1; ///< Latest time at which its lease had ended.
   /// Highest run number that has ended, by task.
   std::map<std::string, std::uint64_t> HighestEndedAttempt_;
 
@@ -81,6 +82,8 @@
                                                        Millis Elapsed) {
     std::vector<std::pair<std::string, EndKind>> Over;
     const bool Lapsed = Deadline_ != 0 && clock(Now) > Deadline_;
+    if (Lapsed)
+      LapsedAt_ = Now;
     for (auto &[Name, Each] : Runs_) {
       const bool Waits = Each.Gang_ && !Each.Assembled_;
       (Waits ? Each.WaitedForMembers_ : Each.RemainingWork_) +=
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -152,6 +152,31 @@
   EXPECT_EQ(Outcome.List_.Ended_[0].Kind_, cell::EndKind::Done);
 }
 
+std::string endRows(int Count) {
+  std::string Out;
+  for (int At = 1; At <= Count; ++At)
+    Out += (At == 1 ? "[" : ",[") + std::to_string(At) +
+           R"(,"a.0.0.1",1,"done",""])";
+  return Out;
+}
+
+// Guards against conclusions from what a list does not name: a worker returns
+// 500 ends at a time, and a row that cannot be read may be any run.
+TEST(WorkerCalls, RenewalsTellWhetherTheirListsAreComplete) {
+  const auto Decode = [](const std::string &Running, const std::string &Ended) {
+    return decodeRenewalAnswer({},
+                               {200, R"({"clock_ms":50,"running":[)" + Running +
+                                         R"(],"finished":[)" + Ended + "]}"})
+        .List_;
+  };
+  EXPECT_TRUE(Decode(R"(["b",2,"c",41])", endRows(499)).isComplete());
+  EXPECT_FALSE(Decode(R"(["b",2,"c",41])", endRows(500)).AllEnds_);
+  // Ends that cannot be read take the place of others.
+  EXPECT_FALSE(Decode("", "7," + endRows(499)).AllEnds_);
+  EXPECT_FALSE(Decode(R"(["b"])", "").AllRuns_);
+  EXPECT_TRUE(Decode("", "").isComplete());
+}
+
 TEST(WorkerCalls, MapsStatusesToOrderResults) {
   using Result = cell::OrderResult;
   EXPECT_EQ(decodeOrderAnswer(1, {200, "{}"}).Result_, Result::Done);
