Keep each row within the size that the store accepts

Cause: the row of a job's progress got an entry for each step of each occurrence and kept it; the failed attempts of many tasks, the list of used workers, ended jobs with long names and removed waves had no bound either, and the bytes of a transaction were checked before a row was added, not with it.

Change: finished occurrences become a number once the row is full; a row that is still too large is divided by ranges of tasks, upper part first, which is safe since progress only grows. The list of workers and ended jobs take as many rows as they need, a row of a wave names only machines of the wave. The size comes from platform.row_bytes. Finished occurrences are forgotten in memory as soon as their number is stored. Progress that fits into one row has the form of the version before. A step is found by its position instead of a search.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -236,6 +236,7 @@
   std::vector<std::pair<std::string, std::string>> Progress_;
   std::vector<std::pair<std::string, std::string>> Ended_;
   std::set<std::string> Workers_;
+  std::size_t WorkerRows_ = 0; ///< Rows that contained Workers_.
   /// Progress by wave number.
   std::vector<std::pair<std::string, std::string>> Waves_;
 };
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -79,6 +79,14 @@
   Total  ///< The same, with the room that preemption can free.
 };
 
+/// A row of progress in the transaction in flight.
+struct SentProgress {
+  Job *Job_ = nullptr;
+  TaskNumber First_ = 0; ///< The first task that the row covers.
+  /// Occurrences that the row states as done as a whole.
+  std::uint32_t DoneOccurrences_ = 0;
+};
+
 /// A stored row that contains ended jobs.
 struct EndedRow {
   std::string Key_;
@@ -91,9 +99,10 @@
 public:
   void add(std::string Table, std::string Key,
            std::optional<std::string> Value);
-  /// Returns whether \p Count further rows fit while \p Reserved rows stay
-  /// free.
-  bool hasRoom(std::size_t Count, std::size_t Reserved) const;
+  /// Returns whether \p Count further rows with values of \p Bytes in all fit
+  /// while \p Reserved rows stay free.
+  bool hasRoom(std::size_t Count, std::size_t Reserved,
+               std::size_t Bytes) const;
   std::size_t size() const { return Rows_.size(); }
   std::vector<RowChange> take() { return std::move(Rows_); }
 
@@ -118,6 +127,7 @@
   void handleTaskEnd(StepRun &Step, std::uint32_t Index, const EndEntry &End,
                      Worker *Sender);
   void endJob(Job &Ended, EndState State);
+  void detachStep(StepRun &Step);
   void detachSteps(Job &TargetJob);
   bool storeStalled() const;
   void refuseLateJobs();
@@ -173,14 +183,13 @@
   void openNamedOccurrence(const TaskName &Name);
   void openDueOccurrences(Job &TargetJob);
   void openOccurrence(Job &TargetJob, std::uint32_t Occurrence);
-  void applyProgress(Job &TargetJob, const std::vector<StepProgress> &Progress);
+  std::uint32_t openOccurrences(const Job &TargetJob) const;
   void refreshReadySteps(Job &TargetJob);
   void endJobIfComplete(Job &TargetJob);
   void recordDuration(std::string_view What, const Job &TargetJob);
   void requeueTask(StepRun &Step, std::uint32_t Index);
   void finishGang(StepRun &Step);
   void stopOtherRuns(StepRun &Step, std::uint32_t Index, std::uint64_t Attempt);
-  void markDirty(Job &TargetJob);
   void countJob(Job &TargetJob);
   void setAnswerTime(Job &TargetJob, Millis Timeout) const;
   Millis retryTime(Millis Timeout) const;
@@ -192,6 +201,8 @@
   const Queue *queueOf(const Job &TargetJob) const;
   int priorityOf(const StepRun &Step) const;
   StepRun *findStep(const TaskName &Name);
+  StepRun *findStep(const Job &TargetJob, std::uint32_t Occurrence,
+                    std::uint32_t Step) const;
   Job *findJob(const std::string &Id);
   Millis longestChain(const JobSpec &Spec, const Queue *JobQueue,
                       std::uint32_t From, bool WithAdvice) const;
@@ -289,7 +300,7 @@
   bool mayStopServiceTask(const StepRun &Step) const;
   bool isServing(const StepRun &Step, std::uint32_t Index) const;
   void markUpkeepDrains();
-  void addWaveChanges(std::vector<RowChange> &Out);
+  void addWaveChanges(TransactionRows &Out);
 
   // engine_placement.cc
   bool acceptsTasks(const Worker &Target) const;
@@ -355,6 +366,23 @@
   bool hasEnoughCapacity(const StepRun &Step) const;
   void dropAdviceOn(const Worker &Gone);
 
+  // engine_progress.cc
+  void markDirty(StepRun &Step, std::uint32_t From, std::uint32_t To);
+  std::uint32_t countDoneOccurrences(const Job &TargetJob) const;
+  JobProgress collectProgress(const Job &TargetJob, TaskNumber First,
+                              std::uint32_t Done) const;
+  bool shrinkProgressRow(Job &TargetJob, TaskNumber First,
+                         const JobProgress &Progress);
+  bool addProgressOf(Job &TargetJob, TransactionRows &Out);
+  void addProgress(TransactionRows &Out);
+  void failUnstorable(Job &TargetJob, std::string_view Why);
+  void recordStoredProgress();
+  void dropProgressRow(const std::string &Id, TaskNumber First);
+  void forgetDoneOccurrences(Job &TargetJob);
+  void restoreProgress(const StoredCell &Stored);
+  void restoreDoneOccurrences(Job &TargetJob, std::uint32_t Done);
+  void applyProgress(Job &TargetJob, const StepProgress &Row);
+
   // engine_commit.cc
   void markChanged(Job &TargetJob);
   void recordEnd(Worker &Sender, std::uint64_t Number, const Job *Cause);
@@ -363,7 +391,6 @@
   void addUsedWorkers(TransactionRows &Out);
   void addEndedJobs(TransactionRows &Out);
   void addNewJobs(TransactionRows &Out);
-  void addProgress(TransactionRows &Out);
   void collectStoredEnds();
   void acknowledgeStoredEnds();
   void recordStoredWorkers();
@@ -372,6 +399,7 @@
   bool hasChanges() const;
   std::size_t reservedForNewJobs() const;
   std::size_t reservedForProgress() const;
+  std::size_t maxRowBytes() const;
   Millis expectedStoreWait() const;
 
   std::string Self_;
@@ -457,8 +485,10 @@
   std::vector<Job *> NewJobs_;
   std::vector<Job *> DirtyJobs_;
   std::vector<Job *> EndingJobs_;
-  /// Keys of rows of ended jobs that are due for deletion.
-  std::vector<std::string> ExpiredRows_;
+  /// Rows of progress in the transaction in flight.
+  std::vector<SentProgress> CommitProgress_;
+  /// Rows that are due for deletion.
+  std::vector<RowChange> ObsoleteRows_;
   /// Workers that are listed or have runs.
   std::set<std::string> UsedWorkers_;
   bool UsedWorkersChanged_ = true; ///< Since the last comparison.
@@ -468,6 +498,9 @@
   std::set<std::string> RecordedWorkers_;
   /// The list of workers in the transaction in flight, if it contains one.
   std::optional<std::set<std::string>> CommitWorkers_;
+  /// Number of rows of that list, and of the stored one.
+  std::size_t CommitWorkerRows_ = 0;
+  std::size_t WorkerRows_ = 0;
   /// Workers with ends that are not acknowledged to them yet.
   std::unordered_set<std::string> UnacknowledgedWorkers_;
   /// Workers some of whose ends the transaction in flight acknowledges.
--- a/src/cell/engine_commit.cc
+++ b/src/cell/engine_commit.cc
@@ -18,33 +18,39 @@
 constexpr std::size_t MaxCommitRows = 96;
 /// Rows of a transaction that stay free for accepted jobs and for progress
 /// while ended jobs wait, so that none of them waits without a limit.
-constexpr std::size_t NewJobRows = 32;
-constexpr std::size_t ProgressRows = 16;
-/// Size in bytes at which no further jobs are added to a transaction. The store
-/// accepts 1 MB.
+constexpr std::size_t ReservedJobRows = 32;
+constexpr std::size_t ReservedProgressRows = 16;
+/// Maximum size in bytes of the values in a transaction. The store accepts 1 MB
+/// with names and encoding.
 constexpr std::size_t MaxCommitBytes = 400000;
-/// Maximum number of jobs in one row of ended jobs. The store accepts 64 KiB a
-/// row.
+/// Maximum number of jobs in one row of ended jobs.
 constexpr std::size_t MaxEndedJobsPerRow = 300;
 /// Weight of the latest transaction in the mean duration.
 constexpr Millis CommitTimeWeight = 4;
+/// Size in bytes, besides the texts, of an ended job in a row, and of an id.
+constexpr std::size_t EndedOverhead = 40;
+constexpr std::size_t IdOverhead = 4;
 
-std::string encodeProgress(const Job &TargetJob) {
-  std::vector<StepProgress> Out;
-  for (const auto &Step : TargetJob.Steps_) {
-    StepProgress Row;
-    Row.Occurrence_ = Step->Occurrence_;
-    Row.Step_ = Step->Step_;
-    for (const Task &Each : Step->Tasks_) {
-      Row.Done_.push_back(Each.Phase_ == Task::Phase::Done);
-      for (std::uint64_t Attempt : Each.FailedAttempts_)
-        Row.Failures_.push_back(
-            {static_cast<std::uint32_t>(&Each - Step->Tasks_.data()), Attempt});
+/// Divides ids so that each part fits into a row. There is always a part.
+std::vector<std::set<std::string>> divideIds(const std::set<std::string> &Ids,
+                                             std::size_t RowBytes) {
+  std::vector<std::set<std::string>> Out(1);
+  std::size_t Bytes = 0;
+  for (const std::string &Each : Ids) {
+    Bytes += Each.size() + IdOverhead;
+    if (Bytes > RowBytes && !Out.back().empty()) {
+      Out.emplace_back();
+      Bytes = Each.size() + IdOverhead;
     }
-    if (!Row.Failures_.empty() || Step->DoneCount_ > 0)
-      Out.push_back(std::move(Row));
+    Out.back().insert(Each);
   }
-  return encode(Out);
+  return Out;
+}
+
+/// Returns the key of a row of the list of workers. Owners of an earlier
+/// version read one row.
+std::string workersKey(std::size_t Row) {
+  return Row == 0 ? SingleRowKey : SingleRowKey + ("." + std::to_string(Row));
 }
 
 } // namespace
@@ -55,9 +61,15 @@
   Rows_.push_back({std::move(Table), std::move(Key), std::move(Value)});
 }
 
-bool TransactionRows::hasRoom(std::size_t Count, std::size_t Reserved) const {
+bool TransactionRows::hasRoom(std::size_t Count, std::size_t Reserved,
+                              std::size_t Bytes) const {
   return Rows_.size() + Count + Reserved <= MaxCommitRows &&
-         Bytes_ < MaxCommitBytes;
+         Bytes_ + Bytes <= MaxCommitBytes;
+}
+
+/// Returns the size in bytes that no row may exceed.
+std::size_t Cell::Engine::maxRowBytes() const {
+  return std::min(Limits_.RowBytes_, MaxCommitBytes);
 }
 
 /// Notes a change of a job that has to be stored. A change that no transaction
@@ -121,15 +133,20 @@
   if (isRecovering())
     CommitWorkers_->insert(UnconfirmedWorkers_.begin(),
                            UnconfirmedWorkers_.end());
-  Out.add(WorkersTable, SingleRowKey, encode(*CommitWorkers_));
+  const auto Parts = divideIds(*CommitWorkers_, maxRowBytes());
+  for (std::size_t At = 0; At < Parts.size(); ++At)
+    Out.add(WorkersTable, workersKey(At), encode(Parts[At]));
+  for (std::size_t At = Parts.size(); At < WorkerRows_; ++At)
+    Out.add(WorkersTable, workersKey(At), std::nullopt);
+  CommitWorkerRows_ = Parts.size();
 }
 
 std::size_t Cell::Engine::reservedForNewJobs() const {
-  return std::min(NewJobs_.size(), NewJobRows);
+  return std::min(NewJobs_.size(), ReservedJobRows);
 }
 
 std::size_t Cell::Engine::reservedForProgress() const {
-  return std::min(DirtyJobs_.size(), ProgressRows);
+  return std::min(DirtyJobs_.size(), ReservedProgressRows);
 }
 
 /// Adds ended jobs. They come first, since they free what other work waits for
@@ -139,16 +156,19 @@
   const std::size_t Reserved = reservedForNewJobs() + reservedForProgress() + 1;
   EndedBatch Ended;
   std::size_t Taken = 0;
+  std::size_t Bytes = 0;
   for (; Taken < EndingJobs_.size() && Ended.size() < MaxEndedJobsPerRow;
        ++Taken) {
     Job &Each = *EndingJobs_[Taken];
-    const std::size_t Rows =
-        (Each.Stored_ ? 1U : 0U) + (Each.ProgressStored_ ? 1U : 0U);
-    if (!Out.hasRoom(Rows, Reserved))
+    const bool HasProgress = Each.ProgressRows_.isStored(0);
+    const std::size_t Rows = (Each.Stored_ ? 1U : 0U) + (HasProgress ? 1U : 0U);
+    Bytes += Each.Id_.size() + Each.Queue_.size() + EndedOverhead;
+    const bool RowIsFull = !Ended.empty() && Bytes > maxRowBytes();
+    if (RowIsFull || !Out.hasRoom(Rows, Reserved, Bytes))
       break;
     if (Each.Stored_)
       Out.add(JobTable, Each.Id_, std::nullopt);
-    if (Each.ProgressStored_)
+    if (HasProgress)
       Out.add(ProgressTable, Each.Id_, std::nullopt);
     Each.Sent_ = true;
     Each.LatestChange_->InTransaction_ = true;
@@ -170,35 +190,21 @@
 void Cell::Engine::addNewJobs(TransactionRows &Out) {
   const std::size_t Reserved = reservedForProgress();
   for (Job *Each : NewJobs_) {
-    if (!Out.hasRoom(1, Reserved))
+    if (!Out.hasRoom(1, Reserved, 0))
       break;
     if (Each->EndState_)
       continue;
+    std::string Value = encode(JobRecord{*Each->Spec_, Each->Queue_,
+                                         Each->Team_, Each->AcceptedWall_});
+    if (!Out.hasRoom(1, Reserved, Value.size()))
+      break;
     Each->Sent_ = true;
     CommitNewJobs_.push_back(Each);
-    Out.add(JobTable, Each->Id_,
-            encode(JobRecord{*Each->Spec_, Each->Queue_, Each->Team_,
-                             Each->AcceptedWall_}));
+    Out.add(JobTable, Each->Id_, std::move(Value));
   }
   std::erase_if(NewJobs_, [](const Job *Each) { return Each->Sent_; });
 }
 
-void Cell::Engine::addProgress(TransactionRows &Out) {
-  // Ended jobs are destroyed once their end is stored, so no pointer may
-  // remain.
-  std::erase_if(DirtyJobs_, [](const Job *Each) { return Each->EndState_; });
-  std::size_t Taken = 0;
-  for (; Taken < DirtyJobs_.size() && Out.hasRoom(1, 0); ++Taken) {
-    Job &Each = *DirtyJobs_[Taken];
-    Each.ProgressDirty_ = false;
-    Each.ProgressStored_ = true;
-    Each.LatestChange_->InTransaction_ = true;
-    Out.add(ProgressTable, Each.Id_, encodeProgress(Each));
-  }
-  DirtyJobs_.erase(DirtyJobs_.begin(),
-                   DirtyJobs_.begin() + static_cast<std::ptrdiff_t>(Taken));
-}
-
 /// Finds, for each worker, the ends that the transaction allows to be
 /// acknowledged: all up to the first one whose change it does not contain.
 void Cell::Engine::collectStoredEnds() {
@@ -231,21 +237,19 @@
   if (CommitInFlight_ || Now_ < LastCommit_ + CommitInterval)
     return;
   compareUsedWorkers();
-  if (!hasChanges() && ExpiredRows_.size() < MaxCommitRows / 2 &&
+  if (!hasChanges() && ObsoleteRows_.size() < MaxCommitRows / 2 &&
       Now_ < LastCommit_ + HeartbeatInterval)
     return;
   TransactionRows Rows;
   addUsedWorkers(Rows);
-  std::vector<RowChange> WaveRows;
-  addWaveChanges(WaveRows);
-  for (RowChange &Each : WaveRows)
-    Rows.add(Each.Table_, Each.Key_, std::move(Each.Value_));
+  addWaveChanges(Rows);
   addEndedJobs(Rows);
   addNewJobs(Rows);
   addProgress(Rows);
-  while (!ExpiredRows_.empty() && Rows.hasRoom(1, 0)) {
-    Rows.add(EndedTable, ExpiredRows_.back(), std::nullopt);
-    ExpiredRows_.pop_back();
+  while (!ObsoleteRows_.empty() && Rows.hasRoom(1, 0, 0)) {
+    Rows.add(ObsoleteRows_.back().Table_, ObsoleteRows_.back().Key_,
+             std::nullopt);
+    ObsoleteRows_.pop_back();
   }
   collectStoredEnds();
   CommitInFlight_ = true;
@@ -263,6 +267,7 @@
   for (auto &[Number, Each] : Waves_)
     Each.StoredDoneCount_ =
         std::max(Each.StoredDoneCount_, Each.CommitDoneCount_);
+  recordStoredProgress();
   answerNewJobs();
   answerEndedJobs();
 }
@@ -272,6 +277,7 @@
   if (!CommitWorkers_)
     return;
   RecordedWorkers_ = *std::exchange(CommitWorkers_, std::nullopt);
+  WorkerRows_ = CommitWorkerRows_;
   UsedWorkersChanged_ = true;
   PlacementNeeded_ = true;
   for (auto &[Id, Each] : Workers_)
@@ -313,6 +319,9 @@
     EndedRecords_[Each->Id_] = {*Each->EndState_, Wall_, Each->Queue_};
     Stored.Jobs_.push_back(Each->Id_);
     Each->Stored_ = true;
+    for (const TaskNumber First : Each->ProgressRows_.stored())
+      if (First != 0)
+        dropProgressRow(Each->Id_, First);
     for (Token Caller : std::exchange(Each->Callers_, {}))
       Effects_.push_back(Reply{Caller, Answer::Accepted});
     for (Token Caller : std::exchange(Each->Cancellers_, {}))
@@ -335,7 +344,7 @@
   const Millis Duration = std::max(CommitTime_, Age);
   const std::size_t OtherRows =
       std::min(2 * EndingJobs_.size() + reservedForProgress(),
-               MaxCommitRows - NewJobRows);
+               MaxCommitRows - ReservedJobRows);
   const std::size_t Transactions =
       1 + NewJobs_.size() / (MaxCommitRows - OtherRows);
   return (CommitInFlight_ ? Duration - Age : 0) +
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -49,13 +49,30 @@
 }
 
 StepRun *Cell::Engine::findStep(const TaskName &Name) {
-  Job *TargetJob = findJob(Name.Job_);
+  const Job *TargetJob = findJob(Name.Job_);
   if (TargetJob == nullptr)
     return nullptr;
-  for (const auto &Each : TargetJob->Steps_)
-    if (Each->Occurrence_ == Name.Occurrence_ && Each->Step_ == Name.Step_)
-      return Name.Index_ < Each->Tasks_.size() ? Each.get() : nullptr;
-  return nullptr;
+  StepRun *Out = findStep(*TargetJob, Name.Occurrence_, Name.Step_);
+  return Out != nullptr && Name.Index_ < Out->Tasks_.size() ? Out : nullptr;
+}
+
+/// Returns null if the occurrence is not open or there is no such step.
+StepRun *Cell::Engine::findStep(const Job &TargetJob, std::uint32_t Occurrence,
+                                std::uint32_t Step) const {
+  const std::size_t StepCount = TargetJob.Spec_->Steps_.size();
+  if (Occurrence < TargetJob.FirstOccurrence_ || Step >= StepCount)
+    return nullptr;
+  const std::size_t At =
+      (Occurrence - TargetJob.FirstOccurrence_) * StepCount + Step;
+  return At < TargetJob.Steps_.size() ? TargetJob.Steps_[At].get() : nullptr;
+}
+
+/// Returns the number of occurrences that were opened, with those that are
+/// done and forgotten.
+std::uint32_t Cell::Engine::openOccurrences(const Job &TargetJob) const {
+  return TargetJob.FirstOccurrence_ +
+         static_cast<std::uint32_t>(TargetJob.Steps_.size() /
+                                    TargetJob.Spec_->Steps_.size());
 }
 
 /// Opens the occurrence of a task that a worker reports. A former owner, whose
@@ -65,9 +82,8 @@
   if (TargetJob == nullptr ||
       Name.Occurrence_ >= TargetJob->Spec_->Occurrences_)
     return;
-  const std::size_t Open =
-      TargetJob->Steps_.size() / TargetJob->Spec_->Steps_.size();
-  for (auto At = static_cast<std::uint32_t>(Open); At <= Name.Occurrence_; ++At)
+  const std::uint32_t Open = openOccurrences(*TargetJob);
+  for (std::uint32_t At = Open; At <= Name.Occurrence_; ++At)
     openOccurrence(*TargetJob, At);
   if (Open <= Name.Occurrence_)
     refreshReadySteps(*TargetJob);
@@ -78,7 +94,7 @@
 void Cell::Engine::openDueOccurrences(Job &TargetJob) {
   if (TargetJob.Spec_->Occurrences_ == 0 || TargetJob.EndState_)
     return;
-  std::size_t Open = TargetJob.Steps_.size() / TargetJob.Spec_->Steps_.size();
+  std::size_t Open = openOccurrences(TargetJob);
   const std::size_t Last = Open + MaxOccurrencesOpened;
   bool Opened = false;
   while (Open < TargetJob.Spec_->Occurrences_ && Open < Last &&
@@ -163,6 +179,9 @@
     NewJob.ObjectiveSpan_ += JobQueue->Objective_;
   NewJob.Objective_ =
       Now_ - (Wall_ - Record.AcceptedAt_) + NewJob.ObjectiveSpan_;
+  NewJob.StepOffsets_ = {0};
+  for (const StepSpec &Each : NewJob.Spec_->Steps_)
+    NewJob.StepOffsets_.push_back(NewJob.StepOffsets_.back() + Each.Count_);
   Jobs_[Id] = std::move(OwnedJob);
   scheduleOccurrence(NewJob);
   return NewJob;
@@ -173,7 +192,7 @@
   const JobSpec &Spec = *TargetJob.Spec_;
   if (Spec.Occurrences_ == 0 || Spec.Steps_.empty())
     return;
-  const std::size_t Open = TargetJob.Steps_.size() / Spec.Steps_.size();
+  const std::size_t Open = openOccurrences(TargetJob);
   if (Open < Spec.Occurrences_)
     DueOccurrences_.emplace(Spec.FirstDue_ +
                                 static_cast<Millis>(Open) * Spec.Interval_,
@@ -214,10 +233,8 @@
       continue;
     bool Ready = true;
     for (std::uint32_t Earlier : Each->spec().After_)
-      for (const auto &Other : TargetJob.Steps_)
-        if (Other->Occurrence_ == Each->Occurrence_ &&
-            Other->Step_ == Earlier && Other->DoneCount_ < Other->Tasks_.size())
-          Ready = false;
+      if (!findStep(TargetJob, Each->Occurrence_, Earlier)->isDone())
+        Ready = false;
     if (!Ready)
       continue;
     Each->Ready_ = true;
@@ -227,35 +244,6 @@
   }
 }
 
-/// Restores the finished tasks and the failures of a job from its stored row.
-void Cell::Engine::applyProgress(Job &TargetJob,
-                                 const std::vector<StepProgress> &Progress) {
-  for (const StepProgress &Row : Progress) {
-    while (TargetJob.Steps_.size() <
-           (Row.Occurrence_ + std::size_t{1}) * TargetJob.Spec_->Steps_.size())
-      openOccurrence(TargetJob, static_cast<std::uint32_t>(
-                                    TargetJob.Steps_.size() /
-                                    TargetJob.Spec_->Steps_.size()));
-    if (Row.Step_ >= TargetJob.Spec_->Steps_.size())
-      continue;
-    StepRun &Step =
-        *TargetJob.Steps_[Row.Occurrence_ * TargetJob.Spec_->Steps_.size() +
-                          Row.Step_];
-    for (std::size_t At = 0; At < Step.Tasks_.size(); ++At) {
-      Task &Each = Step.Tasks_[At];
-      if (At < Row.Done_.size() && Row.Done_[At]) {
-        Each.Phase_ = Task::Phase::Done;
-        ++Step.DoneCount_;
-        TargetJob.Started_ = true;
-      }
-    }
-    countJob(TargetJob);
-    for (const Failure &Each : Row.Failures_)
-      if (Each.Task_ < Step.Tasks_.size())
-        Step.Tasks_[Each.Task_].FailedAttempts_.insert(Each.Attempt_);
-  }
-}
-
 void Cell::Engine::restore(const StoredCell &Stored) {
   for (const auto &[Id, Bytes] : Stored.Jobs_) {
     const auto Record = decodeJob(Bytes);
@@ -271,16 +259,7 @@
     if (Record->Spec_.Occurrences_ == 0)
       openOccurrence(NewJob, 0);
   }
-  for (const auto &[Id, Bytes] : Stored.Progress_) {
-    const auto Progress = decodeProgress(Bytes);
-    Job *TargetJob = findJob(Id);
-    if (!Progress || TargetJob == nullptr)
-      Effects_.push_back(Decision{"row_unreadable", Id, "progress", 0});
-    else
-      applyProgress(*TargetJob, *Progress);
-    if (TargetJob != nullptr)
-      TargetJob->ProgressStored_ = true;
-  }
+  restoreProgress(Stored);
   for (const auto &[Id, Bytes] : Stored.Ended_) {
     const auto Batch = decodeEndedBatch(Id, Bytes);
     if (!Batch) {
@@ -304,6 +283,7 @@
   }
   restoreWaves(Stored);
   RecordedWorkers_ = Stored.Workers_;
+  WorkerRows_ = Stored.WorkerRows_;
   UsedWorkersChanged_ = true;
   UnconfirmedWorkers_ = Stored.Workers_;
   RecoveryEnd_ = Now_ + LeaseTime + LeaseClockSlack + FormerOwnerRenewalTime;
@@ -443,17 +423,6 @@
       Reply{Caller, Own ? Answer::State : Answer::OtherTeam, stateOf(*Known)});
 }
 
-/// Schedules the progress of a job to be stored.
-void Cell::Engine::markDirty(Job &TargetJob) {
-  if (TargetJob.EndState_)
-    return;
-  markChanged(TargetJob);
-  if (TargetJob.ProgressDirty_)
-    return;
-  TargetJob.ProgressDirty_ = true;
-  DirtyJobs_.push_back(&TargetJob);
-}
-
 /// Lets an active task wait for another run.
 void Cell::Engine::requeueTask(StepRun &Step, std::uint32_t Index) {
   Task &TargetTask = Step.Tasks_[Index];
@@ -511,15 +480,16 @@
     stopOtherRuns(Step, Index, End.Attempt_);
     if (Step.spec().Gang_) {
       finishGang(Step);
+      markDirty(Step, 0, static_cast<std::uint32_t>(Step.Tasks_.size()));
     } else {
       if (TargetTask.Phase_ == Task::Phase::Active)
         --Step.ActiveCount_;
       TargetTask.Phase_ = Task::Phase::Done;
       ++Step.DoneCount_;
+      markDirty(Step, Index, Index + 1);
     }
     TargetJob.Started_ = true;
     countJob(TargetJob);
-    markDirty(TargetJob);
     refreshReadySteps(TargetJob);
     endJobIfComplete(TargetJob);
     return;
@@ -529,10 +499,11 @@
   if (End.Kind_ != EndKind::Failed || IsService)
     return;
   // A gang fails as a whole; its failures are counted at its first task.
-  Task &Counted = Step.spec().Gang_ ? Step.Tasks_[0] : TargetTask;
+  const std::uint32_t CountedIndex = Step.spec().Gang_ ? 0 : Index;
+  Task &Counted = Step.Tasks_[CountedIndex];
   if (!Counted.FailedAttempts_.insert(End.Attempt_).second)
     return;
-  markDirty(TargetJob);
+  markDirty(Step, CountedIndex, CountedIndex + 1);
   const Queue *JobQueue = queueOf(TargetJob);
   if (JobQueue != nullptr &&
       Counted.FailedAttempts_.size() >= JobQueue->Attempts_)
@@ -551,13 +522,11 @@
 void Cell::Engine::endJobIfComplete(Job &TargetJob) {
   if (TargetJob.EndState_)
     return;
-  const std::size_t Due =
-      std::max<std::uint32_t>(1, TargetJob.Spec_->Occurrences_) *
-      TargetJob.Spec_->Steps_.size();
-  if (TargetJob.Steps_.size() < Due)
+  if (openOccurrences(TargetJob) <
+      std::max<std::uint32_t>(1, TargetJob.Spec_->Occurrences_))
     return;
   for (const auto &Each : TargetJob.Steps_)
-    if (Each->DoneCount_ < Each->Tasks_.size())
+    if (!Each->isDone())
       return;
   endJob(TargetJob, EndState::Complete);
 }
@@ -582,22 +551,21 @@
   detachSteps(Ended);
 }
 
-/// Removes the steps of a job from placement and advice.
+/// Removes a step from placement and advice.
+void Cell::Engine::detachStep(StepRun &Step) {
+  Step.Ready_ = false;
+  releaseReservations(Step);
+  removeWaiting(Step);
+  for (const Token Id : Step.AdviceCalls_)
+    PendingAdvice_[Id].Step_ = nullptr;
+  Step.AdviceCalls_.clear();
+  if (Step.spec().Gang_)
+    std::erase(AssemblingGangs_, &Step);
+}
+
 void Cell::Engine::detachSteps(Job &TargetJob) {
-  bool HasGangs = false;
-  for (const auto &Step : TargetJob.Steps_) {
-    Step->Ready_ = false;
-    releaseReservations(*Step);
-    HasGangs = HasGangs || Step->spec().Gang_;
-    removeWaiting(*Step);
-    for (const Token Id : Step->AdviceCalls_)
-      PendingAdvice_[Id].Step_ = nullptr;
-    Step->AdviceCalls_.clear();
-  }
-  if (HasGangs)
-    std::erase_if(AssemblingGangs_, [&](const StepRun *Each) {
-      return Each->Job_ == &TargetJob;
-    });
+  for (const auto &Step : TargetJob.Steps_)
+    detachStep(*Step);
 }
 
 /// Returns whether the transaction in flight has been unanswered for too long
@@ -674,7 +642,8 @@
   while (!EndedByTime_.empty() &&
          EndedByTime_.begin()->first + Limits_.StatusRetention_ * 3 / 2 <
              Wall_) {
-    ExpiredRows_.push_back(EndedByTime_.begin()->second.Key_);
+    ObsoleteRows_.push_back(
+        {EndedTable, EndedByTime_.begin()->second.Key_, std::nullopt});
     for (const std::string &Job : EndedByTime_.begin()->second.Jobs_)
       EndedRecords_.erase(Job);
     EndedByTime_.erase(EndedByTime_.begin());
--- a/src/cell/engine_upkeep.cc
+++ b/src/cell/engine_upkeep.cc
@@ -309,17 +309,26 @@
   markUpkeepDrains();
 }
 
-void Cell::Engine::addWaveChanges(std::vector<RowChange> &Out) {
+/// Adds the machines of waves that have had their upkeep. Machines that the
+/// operators removed from a wave are left out, which bounds the row.
+void Cell::Engine::addWaveChanges(TransactionRows &Out) {
   for (auto &[Number, Each] : Waves_) {
     if (Each.Done_.size() == Each.StoredDoneCount_)
       continue;
-    Out.push_back(
-        {WavesTable, std::to_string(Number), encodeWaveProgress(Each.Done_)});
+    std::set<std::string> Done;
+    for (const std::string &Machine : Each.Spec_.Machines_)
+      if (Each.Done_.count(Machine) != 0)
+        Done.insert(Machine);
+    std::string Value = encodeWaveProgress(Done);
+    if (!Out.hasRoom(1, 0, Value.size()))
+      return;
+    Out.add(WavesTable, std::to_string(Number), std::move(Value));
     Each.CommitDoneCount_ = Each.Done_.size();
   }
-  for (const std::uint64_t Number : RemovedWaves_)
-    Out.push_back({WavesTable, std::to_string(Number), std::nullopt});
-  RemovedWaves_.clear();
+  while (!RemovedWaves_.empty() && Out.hasRoom(1, 0, 0)) {
+    Out.add(WavesTable, std::to_string(RemovedWaves_.back()), std::nullopt);
+    RemovedWaves_.pop_back();
+  }
 }
 
 } // namespace oleandergauge::cell
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -200,6 +200,7 @@
     NewRun.Priority_ = priorityOf(*NewRun.Step_);
     Resources &Usage = TeamUsage_[NewRun.Step_->Job_->Team_];
     Usage = Usage + NewRun.TeamNeed_;
+    ++NewRun.Step_->LiveRuns_;
     ++NewRun.Step_->Job_->LiveRuns_;
     if (NewRun.Priority_ == HighestPriority_)
       Target.UrgentCpu_ += NewRun.Need_.CpuMilli_;
@@ -228,6 +229,7 @@
   Job &TargetJob = *Gone.Step_->Job_;
   Resources &Usage = TeamUsage_[TargetJob.Team_];
   Usage = Usage - Gone.TeamNeed_;
+  --Gone.Step_->LiveRuns_;
   --TargetJob.LiveRuns_;
   if (TargetJob.LiveRuns_ == 0 && TargetJob.EndState_ &&
       EndedRecords_.count(TargetJob.Id_) != 0)
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -7,6 +7,7 @@
 #include <unordered_set>
 
 #include "cell/cell.h"
+#include "cell/progress_rows.h"
 
 namespace oleandergauge::cell::detail {
 
@@ -138,6 +139,7 @@
   std::vector<Task> Tasks_;
   std::uint32_t DoneCount_ = 0;
   std::uint32_t ActiveCount_ = 0;
+  std::size_t LiveRuns_ = 0; ///< Runs of its tasks that workers may have.
   /// The occurrence is due and all earlier steps are done.
   bool Ready_ = false;
   Millis ReadySince_ = 0;     ///< When Ready_ was set.
@@ -172,6 +174,7 @@
   bool hasAdviceOn(std::uint32_t Worker) const {
     return Allowed_.count(Worker) != 0 || Refused_.count(Worker) != 0;
   }
+  bool isDone() const { return DoneCount_ == Tasks_.size(); }
   std::uint32_t waiting() const {
     return static_cast<std::uint32_t>(Tasks_.size()) - DoneCount_ -
            ActiveCount_;
@@ -216,15 +219,25 @@
   bool OverTeamShare_ = false;
   std::optional<EndState> EndState_;
   Millis EndedAt_ = 0; ///< When EndState_ was set.
+  /// Ordered by occurrence and step, from FirstOccurrence_ on.
   std::vector<std::unique_ptr<StepRun>> Steps_;
+  /// The first occurrence in Steps_. Earlier ones are stored as done.
+  std::uint32_t FirstOccurrence_ = 0;
+  /// Number of tasks in an occurrence before each step, and of all.
+  std::vector<TaskNumber> StepOffsets_;
   std::size_t LiveRuns_ = 0;
   /// Submissions that wait for the job to be stored.
   std::vector<Token> Callers_;
   /// Requests that wait for the cancellation to be stored.
   std::vector<Token> Cancellers_;
   std::shared_ptr<JobChange> LatestChange_; ///< Null before the first change.
-  bool ProgressDirty_ = false;  ///< Some progress is not stored yet.
-  bool ProgressStored_ = false; ///< The job has a row in the progress table.
+  bool ProgressDirty_ = false; ///< Some progress is not stored yet.
+  ProgressRows ProgressRows_;
+  /// Finished occurrences, from the first one on, are stored as a number.
+  bool CompactsProgress_ = false;
+  std::uint32_t DoneOccurrences_ = 0; ///< That number, as it is stored.
+
+  TaskNumber tasksPerOccurrence() const { return StepOffsets_.back(); }
 };
 
 /// A worker as this owner knows it.
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -134,12 +134,14 @@
   return fromMessage(*Read);
 }
 
-std::string encode(const std::vector<StepProgress> &Progress) {
+std::string encode(const JobProgress &Progress) {
   pb::Progress Out;
-  for (const StepProgress &Step : Progress) {
+  Out.set_done_occurrences(Progress.DoneOccurrences_);
+  for (const StepProgress &Step : Progress.Steps_) {
     pb::StepProgress &Row = *Out.add_steps();
     Row.set_occurrence(Step.Occurrence_);
     Row.set_step(Step.Step_);
+    Row.set_first_task(Step.FirstTask_);
     Row.set_done(packBits(Step.Done_));
     for (const Failure &Each : Step.Failures_) {
       pb::Failure &Entry = *Row.add_failures();
@@ -150,14 +152,15 @@
   return Out.SerializeAsString();
 }
 
-std::optional<std::vector<StepProgress>>
-decodeProgress(const std::string &Bytes) {
+std::optional<JobProgress> decodeProgress(const std::string &Bytes) {
   const auto Read = parse<pb::Progress>(Bytes);
   if (!Read)
     return std::nullopt;
-  std::vector<StepProgress> Out;
+  JobProgress Out;
+  Out.DoneOccurrences_ = Read->done_occurrences();
   for (const pb::StepProgress &Row : Read->steps()) {
-    StepProgress &Step = Out.emplace_back();
+    StepProgress &Step = Out.Steps_.emplace_back();
+    Step.FirstTask_ = Row.first_task();
     Step.Occurrence_ = Row.occurrence();
     Step.Step_ = Row.step();
     Step.Done_ = unpackBits(Row.done());
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -49,11 +49,20 @@
 struct StepProgress {
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
-  std::vector<bool> Done_;
+  std::vector<bool> Done_; ///< Whether tasks are done, from FirstTask_ on.
   std::vector<Failure> Failures_;
+  std::uint32_t FirstTask_ = 0;
   friend bool operator==(const StepProgress &, const StepProgress &) = default;
 };
 
+/// The progress of a job in one row of the store.
+struct JobProgress {
+  std::vector<StepProgress> Steps_;
+  /// Occurrences, from the first one on, that are done and have no entries.
+  std::uint32_t DoneOccurrences_ = 0;
+  friend bool operator==(const JobProgress &, const JobProgress &) = default;
+};
+
 /// How a job ended.
 enum class EndState { Complete, Failed, Cancelled };
 
@@ -70,9 +79,8 @@
 std::optional<OwnerRow> decodeOwner(const std::string &Bytes);
 std::string encode(const JobRecord &Record);
 std::optional<JobRecord> decodeJob(const std::string &Bytes);
-std::string encode(const std::vector<StepProgress> &Progress);
-std::optional<std::vector<StepProgress>>
-decodeProgress(const std::string &Bytes);
+std::string encode(const JobProgress &Progress);
+std::optional<JobProgress> decodeProgress(const std::string &Bytes);
 std::string encode(const EndedRecord &Record);
 std::optional<EndedRecord> decodeEnded(const std::string &Bytes);
 
--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -205,6 +205,7 @@
   Millis OrderLease_ = 3000;
   /// Duration of a machine's upkeep.
   Millis UpkeepTime_ = 2000;
+  std::size_t RowBytes_ = 65536; ///< The store accepts no larger row.
   friend bool operator==(const Bounds &, const Bounds &) = default;
 };
 
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -82,7 +82,8 @@
   readStoredTable(cell::WorkersTable, [this](const platform::RowPage &Page) {
     for (const platform::Row &Each : Page.Rows_)
       if (const auto Ids = cell::decodeWorkers(Each.Value_))
-        StoredRows_.Workers_ = *Ids;
+        StoredRows_.Workers_.insert(Ids->begin(), Ids->end());
+    StoredRows_.WorkerRows_ = Page.Rows_.size();
   });
 }
 
--- a/test/cell/cell_fuzz_test.cc
+++ b/test/cell/cell_fuzz_test.cc
@@ -13,7 +13,10 @@
 /// Ends in an answer of a worker that often has more of them.
 constexpr std::size_t FewEnds = 3;
 
-JobSpec drawJob(std::mt19937_64 &Random) {
+/// Size of rows into which the progress of some jobs does not fit.
+constexpr std::size_t SmallRow = 400;
+
+JobSpec drawJob(std::mt19937_64 &Random, Millis Wall) {
   auto Draw = [&](int Low, int High) {
     return std::uniform_int_distribution<int>(Low, High)(Random);
   };
@@ -31,6 +34,14 @@
       Step.After_ = {static_cast<std::uint32_t>(At - 1)};
     Out.Steps_.push_back(Step);
   }
+  if (Draw(0, 7) == 0) {
+    Out.Occurrences_ = static_cast<std::uint32_t>(Draw(2, 15));
+    Out.FirstDue_ = Wall - Draw(0, 1000);
+    Out.Interval_ = Draw(20, 300);
+    // Few and small tasks, so that all occurrences end within RecoveryTime.
+    for (StepSpec &Each : Out.Steps_)
+      Each.Count_ = 1;
+  }
   return Out;
 }
 
@@ -83,6 +94,8 @@
   Sim.Faults_ = {0.05, 0.05, 0.1, 0.02};
   if (Seed % 2 == 0)
     Sim.EndsPerList_ = FewEnds;
+  if (Seed % 3 == 0)
+    Sim.Bounds_.RowBytes_ = SmallRow;
   Sim.takeOver();
   Sim.run(300);
   std::vector<std::string> Ids;
@@ -91,7 +104,7 @@
     char Id[17];
     std::snprintf(Id, sizeof Id, "%016zx", Ids.size());
     if (Sim.hasOwner()) {
-      const JobSpec Spec = drawJob(Random);
+      const JobSpec Spec = drawJob(Random, Sim.wall());
       constexpr const char *Queues[] = {"fast", "slow", "advised"};
       Sim.submit(Id, Spec, Queues[Ids.size() % 3]);
       Ids.emplace_back(Id);
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -75,7 +75,7 @@
     ++Epoch_;
     OwnerSince_ = Now_;
     Cell_ =
-        std::make_unique<Cell>("h" + std::to_string(Epoch_), Epoch_, Bounds{});
+        std::make_unique<Cell>("h" + std::to_string(Epoch_), Epoch_, Bounds_);
     StoredCell Stored;
     for (const auto &[Key, Value] : Rows_) {
       if (Key.first == JobTable)
@@ -85,7 +85,7 @@
       else if (Key.first == EndedTable)
         Stored.Ended_.emplace_back(Key.second, Value);
       else if (Key.first == WorkersTable)
-        Stored.Workers_ = decodeWorkers(Value).value();
+        restoreWorkers(Stored, Value);
       else if (Key.first == WavesTable)
         Stored.Waves_.emplace_back(Key.second, Value);
     }
@@ -190,6 +190,7 @@
   FakeWorker &worker(std::size_t At) { return Workers_[At]; }
   std::size_t workerCount() const { return Workers_.size(); }
   Millis now() const { return Now_; }
+  Millis wall() const { return 1000000 + Now_; }
   bool hasOwner() const { return Cell_ != nullptr; }
   Cell &cell() { return *Cell_; }
   const std::vector<std::string> &violations() const { return Violations_; }
@@ -212,6 +213,7 @@
   std::vector<Millis> RetryTimes_; ///< As told with refusals.
   std::map<std::string, Millis> CancelledAt_;
   Faults Faults_;
+  Bounds Bounds_;                        ///< As the next owner is told.
   Millis CommitTime_ = 8;                ///< Duration of a transaction.
   std::size_t EndsPerList_ = 500;        ///< Ends in one answer of a worker.
   std::vector<std::size_t> CommitSizes_; ///< Rows written by transactions.
@@ -232,10 +234,12 @@
   static constexpr Token QueryToken = ~Token{0};
   static constexpr Millis TicketValidity = 1500;
   static constexpr Millis MaxStopTime = 200;
+  /// Limits of a transaction, besides the owner's row and its condition.
+  static constexpr std::size_t MaxEntries = 98;
+  static constexpr std::size_t MaxTransactionBytes = 1000000;
   /// Time within which an owner in contact with all workers aborts a gang.
   static constexpr Millis GangAbortTime = 2000;
 
-  Millis wall() const { return 1000000 + Now_; }
   bool drawChance(double Share) {
     return std::uniform_real_distribution<>(0, 1)(Random_) < Share;
   }
@@ -267,6 +271,12 @@
     }
   }
 
+  static void restoreWorkers(StoredCell &Stored, const std::string &Value) {
+    const auto Ids = decodeWorkers(Value).value();
+    Stored.Workers_.insert(Ids.begin(), Ids.end());
+    ++Stored.WorkerRows_;
+  }
+
   FakeWorker *find(const std::string &Id) {
     for (FakeWorker &Each : Workers_)
       if (Each.Id_ == Id)
@@ -462,9 +472,11 @@
       TeamCpu += Each.used().CpuMilli_;
     if (TeamCpu > 9900 + 4000)
       addViolation("team above its limit");
+    const std::string Occurrence =
+        Order.Task_.substr(0, Order.Task_.find('.', Job.size() + 1) + 1);
     for (std::uint32_t Earlier : Spec.After_)
       for (std::uint32_t At = 0; At < Specs_[Job].Steps_[Earlier].Count_; ++At)
-        if (!Tasks_[Job + ".0." + std::to_string(Earlier) + "." +
+        if (!Tasks_[Occurrence + std::to_string(Earlier) + "." +
                     std::to_string(At)]
                  .Done_)
           addViolation("started before an earlier step was done: " +
@@ -666,7 +678,20 @@
         Cell_->handle(Now_, Out);
     });
   }
+  /// Checks a transaction against the limits of the store.
+  void checkLimits(const Commit &Each) {
+    std::size_t Bytes = 0;
+    for (const RowChange &Row : Each.Changes_) {
+      const std::size_t Size = Row.Value_ ? Row.Value_->size() : 0;
+      Bytes += 2 * Size + Row.Table_.size() + Row.Key_.size();
+      if (Size > Bounds_.RowBytes_)
+        addViolation("row of " + std::to_string(Size) + " bytes: " + Row.Key_);
+    }
+    if (Each.Changes_.size() > MaxEntries || Bytes > MaxTransactionBytes)
+      addViolation("transaction is too large");
+  }
   void applyEffect(const Commit &Each) {
+    checkLimits(Each);
     CommitSizes_.push_back(Each.Changes_.size());
     schedule(CommitTime_, [this, Each, Generation = OwnerGeneration_] {
       commit(Each, Generation);
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -248,12 +248,28 @@
   Record.Spec_.Steps_ = {Step, Step};
   Record.Queue_ = "q";
   RC_ASSERT(cell::decodeJob(cell::encode(Record)) == Record);
-  const std::vector<cell::StepProgress> Progress = {{1, 2, Done, {{3, 9}}}};
+  const cell::JobProgress Progress = {{{1, 2, Done, {{3, 9}}, 4}}, 5};
   const auto Back = cell::decodeProgress(cell::encode(Progress));
   RC_ASSERT(Back.has_value());
+  const cell::StepProgress &Read = Back->Steps_.at(0);
   for (std::size_t At = 0; At < Done.size(); ++At)
-    RC_ASSERT((*Back)[0].Done_[At] == Done[At]);
-  RC_ASSERT((*Back)[0].Failures_ == Progress[0].Failures_);
+    RC_ASSERT(Read.Done_[At] == Done[At]);
+  RC_ASSERT(Read.Failures_ == Progress.Steps_[0].Failures_);
+  RC_ASSERT(Read.FirstTask_ == 4U);
+  RC_ASSERT(Back->DoneOccurrences_ == 5U);
+}
+
+// Guards against rows that hosts of the version before cannot read while hosts
+// are upgraded in turn: progress that fits into one row has its form.
+TEST(Records, ProgressOfOneRowHasTheFormOfTheVersionBefore) {
+  const std::string Before("\x0a\x0d\x08\x01\x10\x02\x1a\x01\x05\x22\x04"
+                           "\x08\x03\x10\x09",
+                           15);
+  const cell::JobProgress Progress = {
+      {{1, 2, {true, false, true}, {{3, 9}}, 0}}, 0};
+  EXPECT_EQ(cell::encode(Progress), Before);
+  EXPECT_EQ(cell::decodeProgress(Before)->Steps_.at(0).Failures_,
+            Progress.Steps_[0].Failures_);
 }
 
 TEST(OperatorRows, ReadsAndRemovesWaves) {
--- a/test/standin/platform_world.py
+++ b/test/standin/platform_world.py
@@ -14,6 +14,8 @@
 from urllib.parse import parse_qs, urlparse
 
 LEASE_MAX_MS = 6000
+TX_ENTRIES = 100
+TX_BYTES = 1000000
 SILENCE_S = 5
 GANG_TIMEOUT_S = 3
 GANG_SPEC = "gang "  # Begins the payload of a gang's job; its size follows.
@@ -74,6 +76,8 @@
         self.changed = threading.Condition()
         self.down = False
         self.delay_s = 0.004
+        self.row_bytes = 65536
+        self.rejected = 0  # Transactions beyond the limits.
         self.lose = 0.0
         self.mute = False
         self.random = random.Random(1)
@@ -139,7 +143,16 @@
                     return 200, {"rows": rows, "ver": self.version}
                 self.changed.wait(left)
 
+    def exceeds_limits(self, body):
+        rows = body["writes"]
+        entries = len(body["expect_rev"]) + len(rows) + len(body["remove"])
+        return (entries > TX_ENTRIES or len(json.dumps(body)) > TX_BYTES
+                or any(len(base64.b64decode(r["value"])) > self.row_bytes for r in rows))
+
     def transact(self, body):
+        if self.exceeds_limits(body):
+            self.rejected += 1
+            return 400, {}
         with self.changed:
             for want in body["expect_rev"]:
                 name = (want["table"], want["part"], want["key"])
