Refuse a job that is larger than a row when it is submitted

Callers saw nothing at first: a job of some hundred steps has a body that the queue accepts and a row that the store does not. It was taken into a transaction, which the store refused, so that nothing of anybody was stored any more.

Cause: no one compared the size of a job's row with what a row may hold.

Change: the owner answers 400, "the job is too large to be stored", at once; the job never runs. The size is estimated first, so that usual jobs are not encoded twice. What is accepted fits, as the row of its end does.

Tests: CellRows.AJobThatIsLargerThanARowIsRefusedAtOnce and AJobThatJustFits- IntoARowIsAccepted. Without the comparison the first one failed (a row above 1024 bytes was sent, and the job was accepted and ran).

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -31,6 +31,7 @@
   UnknownKey,
   BadRequest,
   OtherTeam, ///< The job belongs to another team.
+  TooLarge,  ///< The job does not fit into a row of the store and never runs.
   Busy ///< The job was not accepted and never ran; the caller may retry later.
 };
 
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -191,6 +191,7 @@
   void finishGang(StepRun &Step);
   void stopOtherRuns(StepRun &Step, std::uint32_t Index, std::uint64_t Attempt);
   void countJob(Job &TargetJob);
+  bool isStorable(const std::string &Id, const JobRecord &Record) const;
   void setAnswerTime(Job &TargetJob, Millis Timeout) const;
   Millis retryTime(Millis Timeout) const;
   void scheduleOccurrence(const Job &TargetJob);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -32,6 +32,22 @@
 /// owner until it loses ownership.
 constexpr std::size_t MaxOccurrencesOpened = 1000;
 
+/// Upper limit on the bytes of a job's or a step's numbers in a row.
+constexpr std::size_t StepNumberBytes = 128;
+constexpr std::size_t StepReferenceBytes = 6;
+
+/// Returns an upper limit on the size in bytes of the job's rows, without the
+/// cost of encoding them.
+std::size_t maxRowSize(const std::string &Id, const JobRecord &Record) {
+  std::size_t Out = StepNumberBytes + Id.size() + Record.Queue_.size() +
+                    Record.Team_.size() + Record.Spec_.Payload_.size();
+  for (const StepSpec &Each : Record.Spec_.Steps_)
+    Out += StepNumberBytes + Each.After_.size() * StepReferenceBytes +
+           Each.RequiredLabel_.size() + Each.PreferredRack_.size() +
+           Each.Image_.size();
+  return Out;
+}
+
 /// Returns the time within which a submission has to be stored.
 Millis maxStoreWait(Millis CallerTimeout) {
   return static_cast<Millis>(MaxStoreWaitShare *
@@ -332,11 +348,27 @@
   return std::max(CommitTime_, expectedStoreWait() - maxStoreWait(Timeout));
 }
 
+/// Returns whether the rows of a job, accepted and ended, fit into the store.
+bool Cell::Engine::isStorable(const std::string &Id,
+                              const JobRecord &Record) const {
+  if (maxRowSize(Id, Record) <= maxRowBytes())
+    return true;
+  const EndedRecord Ended{EndState::Cancelled, Wall_, Record.Queue_};
+  return encode(Record).size() <= maxRowBytes() &&
+         encode(EndedBatch{{Id, Ended}}).size() <= maxRowBytes();
+}
+
 void Cell::Engine::submit(Token Caller, const Resolution &Request,
                           const JobSpec &Spec, Millis Timeout) {
   if (resubmit(Caller, Request, Timeout))
     return;
   JobRecord Record{Spec, Request.Queue_, Request.Team_, Wall_};
+  if (!isStorable(Request.JobId_, Record)) {
+    Effects_.push_back(Decision{"job_refused", Request.JobId_,
+                                "larger than a row of the store", 0});
+    Effects_.push_back(Reply{Caller, Answer::TooLarge});
+    return;
+  }
   Job &NewJob = makeJob(Request.JobId_, Record);
   NewJob.Callers_.push_back(Caller);
   setAnswerTime(NewJob, Timeout);
--- a/test/cell/cell_rows_test.cc
+++ b/test/cell/cell_rows_test.cc
@@ -170,6 +170,36 @@
   expectNoViolation(Sim);
 }
 
+// Guards against a job that is accepted although its row is too large for the
+// store, which then takes no write of anybody any more.
+TEST(CellRows, AJobThatIsLargerThanARowIsRefusedAtOnce) {
+  CellSimulation Sim = cellWithSmallRows();
+  JobSpec Large = simpleJob(1, 100);
+  Large.Steps_.resize(100, Large.Steps_.front());
+  Sim.submit(JobId, Large, "fast");
+  EXPECT_EQ(Sim.TooLarge_.count(JobId), 1U);
+  Sim.submit(OtherId, simpleJob(2, 100), "fast");
+  Sim.run(1000);
+  EXPECT_EQ(Sim.stateOf(OtherId), JobState::Complete);
+  EXPECT_EQ(Sim.stateOf(JobId), std::nullopt);
+  EXPECT_EQ(Sim.starts(), 2U);
+  expectNoViolation(Sim);
+}
+
+// Guards against a refusal of jobs that fit: the size is first estimated.
+TEST(CellRows, AJobThatJustFitsIntoARowIsAccepted) {
+  CellSimulation Sim = cellWithSmallRows();
+  JobSpec Large = simpleJob(1, 100);
+  Large.Steps_.resize(60, Large.Steps_.front());
+  const JobRecord Record{Large, "fast", "team", Sim.wall()};
+  ASSERT_GT(encode(Record).size(), SmallRow / 2);
+  ASSERT_LT(encode(Record).size(), SmallRow);
+  Sim.submit(JobId, Large, "fast");
+  Sim.run(3000);
+  EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
+  expectNoViolation(Sim);
+}
+
 // Guards against a list of workers that is too large for a row, and against
 // rows of it that stay when the list becomes shorter.
 TEST(CellRows, ManyWorkersAreDividedIntoRows) {
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -210,6 +210,7 @@
   }
   std::set<std::string> Accepted_;
   std::set<std::string> Refused_;
+  std::set<std::string> TooLarge_;
   std::vector<Millis> RetryTimes_; ///< As told with refusals.
   std::map<std::string, Millis> CancelledAt_;
   Faults Faults_;
@@ -630,6 +631,8 @@
       Refused_.insert(Callers_[Each.Token_]);
       RetryTimes_.push_back(Each.RetryAfter_);
     }
+    if (Each.Answer_ == Answer::TooLarge)
+      TooLarge_.insert(Callers_[Each.Token_]);
     if (Each.Answer_ == Answer::Cancelled)
       CancelledAt_.emplace(Callers_[Each.Token_], Now_);
   }
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -216,6 +216,9 @@
 
 TEST(CallerCalls, SetsRetryLaterOnlyForRequestsNotRun) {
   EXPECT_TRUE(encodeAnswer({1, cell::Answer::Busy}).RetryLater_);
+  const CallerAnswer TooLarge = encodeAnswer({1, cell::Answer::TooLarge});
+  EXPECT_EQ(TooLarge.Status_, 400);
+  EXPECT_FALSE(TooLarge.RetryLater_);
   EXPECT_EQ(encodeAnswer({1, cell::Answer::Busy}).Status_, 503);
   EXPECT_EQ(encodeAnswer({1, cell::Answer::NoJob}).Status_, 410);
   EXPECT_EQ(encodeRefusal(cell::Access::UnknownKey).Status_, 401);
