Find the change that the store rejects, and store the others

Cause: a status such as 400 was taken for a lost answer, so the same transaction was sent again without end, with all other changes behind it.

Change: a status that neither is a conflict nor may pass rejects the transaction. The cell takes its changes back and sends half as many, down to one. A change is at fault if it is rejected alone three times, each time followed by a stored transaction without changes. A new job is refused then (400), a job whose progress is rejected ends as failed; ends of jobs, workers and waves are kept and sent again. While the store rejects everything, nothing is given up. Ends are removed from the list of unstored ones only when they are stored, so that a rejected transaction acknowledges nothing; the sequence number of a rejected transaction is not used again. New: log lines transaction rejected, change_not_storable, job_not_storable; counter commits rejected.

--- a/src/cell/cell.cc
+++ b/src/cell/cell.cc
@@ -148,6 +148,12 @@
   Engine_->advanceAll();
 }
 
+void Cell::commitRejected(Millis Now) {
+  Engine_->Now_ = Now;
+  Engine_->commitRejected();
+  Engine_->advanceAll();
+}
+
 void Cell::setAuthorized(bool Authorized) {
   Engine_->PlacementNeeded_ = Engine_->PlacementNeeded_ || Authorized;
   Engine_->Authorized_ = Authorized;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -30,8 +30,9 @@
   NoQueue,
   UnknownKey,
   BadRequest,
-  OtherTeam, ///< The job belongs to another team.
-  TooLarge,  ///< The job does not fit into a row of the store and never runs.
+  OtherTeam,   ///< The job belongs to another team.
+  TooLarge,    ///< The job does not fit into a row of the store and never runs.
+  NotStorable, ///< The store does not take the job, which never runs.
   Busy ///< The job was not accepted and never ran; the caller may retry later.
 };
 
@@ -319,6 +320,11 @@
   void handle(Millis Now, const UpkeepOutcome &Outcome);
   /// Reports that the transaction in flight is stored.
   void committed(Millis Now, Millis Wall);
+  /// Reports that the store will not take the transaction in flight, none of
+  /// which is stored. The cell finds the change at fault by smaller
+  /// transactions: a job that cannot be stored is refused, or ended as failed
+  /// if it was accepted, and the other changes are stored.
+  void commitRejected(Millis Now);
   /// Sets whether this host may still act as the owner. While another host may
   /// have taken over unnoticed, no lease is renewed and nothing is started,
   /// because the next owner expects all leases to end within a fixed time after
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -23,6 +23,8 @@
 
 /// Assumed duration of a transaction before the first one is completed.
 constexpr Millis InitialCommitTime = 20;
+/// More changes than a transaction can contain.
+constexpr std::size_t NoItemLimit = 1000;
 /// An entry host that requests advice. It processes its calls one after
 /// another.
 struct AdviceHost {
@@ -97,6 +99,11 @@
 /// store.
 class TransactionRows {
 public:
+  /// \p MaxItems limits the changes that the transaction contains.
+  explicit TransactionRows(std::size_t MaxItems) : MaxItems_(MaxItems) {}
+  /// Counts a change, which may take several rows.
+  void countItem() { ++Items_; }
+  std::size_t items() const { return Items_; }
   void add(std::string Table, std::string Key,
            std::optional<std::string> Value);
   /// Returns whether \p Count further rows with values of \p Bytes in all fit
@@ -109,6 +116,25 @@
 private:
   std::vector<RowChange> Rows_;
   std::size_t Bytes_ = 0;
+  std::size_t MaxItems_;
+  std::size_t Items_ = 0;
+};
+
+/// The kinds of changes that transactions contain.
+enum class ChangeKind { Workers, Wave, End, NewJob, Progress, Deletion };
+
+/// A change that the store may be unable to take.
+struct SuspectedChange {
+  ChangeKind Kind_ = ChangeKind::Workers;
+  std::string Job_; ///< The id of the job, if the change belongs to one.
+  friend bool operator==(const SuspectedChange &,
+                         const SuspectedChange &) = default;
+};
+
+/// A change of a job in the transaction in flight.
+struct SentChange {
+  Job *Job_ = nullptr;
+  std::shared_ptr<JobChange> Change_;
 };
 
 /// Implements Cell. The calls of Cell set the time and pass on to this class.
@@ -131,6 +157,7 @@
   void detachSteps(Job &TargetJob);
   bool storeStalled() const;
   void refuseLateJobs();
+  void refuseJob(Job &Refused, const Reply &Refusal);
   void advanceJobs();
 
   // Workers (engine_workers.cc, engine_lists.cc).
@@ -157,6 +184,7 @@
 
   // Storage (engine_commit.cc).
   void committed();
+  void commitRejected();
   void commitChanges();
 
   /// Advances all state machines to the present time and emits the effects that
@@ -384,7 +412,19 @@
   void restoreDoneOccurrences(Job &TargetJob, std::uint32_t Done);
   void applyProgress(Job &TargetJob, const StepProgress &Row);
 
+  // engine_rejection.cc
+  void takeBackCommit();
+  void takeBackJobs();
+  void suspect(const SuspectedChange &Change);
+  SuspectedChange sentChange() const;
+  void resolveSuspicion();
+  void giveUp(const SuspectedChange &Change);
+  void holdEnd(const std::string &Id);
+  void refuseUnstorable(Job &Refused);
+  void resumeHeldChanges();
+
   // engine_commit.cc
+  void markSent(Job &TargetJob);
   void markChanged(Job &TargetJob);
   void recordEnd(Worker &Sender, std::uint64_t Number, const Job *Cause);
   void updateUsedWorker(Worker &Target);
@@ -473,7 +513,6 @@
   std::map<std::uint64_t, WaveRun> Waves_;
   std::map<std::string, MachineEntry> Machines_;
   std::map<std::uint64_t, std::set<std::string>> RestoredWaves_;
-  std::vector<std::uint64_t> RemovedWaves_;
   bool MachinesKnown_ = false;
   bool MachineListInFlight_ = false;
   Millis MachineListSentAt_ = 0;
@@ -510,6 +549,25 @@
   Millis CommitTime_ = InitialCommitTime;
   std::vector<Job *> CommitNewJobs_;
   std::vector<Job *> CommitEndingJobs_;
+  /// Changes of jobs in the transaction in flight.
+  std::vector<SentChange> CommitChanges_;
+  std::vector<RowChange> CommitObsoleteRows_;
+  /// Number of changes in the transaction in flight.
+  std::size_t CommitItems_ = 0;
+  /// Limit on the changes in a transaction, while the store rejects one.
+  std::size_t MaxItems_ = NoItemLimit;
+  /// The only change in a transaction that the store rejected. The next
+  /// transaction has no changes and shows whether the store takes any.
+  std::optional<SuspectedChange> Suspected_;
+  SuspectedChange LastSuspected_;
+  int Rejections_ = 0;    ///< Of LastSuspected_ alone, one after another.
+  Millis NextCommit_ = 0; ///< Earliest time of the next transaction.
+  /// Changes that the store rejects and that must not be lost: ends of jobs,
+  /// the list of workers and waves. They are sent again at HeldUntil_.
+  std::vector<Job *> HeldEnds_;
+  bool WorkersHeld_ = false;
+  bool WavesHeld_ = false;
+  Millis HeldUntil_ = 0;
 };
 
 } // namespace oleandergauge::cell
--- a/src/cell/engine_commit.cc
+++ b/src/cell/engine_commit.cc
@@ -63,7 +63,8 @@
 
 bool TransactionRows::hasRoom(std::size_t Count, std::size_t Reserved,
                               std::size_t Bytes) const {
-  return Rows_.size() + Count + Reserved <= MaxCommitRows &&
+  return Items_ < MaxItems_ &&
+         Rows_.size() + Count + Reserved <= MaxCommitRows &&
          Bytes_ + Bytes <= MaxCommitBytes;
 }
 
@@ -72,6 +73,13 @@
   return std::min(Limits_.RowBytes_, MaxCommitBytes);
 }
 
+/// Notes that the transaction which is being composed contains the latest
+/// change of a job.
+void Cell::Engine::markSent(Job &TargetJob) {
+  TargetJob.LatestChange_->InTransaction_ = true;
+  CommitChanges_.push_back({&TargetJob, TargetJob.LatestChange_});
+}
+
 /// Notes a change of a job that has to be stored. A change that no transaction
 /// contains yet covers later ones.
 void Cell::Engine::markChanged(Job &TargetJob) {
@@ -126,9 +134,10 @@
 /// it includes the workers that may still run tasks of a former owner.
 void Cell::Engine::addUsedWorkers(TransactionRows &Out) {
   CommitWorkers_.reset();
-  if (!WorkersDirty_)
+  if (!WorkersDirty_ || WorkersHeld_ || !Out.hasRoom(1, 0, 0))
     return;
   WorkersDirty_ = false;
+  Out.countItem();
   CommitWorkers_ = UsedWorkers_;
   if (isRecovering())
     CommitWorkers_->insert(UnconfirmedWorkers_.begin(),
@@ -171,7 +180,8 @@
     if (HasProgress)
       Out.add(ProgressTable, Each.Id_, std::nullopt);
     Each.Sent_ = true;
-    Each.LatestChange_->InTransaction_ = true;
+    Out.countItem();
+    markSent(Each);
     CommitEndingJobs_.push_back(&Each);
     Ended.emplace_back(Each.Id_,
                        EndedRecord{*Each.EndState_, Wall_, Each.Queue_});
@@ -200,6 +210,7 @@
       break;
     Each->Sent_ = true;
     CommitNewJobs_.push_back(Each);
+    Out.countItem();
     Out.add(JobTable, Each->Id_, std::move(Value));
   }
   std::erase_if(NewJobs_, [](const Job *Each) { return Each->Sent_; });
@@ -213,16 +224,15 @@
     Worker *Target = findWorker(Id);
     if (Target == nullptr)
       return true;
-    std::deque<UnstoredEnd> &Ends = Target->UnstoredEnds_;
-    const std::size_t Before = Ends.size();
-    while (!Ends.empty() && (Ends.front().Change_ == nullptr ||
-                             Ends.front().Change_->InTransaction_)) {
-      Target->LastCommitEnd_ = Ends.front().Number_;
-      Ends.pop_front();
+    Target->LastCommitEnd_ = Target->LastStoredEnd_;
+    for (const UnstoredEnd &Each : Target->UnstoredEnds_) {
+      if (Each.Change_ != nullptr && !Each.Change_->isSent())
+        break;
+      Target->LastCommitEnd_ = Each.Number_;
     }
-    if (Ends.size() != Before)
+    if (Target->LastCommitEnd_ != Target->LastStoredEnd_)
       CommitAcknowledged_.push_back(Id);
-    return Ends.empty();
+    return Target->UnstoredEnds_.empty();
   });
 }
 
@@ -234,24 +244,29 @@
 /// Starts a transaction if none is in flight and a change or a heartbeat is
 /// due.
 void Cell::Engine::commitChanges() {
-  if (CommitInFlight_ || Now_ < LastCommit_ + CommitInterval)
+  if (CommitInFlight_ || Now_ < LastCommit_ + CommitInterval ||
+      Now_ < NextCommit_)
     return;
+  resumeHeldChanges();
   compareUsedWorkers();
   if (!hasChanges() && ObsoleteRows_.size() < MaxCommitRows / 2 &&
       Now_ < LastCommit_ + HeartbeatInterval)
     return;
-  TransactionRows Rows;
+  TransactionRows Rows(Suspected_ ? 0 : MaxItems_);
   addUsedWorkers(Rows);
   addWaveChanges(Rows);
   addEndedJobs(Rows);
   addNewJobs(Rows);
   addProgress(Rows);
   while (!ObsoleteRows_.empty() && Rows.hasRoom(1, 0, 0)) {
+    Rows.countItem();
     Rows.add(ObsoleteRows_.back().Table_, ObsoleteRows_.back().Key_,
              std::nullopt);
+    CommitObsoleteRows_.push_back(std::move(ObsoleteRows_.back()));
     ObsoleteRows_.pop_back();
   }
   collectStoredEnds();
+  CommitItems_ = Rows.items();
   CommitInFlight_ = true;
   LastCommit_ = Now_;
   Effects_.push_back(Commit{Rows.take()});
@@ -262,6 +277,8 @@
   CommitInFlight_ = false;
   const Millis Took = std::max(Now_ - LastCommit_, CommitInterval);
   CommitTime_ += (Took - CommitTime_) / CommitTimeWeight;
+  CommitChanges_.clear();
+  CommitObsoleteRows_.clear();
   recordStoredWorkers();
   acknowledgeStoredEnds();
   for (auto &[Number, Each] : Waves_)
@@ -270,6 +287,7 @@
   recordStoredProgress();
   answerNewJobs();
   answerEndedJobs();
+  resolveSuspicion();
 }
 
 /// Applies the list of workers that the completed transaction contained.
@@ -290,6 +308,9 @@
     if (Target == nullptr || Target->LastCommitEnd_ <= Target->LastStoredEnd_)
       continue;
     Target->LastStoredEnd_ = Target->LastCommitEnd_;
+    std::deque<UnstoredEnd> &Ends = Target->UnstoredEnds_;
+    while (!Ends.empty() && Ends.front().Number_ <= Target->LastStoredEnd_)
+      Ends.pop_front();
     if (Target->LastStoredEnd_ >= Target->LastSeenEnd_) {
       Target->NextRenewal_ = Now_;
       markDue(*Target);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -626,18 +626,24 @@
                 [&](const Job *Each) { return !Each->Sent_ && IsLate(Each); });
   const Millis RetryAfter = retryTime(DefaultCallerTimeout);
   for (Job *Each : Refused) {
-    for (Token Caller : Each->Callers_)
-      Effects_.push_back(
-          Reply{Caller, Answer::Busy, JobState::Queued, 0, RetryAfter});
-    for (Token Caller : Each->Cancellers_)
-      Effects_.push_back(Reply{Caller, Answer::NoJob});
     Effects_.push_back(Decision{
         "job_refused", Each->Id_,
         Stalled ? "store stalled" : "not stored in time", Now_ - LastCommit_});
-    detachSteps(*Each);
+    refuseJob(*Each, {0, Answer::Busy, JobState::Queued, 0, RetryAfter});
   }
-  for (Job *Each : Refused)
-    forgetJob(*Each);
+}
+
+/// Answers the callers of a job that is not stored and never runs, and removes
+/// it. \p Refusal lacks the caller.
+void Cell::Engine::refuseJob(Job &Refused, const Reply &Refusal) {
+  for (const Token Caller : Refused.Callers_) {
+    Effects_.push_back(Refusal);
+    std::get<Reply>(Effects_.back()).Token_ = Caller;
+  }
+  for (const Token Caller : Refused.Cancellers_)
+    Effects_.push_back(Reply{Caller, Answer::NoJob});
+  detachSteps(Refused);
+  forgetJob(Refused);
 }
 
 /// Removes a job whose end is stored and that has no runs left.
--- a/src/cell/engine_progress.cc
+++ b/src/cell/engine_progress.cc
@@ -187,6 +187,7 @@
     if (!Out.hasRoom(1, 0, Value.size()))
       return false;
     Rows.markSent(*First);
+    Out.countItem();
     CommitProgress_.push_back({&TargetJob, *First, Done});
     Out.add(ProgressTable, encode(ProgressKey{TargetJob.Id_, *First}),
             std::move(Value));
@@ -214,7 +215,7 @@
       break;
     Each.ProgressDirty_ = false;
     if (!Each.EndState_)
-      Each.LatestChange_->InTransaction_ = true;
+      markSent(Each);
   }
   DirtyJobs_.erase(DirtyJobs_.begin(),
                    DirtyJobs_.begin() + static_cast<std::ptrdiff_t>(Taken));
--- a/src/cell/engine_upkeep.cc
+++ b/src/cell/engine_upkeep.cc
@@ -50,6 +50,9 @@
     It->second.Spec_ = Each;
     if (!New)
       continue;
+    std::erase(
+        ObsoleteRows_,
+        RowChange{WavesTable, std::to_string(Each.Number_), std::nullopt});
     Effects_.push_back(
         Decision{"wave_found", std::to_string(Each.Number_),
                  std::to_string(Each.Machines_.size()) + " machines", 0});
@@ -64,7 +67,8 @@
       ++It;
       continue;
     }
-    RemovedWaves_.push_back(It->first);
+    ObsoleteRows_.push_back(
+        {WavesTable, std::to_string(It->first), std::nullopt});
     It = Waves_.erase(It);
   }
   markUpkeepDrains();
@@ -312,6 +316,8 @@
 /// Adds the machines of waves that have had their upkeep. Machines that the
 /// operators removed from a wave are left out, which bounds the row.
 void Cell::Engine::addWaveChanges(TransactionRows &Out) {
+  if (WavesHeld_)
+    return;
   for (auto &[Number, Each] : Waves_) {
     if (Each.Done_.size() == Each.StoredDoneCount_)
       continue;
@@ -322,13 +328,10 @@
     std::string Value = encodeWaveProgress(Done);
     if (!Out.hasRoom(1, 0, Value.size()))
       return;
+    Out.countItem();
     Out.add(WavesTable, std::to_string(Number), std::move(Value));
     Each.CommitDoneCount_ = Each.Done_.size();
   }
-  while (!RemovedWaves_.empty() && Out.hasRoom(1, 0, 0)) {
-    Out.add(WavesTable, std::to_string(RemovedWaves_.back()), std::nullopt);
-    RemovedWaves_.pop_back();
-  }
 }
 
 } // namespace oleandergauge::cell
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -185,6 +185,13 @@
 struct JobChange {
   /// Contained in the transaction in flight or in an earlier one.
   bool InTransaction_ = false;
+  /// The change that covers this one since the store rejected a transaction
+  /// with it.
+  std::shared_ptr<const JobChange> CoveredBy_;
+
+  bool isSent() const {
+    return InTransaction_ || (CoveredBy_ && CoveredBy_->isSent());
+  }
 };
 
 /// An end that a worker listed and that is not acknowledged to it yet.
@@ -277,9 +284,9 @@
   Millis DueAt_ = 0;
   std::uint64_t LastSeenEnd_ = 0;   ///< Highest end number that was processed.
   std::uint64_t LastStoredEnd_ = 0; ///< Highest end number that is stored.
-  /// Highest end number in the transaction in flight.
+  /// Highest end number that the transaction in flight stores.
   std::uint64_t LastCommitEnd_ = 0;
-  /// Processed ends after LastCommitEnd_, by number.
+  /// Processed ends after LastStoredEnd_, by number.
   std::deque<UnstoredEnd> UnstoredEnds_;
   Resources Used_;
   std::unordered_map<std::string, Run> Runs_; ///< By task name.
--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -74,6 +74,11 @@
   case TransactionResult::Refused:
   case TransactionResult::Unknown:
     return Verdict::Retry;
+  case TransactionResult::Rejected:
+    // The next transaction differs, so that a late copy of this one must not
+    // be taken for it.
+    ++Row_.Sequence_;
+    return Verdict::Abandoned;
   case TransactionResult::Conflict:
     break;
   }
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -17,7 +17,9 @@
   Done,
   Conflict, ///< The condition did not hold; the present row is known.
   Refused,  ///< The store was busy; the transaction was certainly not stored.
-  Unknown   ///< No answer; the transaction may be stored now or later.
+  /// The store will not take this transaction, which was certainly not stored.
+  Rejected,
+  Unknown ///< No answer; the transaction may be stored now or later.
 };
 
 /// Decides when a host may try to become the owner. Ownership itself is decided
@@ -82,9 +84,9 @@
   OwnerTransactions(OwnerRow Self, std::uint64_t PreviousVersion)
       : Row_(std::move(Self)), Version_(PreviousVersion) {}
 
-  /// What the owner does next: proceed, repeat the transaction, or stop acting
-  /// because another host is the owner.
-  enum class Verdict { Committed, Retry, Deposed };
+  /// What the owner does next: proceed, repeat the transaction, compose another
+  /// one in its place, or stop acting because another host is the owner.
+  enum class Verdict { Committed, Retry, Abandoned, Deposed };
 
   /// The owner's row to write with the next transaction.
   const OwnerRow &row() const { return Row_; }
--- a/src/cell/progress_rows.h
+++ b/src/cell/progress_rows.h
@@ -36,6 +36,8 @@
   void split(TaskNumber First, TaskNumber At);
   /// Notes that the present progress of a row is part of a transaction.
   void markSent(TaskNumber First);
+  /// Notes that the transaction with a row was not stored.
+  void takeBack(TaskNumber First) { Rows_.at(First).Changed_ = true; }
   /// Removes the rows, other than the first one, that cover only tasks before
   /// \p End. Returns the first tasks of those that the store may have.
   std::vector<TaskNumber> removeBefore(TaskNumber End);
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -517,6 +517,9 @@
     if (ReleaseHandler_ && !Stopped_)
       finishRelease();
     return;
+  case cell::OwnerTransactions::Verdict::Abandoned:
+    abandonCommit(Answer.Status_);
+    return;
   case cell::OwnerTransactions::Verdict::Deposed:
     stepDown("the owner row names another host");
     return;
@@ -533,6 +536,21 @@
   }
 }
 
+/// Lets the cell compose other transactions in place of one that the store
+/// rejects.
+void Owner::abandonCommit(int Status) {
+  CommitPending_ = false;
+  Context_.Metrics_.incrementCounter("commits", "rejected");
+  Context_.Log_.logEvent(
+      "transaction rejected",
+      {{"status", Status},
+       {"rows", static_cast<std::int64_t>(CommitChanges_.size())}});
+  Cell_->commitRejected(bootTime());
+  performEffects();
+  if (ReleaseHandler_ && !Stopped_)
+    finishRelease();
+}
+
 /// Ends this ownership, because another host is owner.
 void Owner::stepDown(const std::string &Why) {
   Stopped_ = true;
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -92,6 +92,7 @@
   void sendCommit();
   void finishRelease();
   void handleCommitAnswer(const platform::TransactionAnswer &Answer);
+  void abandonCommit(int Status);
   void stepDown(const std::string &Why);
   WorkerConnections &connectionsTo(const cell::WorkerAddress &To);
   void sendOrder(const cell::WorkerAddress &To, cell::Token Order,
--- a/test/cell/cell_fuzz_test.cc
+++ b/test/cell/cell_fuzz_test.cc
@@ -45,6 +45,14 @@
   return Out;
 }
 
+/// Lets the store reject a tenth of all transactions, as one at fault does.
+/// Which ones depends on their number, so that a repetition may be stored.
+void rejectSome(CellSimulation &Sim, std::uint64_t Seed) {
+  Sim.Rejects_ = [Rejecting = std::mt19937_64(Seed)](const Commit &) mutable {
+    return Rejecting() % 10 == 0;
+  };
+}
+
 void injectFault(CellSimulation &Sim, std::mt19937_64 &Random) {
   const auto Pick = std::uniform_int_distribution<int>(0, 11)(Random);
   FakeWorker &Chosen = Sim.worker(std::uniform_int_distribution<std::size_t>(
@@ -66,6 +74,9 @@
   case 4:
     Chosen.Draining_ = !Chosen.Draining_;
     break;
+  case 5:
+    rejectSome(Sim, Random());
+    break;
   default:
     break;
   }
@@ -81,6 +92,7 @@
     Sim.worker(At).Draining_ = false;
   }
   Sim.setStoreDown(false);
+  Sim.Rejects_ = nullptr;
   Sim.Faults_ = {};
   if (!Sim.hasOwner())
     Sim.takeOver();
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -211,6 +211,9 @@
   std::set<std::string> Accepted_;
   std::set<std::string> Refused_;
   std::set<std::string> TooLarge_;
+  std::set<std::string> NotStorable_;
+  /// Whether the store rejects a transaction for good; none if not set.
+  std::function<bool(const Commit &)> Rejects_;
   std::vector<Millis> RetryTimes_; ///< As told with refusals.
   std::map<std::string, Millis> CancelledAt_;
   Faults Faults_;
@@ -633,6 +636,8 @@
     }
     if (Each.Answer_ == Answer::TooLarge)
       TooLarge_.insert(Callers_[Each.Token_]);
+    if (Each.Answer_ == Answer::NotStorable)
+      NotStorable_.insert(Callers_[Each.Token_]);
     if (Each.Answer_ == Answer::Cancelled)
       CancelledAt_.emplace(Callers_[Each.Token_], Now_);
   }
@@ -707,6 +712,11 @@
       schedule(50, [this, Each, Generation] { commit(Each, Generation); });
       return;
     }
+    if (Rejects_ && Rejects_(Each)) {
+      Cell_->commitRejected(Now_);
+      processEffects();
+      return;
+    }
     for (const RowChange &Row : Each.Changes_) {
       if (Row.Value_)
         Rows_[{Row.Table_, Row.Key_}] = *Row.Value_;
--- a/test/cell/ownership_test.cc
+++ b/test/cell/ownership_test.cc
@@ -27,6 +27,19 @@
   EXPECT_EQ(Log.version(), 46U);
 }
 
+// Guards against a late copy of a rejected transaction that is taken for the
+// one that replaces it.
+TEST(OwnerTransactions, DistinguishesATransactionFromARejectedOne) {
+  const OwnerRow Self{3, 7, "h1", "10.0.0.1:1", false};
+  OwnerTransactions Log(Self, 44);
+  EXPECT_EQ(Log.settle(TransactionResult::Rejected, 0, {}),
+            OwnerTransactions::Verdict::Abandoned);
+  EXPECT_EQ(Log.version(), 44U);
+  EXPECT_EQ(Log.settle(TransactionResult::Conflict, 0, {46, Self}),
+            OwnerTransactions::Verdict::Retry);
+  EXPECT_EQ(Log.version(), 46U);
+}
+
 TEST(OwnerTransactions, RetriesAfterItsOwnEarlierRow) {
   OwnerTransactions Log(Self, 40);
   OwnerRow Earlier = Self;
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -78,6 +78,20 @@
             cell::StoredOwner{});
 }
 
+// Guards against a transaction that is repeated without end although the store
+// will never take it, and against one that is given up while it would.
+TEST(StoreCalls, DistinguishesRejectedTransactions) {
+  using Result = cell::TransactionResult;
+  for (const int Status : {400, 403, 404, 413, 422}) {
+    const auto Answer = decodeTransactionAnswer({Status, ""});
+    EXPECT_EQ(Answer.Result_, Result::Rejected) << Status;
+    EXPECT_EQ(Answer.Status_, Status);
+  }
+  for (const int Status : {0, 408, 425, 500, 502, 504, 507})
+    EXPECT_EQ(decodeTransactionAnswer({Status, ""}).Result_, Result::Unknown)
+        << Status;
+}
+
 TEST(StoreCalls, RejectsUnreadablePages) {
   EXPECT_FALSE(decodeRead({503, ""}));
   EXPECT_FALSE(decodeRead({200, "not json"}));
--- a/test/standin/platform_world.py
+++ b/test/standin/platform_world.py
@@ -78,6 +78,7 @@
         self.delay_s = 0.004
         self.row_bytes = 65536
         self.rejected = 0  # Transactions beyond the limits.
+        self.faulty_rows = ()  # (table, key) of rows that are never written.
         self.lose = 0.0
         self.mute = False
         self.random = random.Random(1)
@@ -153,6 +154,8 @@
         if self.exceeds_limits(body):
             self.rejected += 1
             return 400, {}
+        if any((r["table"], r["key"]) in self.faulty_rows for r in body["writes"]):
+            return 400, {}
         with self.changed:
             for want in body["expect_rev"]:
                 name = (want["table"], want["part"], want["key"])
--- a/test/system/platform_hosts.py
+++ b/test/system/platform_hosts.py
@@ -19,7 +19,7 @@
 
 class Host:
     def __init__(self, program, folder, number, store, advice, machines, share=0.25,
-                 net=0, wrap_store=None):
+                 net=0, wrap_store=None, row_bytes=65536):
         self.ip = "127.0.%d.%d" % (net, 10 + number)
         self.name = "host-%d" % number
         self.program = program
@@ -36,7 +36,8 @@
                 "limits.cpu_share=%g" % share, "platform.addr=" + self.store_path.address,
                 "hint=" + advice.address, "bounds.grace_s=6",
                 "cloud_api.addr=" + machines.address, "bounds.lease_ms=1000",
-                "bounds.maint_s=0.5", "bounds.hold_max_ms=6000", ""]))
+                "bounds.maint_s=0.5", "bounds.hold_max_ms=6000",
+                "platform.row_bytes=%d" % row_bytes, ""]))
         self.process = None
         self.start()
 
@@ -94,10 +95,11 @@
     and the workers, through what wrap_store and wrap_worker make of an address."""
 
     def __init__(self, build, run_s=0.3, hosts=3, workers=4, net=0, wrap_store=None,
-                 wrap_worker=None):
-        self.host_settings = {"net": net, "wrap_store": wrap_store}
+                 wrap_worker=None, row_bytes=65536):
+        self.host_settings = {"net": net, "wrap_store": wrap_store, "row_bytes": row_bytes}
         self.folder = tempfile.mkdtemp(prefix="oleandergauge-")
         self.store = world.Store()
+        self.store.row_bytes = row_bytes
         self.store.put("op", "config", world.desired_state())
         self.advice = world.AdviceService("127.0.0.1", 0)
         self.workers = [world.Worker("i-%d" % n, self.store, run_s, wrap=wrap_worker)
