--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -208,10 +208,6 @@
 private:
   // engine_jobs.cc
   Job &makeJob(const std::string &Id, const JobRecord &Record);
-  void openNamedOccurrence(const TaskName &Name);
-  void openDueOccurrences(Job &TargetJob);
-  void openOccurrence(Job &TargetJob, std::uint32_t Occurrence);
-  std::uint32_t openOccurrences(const Job &TargetJob) const;
   void refreshReadySteps(Job &TargetJob);
   void endJobIfComplete(Job &TargetJob);
   void recordDuration(std::string_view What, const Job &TargetJob);
@@ -222,8 +218,6 @@
   bool isStorable(const std::string &Id, const JobRecord &Record) const;
   void setAnswerTime(Job &TargetJob, Millis Timeout) const;
   Millis retryTime(Millis Timeout) const;
-  void scheduleOccurrence(const Job &TargetJob);
-  void advanceOccurrences();
   void forgetJob(Job &Ended);
   JobState stateOf(const Job &TargetJob) const;
   const Queue *findQueue(const std::string &Name) const;
@@ -395,6 +389,14 @@
   bool hasEnoughCapacity(const StepRun &Step) const;
   void dropAdviceOn(const Worker &Gone);
 
+  // engine_schedule.cc
+  std::uint32_t openOccurrences(const Job &TargetJob) const;
+  void openNamedOccurrence(const TaskName &Name);
+  void openDueOccurrences(Job &TargetJob);
+  void openOccurrence(Job &TargetJob, std::uint32_t Occurrence);
+  void scheduleOccurrence(const Job &TargetJob);
+  void advanceOccurrences();
+
   // engine_progress.cc
   void markDirty(StepRun &Step, std::uint32_t From, std::uint32_t To);
   std::uint32_t countDoneOccurrences(const Job &TargetJob) const;
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -13,8 +13,6 @@
 /// Number of workers assumed for a call for advice when the duration of a job
 /// is estimated.
 constexpr double TypicalWorkersAsked = 30;
-/// Overhead of each step for commits, orders and messages.
-constexpr Millis StepOverhead = 60;
 /// Time after a takeover during which a former owner may still renew leases: it
 /// stays active for 0.8 s after its last proof of ownership, and its last
 /// renewal may take a while to arrive.
@@ -27,11 +25,6 @@
 constexpr Millis StoreStallTimeout = 400;
 /// Interval at which due occurrences, expired advice and old ends are checked.
 constexpr Millis JobAdvanceInterval = 40;
-/// Occurrences of a job that are opened at a time. A schedule that began long
-/// ago may have millions that are due, and opening them at once would stall the
-/// owner until it loses ownership.
-constexpr std::size_t MaxOccurrencesOpened = 1000;
-
 /// Upper limit on the bytes of a job's or a step's numbers in a row.
 constexpr std::size_t StepNumberBytes = 128;
 constexpr std::size_t StepReferenceBytes = 6;
@@ -83,46 +76,6 @@
   return At < TargetJob.Steps_.size() ? TargetJob.Steps_[At].get() : nullptr;
 }
 
-/// Returns the number of occurrences that were opened, with those that are
-/// done and forgotten.
-std::uint32_t Cell::Engine::openOccurrences(const Job &TargetJob) const {
-  return TargetJob.FirstOccurrence_ +
-         static_cast<std::uint32_t>(TargetJob.Steps_.size() /
-                                    TargetJob.Spec_->Steps_.size());
-}
-
-/// Opens the occurrence of a task that a worker reports. A former owner, whose
-/// wall clock may be ahead, may have opened it before it is due here.
-void Cell::Engine::openNamedOccurrence(const TaskName &Name) {
-  Job *TargetJob = findJob(Name.Job_);
-  if (TargetJob == nullptr ||
-      Name.Occurrence_ >= TargetJob->Spec_->Occurrences_)
-    return;
-  const std::uint32_t Open = openOccurrences(*TargetJob);
-  for (std::uint32_t At = Open; At <= Name.Occurrence_; ++At)
-    openOccurrence(*TargetJob, At);
-  if (Open <= Name.Occurrence_)
-    refreshReadySteps(*TargetJob);
-}
-
-/// Opens the occurrences of a scheduled job that are due, at most
-/// MaxOccurrencesOpened of them.
-void Cell::Engine::openDueOccurrences(Job &TargetJob) {
-  if (TargetJob.Spec_->Occurrences_ == 0 || TargetJob.EndState_)
-    return;
-  std::size_t Open = openOccurrences(TargetJob);
-  const std::size_t Last = Open + MaxOccurrencesOpened;
-  bool Opened = false;
-  while (Open < TargetJob.Spec_->Occurrences_ && Open < Last &&
-         Wall_ >= TargetJob.Spec_->FirstDue_ +
-                      static_cast<Millis>(Open) * TargetJob.Spec_->Interval_) {
-    openOccurrence(TargetJob, static_cast<std::uint32_t>(Open++));
-    Opened = true;
-  }
-  if (Opened)
-    refreshReadySteps(TargetJob);
-}
-
 /// Returns the configuration of a queue, which stays at its address, or null.
 const Queue *Cell::Engine::findQueue(const std::string &Name) const {
   const auto It = Queues_.find(Name);
@@ -203,43 +156,6 @@
   return NewJob;
 }
 
-/// Schedules the opening of the job's next occurrence, if it has one.
-void Cell::Engine::scheduleOccurrence(const Job &TargetJob) {
-  const JobSpec &Spec = *TargetJob.Spec_;
-  if (Spec.Occurrences_ == 0 || Spec.Steps_.empty())
-    return;
-  const std::size_t Open = openOccurrences(TargetJob);
-  if (Open < Spec.Occurrences_)
-    DueOccurrences_.emplace(Spec.FirstDue_ +
-                                static_cast<Millis>(Open) * Spec.Interval_,
-                            TargetJob.Id_);
-}
-
-/// Creates the steps of one occurrence.
-void Cell::Engine::openOccurrence(Job &TargetJob, std::uint32_t Occurrence) {
-  Millis Objective = TargetJob.Objective_;
-  if (TargetJob.Spec_->Occurrences_ > 0)
-    Objective = Now_ -
-                (Wall_ - TargetJob.Spec_->FirstDue_ -
-                 Millis{Occurrence} * TargetJob.Spec_->Interval_) +
-                TargetJob.ObjectiveSpan_;
-  for (std::uint32_t Step = 0; Step < TargetJob.Spec_->Steps_.size(); ++Step) {
-    auto NewStep = std::make_unique<StepRun>();
-    NewStep->Job_ = &TargetJob;
-    NewStep->Spec_ = &TargetJob.Spec_->Steps_[Step];
-    NewStep->Occurrence_ = Occurrence;
-    NewStep->Step_ = Step;
-    NewStep->Name_ = TargetJob.Id_ + "." + std::to_string(Occurrence) + "." +
-                     std::to_string(Step);
-    NewStep->Tasks_.resize(TargetJob.Spec_->Steps_[Step].Count_);
-    NewStep->Objective_ = Objective;
-    NewStep->LatestStart_ =
-        Objective - StepOverhead -
-        longestChain(*TargetJob.Spec_, queueOf(TargetJob), Step, false);
-    TargetJob.Steps_.push_back(std::move(NewStep));
-  }
-}
-
 /// Marks the steps ready whose earlier steps are done.
 void Cell::Engine::refreshReadySteps(Job &TargetJob) {
   if (TargetJob.EndState_)
@@ -652,23 +568,6 @@
   Jobs_.erase(Id);
 }
 
-/// Opens the occurrences that are due. A job of which many are overdue opens
-/// the others at the next check.
-void Cell::Engine::advanceOccurrences() {
-  const auto End = DueOccurrences_.upper_bound(Wall_);
-  std::vector<std::string> Ids;
-  for (auto It = DueOccurrences_.begin(); It != End; ++It)
-    Ids.push_back(It->second);
-  DueOccurrences_.erase(DueOccurrences_.begin(), End);
-  for (const std::string &Id : Ids) {
-    Job *Due = findJob(Id);
-    if (Due == nullptr || Due->EndState_)
-      continue;
-    openDueOccurrences(*Due);
-    scheduleOccurrence(*Due);
-  }
-}
-
 void Cell::Engine::advanceJobs() {
   if (Now_ < NextJobAdvance_)
     return;
--- a/test/cell/cell_lists_test.cc
+++ b/test/cell/cell_lists_test.cc
@@ -29,56 +29,52 @@
   return Out;
 }
 
-// Guards against tasks that run twice: during an outage of the store more ends
-// wait than an answer of a worker holds, and a run that is neither running nor
-// on the list is taken for one that never ran.
-TEST(CellLists, KeepsRunsWhoseEndsDoNotFitIntoAnAnswer) {
+/// Starts a job, and ends more tasks during an outage of the store than an
+/// answer of a worker can list. The store is still away afterwards.
+CellSimulation cellWithHiddenEnds(std::uint32_t Count = Tasks,
+                                  Millis Span = Outage) {
   CellSimulation Sim = crowdedCell();
   Sim.takeOver();
   Sim.run(300);
-  Sim.submit(JobId, simpleJob(Tasks, 100), "fast");
+  Sim.submit(JobId, simpleJob(Count, 100), "fast");
   Sim.run(100);
   Sim.setStoreDown(true);
-  Sim.run(Outage);
+  Sim.run(Span);
   EXPECT_GT(waitingEnds(Sim), Sim.EndsPerList_);
-  Sim.setStoreDown(false);
-  Sim.run(5000);
+  return Sim;
+}
+
+void expectEachTaskRanOnce(CellSimulation &Sim) {
   EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
   EXPECT_EQ(Sim.starts(), Tasks);
   EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
 }
 
+// Guards against tasks that run twice: during an outage of the store more ends
+// wait than an answer of a worker holds, and a run that is neither running nor
+// on the list is taken for one that never ran.
+TEST(CellLists, KeepsRunsWhoseEndsDoNotFitIntoAnAnswer) {
+  CellSimulation Sim = cellWithHiddenEnds();
+  Sim.setStoreDown(false);
+  Sim.run(5000);
+  expectEachTaskRanOnce(Sim);
+}
+
 // Guards against a next owner that takes the first answer of a worker for its
 // whole state, and starts tasks again whose ends did not fit into it.
 TEST(CellLists, NextOwnerWaitsForEndsThatDoNotFitIntoAnAnswer) {
-  CellSimulation Sim = crowdedCell();
-  Sim.takeOver();
-  Sim.run(300);
-  Sim.submit(JobId, simpleJob(Tasks, 100), "fast");
-  Sim.run(100);
-  Sim.setStoreDown(true);
-  Sim.run(Outage);
-  ASSERT_GT(waitingEnds(Sim), Sim.EndsPerList_);
+  CellSimulation Sim = cellWithHiddenEnds();
   Sim.killOwner();
   Sim.setStoreDown(false);
   Sim.takeOver();
   Sim.run(6000);
-  EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
-  EXPECT_EQ(Sim.starts(), Tasks);
-  EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
+  expectEachTaskRanOnce(Sim);
 }
 
 // Guards against the same start where the leases of the former owner have
 // ended before the last ends are listed, since the store is slow.
 TEST(CellLists, WaitsForHiddenEndsBeyondTheLeasesOfAFormerOwner) {
-  CellSimulation Sim = crowdedCell();
-  Sim.takeOver();
-  Sim.run(300);
-  Sim.submit(JobId, simpleJob(Tasks, 100), "fast");
-  Sim.run(100);
-  Sim.setStoreDown(true);
-  Sim.run(Outage);
-  ASSERT_GT(waitingEnds(Sim), Sim.EndsPerList_);
+  CellSimulation Sim = cellWithHiddenEnds();
   Sim.killOwner();
   Sim.setStoreDown(false);
   Sim.takeOver();
@@ -86,21 +82,13 @@
   Sim.run(9000);
   Sim.setStoreDown(false);
   Sim.run(8000);
-  EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
-  EXPECT_EQ(Sim.starts(), Tasks);
-  EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
+  expectEachTaskRanOnce(Sim);
 }
 
 // Guards against an owner and workers that hold more and more ends while the
 // store is away: hidden ends keep their room, which bounds both.
 TEST(CellLists, BoundsTheEndsThatWaitForTheStore) {
-  CellSimulation Sim = crowdedCell();
-  Sim.takeOver();
-  Sim.run(300);
-  Sim.submit(JobId, simpleJob(4 * Tasks, 100), "fast");
-  Sim.run(100);
-  Sim.setStoreDown(true);
-  Sim.run(5 * Outage);
+  CellSimulation Sim = cellWithHiddenEnds(4 * Tasks, 5 * Outage);
   constexpr std::size_t RunsPerWorker = 40;
   EXPECT_LE(waitingEnds(Sim), Sim.EndsPerList_ + 2 * RunsPerWorker);
 }
