Build a key without an expression that GCC 12 misreads

GCC 12 reported a copy that cannot happen (-Wrestrict) in the release build; there is no warning now. No behaviour changes.

--- a/src/cell/engine_commit.cc
+++ b/src/cell/engine_commit.cc
@@ -50,7 +50,10 @@
 /// Returns the key of a row of the list of workers. Owners of an earlier
 /// version read one row.
 std::string workersKey(std::size_t Row) {
-  return Row == 0 ? SingleRowKey : SingleRowKey + ("." + std::to_string(Row));
+  std::string Out = SingleRowKey;
+  if (Row > 0)
+    Out.append(1, '.').append(std::to_string(Row));
+  return Out;
 }
 
 } // namespace
