--- a/src/cell/engine_progress.cc
+++ b/src/cell/engine_progress.cc
@@ -242,28 +242,26 @@
       {ProgressTable, encode(ProgressKey{Id, First}), std::nullopt});
 }
 
-/// Destroys the steps of the occurrences that are stored as done.
+/// Destroys the steps of the occurrences that are stored as done, up to the
+/// first one that still has runs.
 void Cell::Engine::forgetDoneOccurrences(Job &TargetJob) {
   if (TargetJob.EndState_)
     return;
-  const std::size_t StepCount = TargetJob.Spec_->Steps_.size();
-  std::size_t Gone = 0;
-  const auto IsFree = [](const std::unique_ptr<StepRun> &Step) {
-    return Step->LiveRuns_ == 0;
-  };
-  const std::size_t Most =
-      (TargetJob.DoneOccurrences_ - TargetJob.FirstOccurrence_) * StepCount;
+  const auto StepCount =
+      static_cast<std::ptrdiff_t>(TargetJob.Spec_->Steps_.size());
   const auto Begin = TargetJob.Steps_.begin();
-  const auto StepAt = [&](std::size_t At) {
-    return Begin + static_cast<std::ptrdiff_t>(At);
+  const auto HasRuns = [](const std::unique_ptr<StepRun> &Step) {
+    return Step->LiveRuns_ > 0;
   };
-  while (Gone < Most &&
-         std::all_of(StepAt(Gone), StepAt(Gone + StepCount), IsFree))
-    Gone += StepCount;
-  for (std::size_t At = 0; At < Gone; ++At)
-    detachStep(*TargetJob.Steps_[At]);
-  TargetJob.Steps_.erase(Begin, StepAt(Gone));
-  TargetJob.FirstOccurrence_ += static_cast<std::uint32_t>(Gone / StepCount);
+  auto End = Begin;
+  while (TargetJob.FirstOccurrence_ < TargetJob.DoneOccurrences_ &&
+         std::none_of(End, End + StepCount, HasRuns)) {
+    End += StepCount;
+    ++TargetJob.FirstOccurrence_;
+  }
+  for (auto It = Begin; It != End; ++It)
+    detachStep(**It);
+  TargetJob.Steps_.erase(Begin, End);
 }
 
 /// Restores the progress of all jobs from the stored rows. The first row of a
