Let the failures of one task fill a row

A job whose progress is divided ended as failed once one task had more failed attempts than the usual size of a divided row holds (8 KiB), although a row may be larger. Found by reading the code before; nobody has seen it.

Tests: CellRows.TheFailuresOfOneTaskMayFillARow failed on the code before (2377 of 2802 starts, then the job was ended); AJobEndsWhenTheFailuresOfOneTask- ExceedARow passes on both and guards the other side.

--- a/src/cell/engine_progress.cc
+++ b/src/cell/engine_progress.cc
@@ -178,9 +178,9 @@
     const std::size_t Limit = Rows.isDivided()
                                   ? std::min(DividedRowBytes, maxRowBytes())
                                   : maxRowBytes();
-    if (Value.size() > Limit) {
-      if (shrinkProgressRow(TargetJob, *First, Progress))
-        continue;
+    if (Value.size() > Limit && shrinkProgressRow(TargetJob, *First, Progress))
+      continue;
+    if (Value.size() > maxRowBytes()) {
       failUnstorable(TargetJob, "its progress does not fit into a row");
       return true;
     }
--- a/test/cell/cell_rows_test.cc
+++ b/test/cell/cell_rows_test.cc
@@ -119,6 +119,47 @@
   expectNoViolation(Sim);
 }
 
+// Guards against a job that is ended because the failures of one task need more
+// than the usual size of a divided row, though not more than a row may have.
+TEST(CellRows, TheFailuresOfOneTaskMayFillARow) {
+  CellSimulation Sim(1);
+  Sim.Bounds_.RowBytes_ = 12000;
+  Sim.setAttempts(100000);
+  std::map<std::string, int> Runs;
+  Sim.TaskBehaviour_ = [&Runs](const std::string &Task) {
+    return std::pair(Millis{20}, ++Runs[Task] <= 1400);
+  };
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(JobId, simpleJob(2, 100), "fast");
+  constexpr std::size_t Starts = 2802;
+  for (int Second = 0; Second < 400 && Sim.starts() < Starts; ++Second)
+    Sim.run(1000);
+  Sim.run(1000);
+  EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
+  EXPECT_EQ(Sim.starts(), Starts);
+  expectNoViolation(Sim);
+}
+
+// Guards against the same without an end: a task whose failures exceed a row
+// ends its job, and others go on.
+TEST(CellRows, AJobEndsWhenTheFailuresOfOneTaskExceedARow) {
+  CellSimulation Sim = cellWithSmallRows();
+  Sim.killOwner();
+  Sim.setAttempts(100000);
+  Sim.TaskBehaviour_ = [](const std::string &Task) {
+    return std::pair(Millis{20}, Task.rfind(JobId, 0) == 0);
+  };
+  Sim.takeOver();
+  Sim.submit(JobId, simpleJob(2, 100), "fast");
+  Sim.run(60000);
+  EXPECT_EQ(Sim.stateOf(JobId), JobState::Failed);
+  Sim.submit(OtherId, simpleJob(2, 100), "fast");
+  Sim.run(1000);
+  EXPECT_EQ(Sim.stateOf(OtherId), JobState::Complete);
+  expectNoViolation(Sim);
+}
+
 // Guards against a gang that runs again in part, since only a part of its rows
 // was stored before the owner was gone: one end represents all members.
 TEST(CellRows, AGangIsDoneIfOneOfItsRowsSaysSo) {
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -152,6 +152,13 @@
         Each.Priority_ = Priority;
     State_ = State;
   }
+  /// Sets the number of failed runs that fail a job for the next owner.
+  void setAttempts(std::uint32_t Attempts) {
+    auto State = std::make_shared<DesiredState>(*State_);
+    for (auto &Each : State->Queues_)
+      Each.Attempts_ = Attempts;
+    State_ = State;
+  }
   /// Returns the times at which calls for advice were sent and answered.
   const std::vector<std::pair<Millis, Millis>> &adviceCalls() const {
     return AdviceCalls_;
@@ -465,7 +472,7 @@
       addViolation("two runs of a task at once: " + Order.Task_);
     if (History.Done_ && AcknowledgedDone_.count(Order.Task_) != 0)
       addViolation("started after its end was acknowledged: " + Order.Task_);
-    if (History.AcknowledgedFailures_.size() >= 2)
+    if (History.AcknowledgedFailures_.size() >= State_->Queues_[0].Attempts_)
       addViolation("started after its last allowed attempt: " + Order.Task_);
     const Resources Sum = Receiver.used() + Spec.Need_;
     if (Sum.CpuMilli_ > Receiver.Capacity_.CpuMilli_ ||
