--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -390,7 +390,7 @@
   void dropAdviceOn(const Worker &Gone);
 
   // engine_schedule.cc
-  std::uint32_t openOccurrences(const Job &TargetJob) const;
+  std::uint32_t openedOccurrences(const Job &TargetJob) const;
   void openNamedOccurrence(const TaskName &Name);
   void openDueOccurrences(Job &TargetJob);
   void openOccurrence(Job &TargetJob, std::uint32_t Occurrence);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -470,7 +470,7 @@
 void Cell::Engine::endJobIfComplete(Job &TargetJob) {
   if (TargetJob.EndState_)
     return;
-  if (openOccurrences(TargetJob) <
+  if (openedOccurrences(TargetJob) <
       std::max<std::uint32_t>(1, TargetJob.Spec_->Occurrences_))
     return;
   for (const auto &Each : TargetJob.Steps_)
--- a/src/cell/engine_progress.cc
+++ b/src/cell/engine_progress.cc
@@ -313,8 +313,8 @@
       Row.Occurrence_ >= Occurrences ||
       Row.Step_ >= TargetJob.Spec_->Steps_.size())
     return;
-  while (openOccurrences(TargetJob) <= Row.Occurrence_)
-    openOccurrence(TargetJob, openOccurrences(TargetJob));
+  while (openedOccurrences(TargetJob) <= Row.Occurrence_)
+    openOccurrence(TargetJob, openedOccurrences(TargetJob));
   StepRun &Step = *findStep(TargetJob, Row.Occurrence_, Row.Step_);
   for (std::size_t At = 0; At < Row.Done_.size(); ++At) {
     const std::size_t Index = Row.FirstTask_ + At;
--- a/src/cell/engine_schedule.cc
+++ b/src/cell/engine_schedule.cc
@@ -16,7 +16,7 @@
 
 /// Returns the number of occurrences that were opened, with those that are
 /// done and forgotten.
-std::uint32_t Cell::Engine::openOccurrences(const Job &TargetJob) const {
+std::uint32_t Cell::Engine::openedOccurrences(const Job &TargetJob) const {
   return TargetJob.FirstOccurrence_ +
          static_cast<std::uint32_t>(TargetJob.Steps_.size() /
                                     TargetJob.Spec_->Steps_.size());
@@ -29,7 +29,7 @@
   if (TargetJob == nullptr ||
       Name.Occurrence_ >= TargetJob->Spec_->Occurrences_)
     return;
-  const std::uint32_t Open = openOccurrences(*TargetJob);
+  const std::uint32_t Open = openedOccurrences(*TargetJob);
   for (std::uint32_t At = Open; At <= Name.Occurrence_; ++At)
     openOccurrence(*TargetJob, At);
   if (Open <= Name.Occurrence_)
@@ -41,7 +41,7 @@
 void Cell::Engine::openDueOccurrences(Job &TargetJob) {
   if (TargetJob.Spec_->Occurrences_ == 0 || TargetJob.EndState_)
     return;
-  std::size_t Open = openOccurrences(TargetJob);
+  std::size_t Open = openedOccurrences(TargetJob);
   const std::size_t Last = Open + MaxOccurrencesOpened;
   bool Opened = false;
   while (Open < TargetJob.Spec_->Occurrences_ && Open < Last &&
@@ -59,7 +59,7 @@
   const JobSpec &Spec = *TargetJob.Spec_;
   if (Spec.Occurrences_ == 0 || Spec.Steps_.empty())
     return;
-  const std::size_t Open = openOccurrences(TargetJob);
+  const std::size_t Open = openedOccurrences(TargetJob);
   if (Open < Spec.Occurrences_)
     DueOccurrences_.emplace(Spec.FirstDue_ +
                                 static_cast<Millis>(Open) * Spec.Interval_,
