Record finished occurrences only with the row that states them

Found by reading the change once more; nobody has seen it, and no test shows it yet. A job with several rows whose first row did not fit into the same transaction counted its occurrences as stored as done although only other rows were. A next owner could then have run them again.

--- a/src/cell/engine_progress.cc
+++ b/src/cell/engine_progress.cc
@@ -188,7 +188,7 @@
       return false;
     Rows.markSent(*First);
     Out.countItem();
-    CommitProgress_.push_back({&TargetJob, *First, Done});
+    CommitProgress_.push_back({&TargetJob, *First, Progress.DoneOccurrences_});
     Out.add(ProgressTable, encode(ProgressKey{TargetJob.Id_, *First}),
             std::move(Value));
   }
