Log and count the copies of a request that is sent again

Today the refusal of one copy and the later start from another one give the same lines whatever lies between them.

- 'request sent again' (host that took it) and 'request copy read' (owner) name the copy, the epoch it was sent to and the epoch that reads it, and an upper limit on its age; only repeated copies and those of 500 ms or more have a line;
- 'request refused' is written for refusals of access, which had no line; 'request answered' tells how many copies were sent and whether one of them is without an answer;
- counters: copies (late, sent again), refusals_with_open_copies by method.

The age needs a common clock: heartbeats carry the sender's boot clock, and a copy states the owner's clock as its sender knows it from the last heartbeat. It can be too old by the time that heartbeat was under way, never too young.

The program builds; no test was run yet on this commit.

--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "cell/ownership.h"
+#include "cell/request_copies.h"
 #include "node/context.h"
 #include "node/front.h"
 #include "node/http_server.h"
@@ -130,6 +131,7 @@
   Millis RefusedAt_ = 0;
   Epoch OwnerEpoch_ = 0;
   bool OwnerReportsReady_ = false;
+  cell::OwnerClock OwnerClock_; ///< Of the owner at the end of OwnerLink_.
   Millis OwnerSeenAt_ = 0; ///< Last frame from the owner, or own ready tick.
   std::vector<HostLink> IncomingLinks_;
   /// Addresses of all hosts, as listed in the owner's heartbeats.
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -44,8 +44,9 @@
   /// Whether an earlier owner may have carried it out.
   bool MayHaveRunEarlier_ = false;
   bool mayHaveRun() const { return SentToOwner_ || MayHaveRunEarlier_; }
-  /// Sets the time for which the caller still waits in the forwarded request.
-  void setRemainingTimeout() {
+  /// Numbers the next copy, and sets the time for which the caller still waits.
+  void prepareCopy() {
+    Forward_.set_copy(Forward_.copy() + 1);
     Forward_.set_timeout_ms(
         std::max<Millis>(1, CallerTimeout_ - (bootTime() - ReceivedAt_)));
   }
@@ -116,7 +117,7 @@
       return;
     }
   }
-  NewRequest->setRemainingTimeout();
+  NewRequest->prepareCopy();
   Pending_[Out.token()] = NewRequest;
   NewRequest->SentToOwner_ = SendToOwner_(Out);
 }
@@ -144,6 +145,8 @@
          {"queue", Queue},
          {"config", static_cast<std::int64_t>(Done->Forward_.config_version())},
          {"sent", Done->mayHaveRun() ? 1 : 0},
+         {"copies", Done->Forward_.copy()},
+         {"open_copies", Done->MayHaveRunEarlier_ ? 1 : 0},
          {"duration_ms", Duration}});
   sendAnswer(Done->Request_, Status, Body, RetryLater, RetryAfter);
 }
@@ -157,6 +160,10 @@
     It->second->SentToOwner_ = false;
     return;
   }
+  if (It->second->MayHaveRunEarlier_ &&
+      platform::promisesNotRun(Reply.status()))
+    Context_.Metrics_.incrementCounter("refusals_with_open_copies",
+                                       It->second->Forward_.method());
   finishRequest(Reply.token(), Reply.status(), Reply.body(),
                 Reply.retry_later(), Reply.retry_after_ms());
 }
@@ -169,9 +176,11 @@
   for (const std::shared_ptr<PendingRequest> &Each : Waiting) {
     // Set first, because the answer may arrive before the call returns.
     Each->SentToOwner_ = true;
-    Each->setRemainingTimeout();
-    if (!SendToOwner_(Each->Forward_))
-      Each->SentToOwner_ = false;
+    Each->prepareCopy();
+    if (SendToOwner_(Each->Forward_))
+      continue;
+    Each->SentToOwner_ = false;
+    Each->Forward_.set_copy(Each->Forward_.copy() - 1);
   }
 }
 
--- a/src/node/host_links.cc
+++ b/src/node/host_links.cc
@@ -136,6 +136,8 @@
 void EntryHost::handleHeartbeat(const cell::pb::Beat &Beat) {
   const bool WasReady = OwnerReportsReady_;
   OwnerEpoch_ = std::max(OwnerEpoch_, Beat.epoch());
+  if (Beat.clock_ms() != 0)
+    OwnerClock_.observe(Beat.clock_ms(), bootTime());
   OwnerReportsReady_ = Beat.owner_ready();
   Succession_.setOwnerHealthy(Beat.epoch() == OwnerEpoch_ &&
                               Beat.store_age_ms() < OwnerStoreSilenceLimit);
@@ -212,6 +214,7 @@
   cell::pb::Beat &Beat = *Out.mutable_beat();
   Beat.set_store_age_ms(Store_.timeSinceContact());
   Beat.set_leaving(DrainingSince_ != 0);
+  Beat.set_clock_ms(bootTime());
   if (OwnerLink_)
     OwnerLink_->send(Out);
   Beat.set_owner_ready(Owner_ && Owner_->isReady());
@@ -270,8 +273,17 @@
     });
     return true;
   }
+  if (Request.copy() > 1)
+    Log_.logDecision("request sent again",
+                     {{"id", Request.job_id()},
+                      {"copy", Request.copy()},
+                      {"to", OwnerAddress_},
+                      {"epoch", static_cast<std::int64_t>(OwnerEpoch_)}});
   Frame Out;
-  *Out.mutable_forward() = Request;
+  cell::pb::Forward &Copy = *Out.mutable_forward();
+  Copy = Request;
+  Copy.set_epoch(OwnerEpoch_);
+  Copy.set_owner_clock_ms(OwnerClock_.at(bootTime()));
   OwnerLink_->send(Out);
   return true;
 }
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -79,6 +79,7 @@
   OwnerAddress_ = Address;
   OwnerEpoch_ = OwnerEpoch;
   OwnerReportsReady_ = false;
+  OwnerClock_ = {};
   Succession_.setOwnerHealthy(false);
   OwnerLink_ = std::make_unique<PeerLink>(Loop_, Address);
   OwnerLink_->onFrame(
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -4,6 +4,7 @@
 
 #include "caller_calls.h"
 #include "cell.pb.h"
+#include "cell/request_copies.h"
 #include "worker_calls.h"
 
 namespace oleandergauge::node {
@@ -35,6 +36,23 @@
 /// Time between two ticks above which the process has stalled and its list of
 /// followers is out of date. Followers look for another owner after this time.
 constexpr Millis StallLimit = 500;
+/// Age from which the copy of a request is logged as read late.
+constexpr Millis LateCopyAge = 500;
+
+} // namespace
+
+namespace {
+
+cell::CopyStamp stampOf(const cell::pb::Forward &Request) {
+  return {Request.copy(), Request.epoch(), Request.owner_clock_ms(),
+          Request.timeout_ms()};
+}
+
+const char *nameOf(cell::Access Refused) {
+  constexpr const char *Names[] = {"allowed", "no desired state", "no queue",
+                                   "invalid request", "unknown key"};
+  return Names[static_cast<int>(Refused)];
+}
 
 } // namespace
 
@@ -174,6 +192,7 @@
 
 void Owner::handleRequest(const cell::pb::Forward &Request, ReplyHandler Then) {
   const BusyTime::Scope Scope(Busy_, OwnerPart::Requests);
+  recordCopy(Request);
   if (ReleaseHandler_) {
     Then(makeNotOwnerReply());
     return;
@@ -197,6 +216,12 @@
     return;
   }
   if (Resolved.Access_ != cell::Access::Allowed) {
+    Context_.Log_.logDecision(
+        "request refused",
+        {{"id", Request.job_id()},
+         {"by", nameOf(Resolved.Access_)},
+         {"copy", Request.copy()},
+         {"config", static_cast<std::int64_t>(Resolved.Version_)}});
     const platform::CallerAnswer Refused =
         platform::encodeRefusal(Resolved.Access_);
     cell::pb::ForwardReply Reply;
@@ -221,6 +246,27 @@
   performEffects();
 }
 
+/// Counts the copies that were sent again or that are read late, and logs each
+/// of them, so that the answers to one request can be told apart.
+void Owner::recordCopy(const cell::pb::Forward &Request) {
+  const cell::CopyStamp Stamp = stampOf(Request);
+  const Millis Age = cell::ageOf(Stamp, bootTime());
+  const bool IsLate = Age >= LateCopyAge;
+  if (IsLate)
+    Context_.Metrics_.incrementCounter("copies", "late");
+  if (Stamp.Number_ > 1)
+    Context_.Metrics_.incrementCounter("copies", "sent again");
+  if (IsLate || Stamp.Number_ > 1)
+    Context_.Log_.logDecision(
+        "request copy read",
+        {{"id", Request.job_id()},
+         {"copy", Stamp.Number_},
+         {"sent_to_epoch", static_cast<std::int64_t>(Stamp.Epoch_)},
+         {"epoch", static_cast<std::int64_t>(epoch())},
+         {"age_ms", Age},
+         {"timeout_ms", Stamp.Timeout_}});
+}
+
 void Owner::handleAdviceReply(const cell::pb::AdviceReply &Reply) {
   const BusyTime::Scope Scope(Busy_, OwnerPart::AdviceReplies);
   if (!Ready_ || Reply.epoch() != epoch())
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -79,6 +79,7 @@
     std::unique_ptr<HttpConnectionPool> RenewalPool_;
   };
 
+  void recordCopy(const cell::pb::Forward &Request);
   void readStoredTable(const std::string &Table,
                        std::function<void(const platform::RowPage &Rows)> Then);
   void becomeReadyIfComplete();
