Give the copies of a request a module of their own

No decision changes. What a front end knows of the copies of a request (in flight, lost, sent to which epoch) moves from flags in FrontEnd to cell::RequestCopies, a state machine without I/O, so that front ends can be simulated beside links and the cell. Replies to refused submissions name the epoch of the owner that has looked the id up; nothing reads it yet.

Old hosts leave the new field out and skip it.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -36,6 +36,12 @@
   Busy ///< The job was not accepted and never ran; the caller may retry later.
 };
 
+/// Whether the cell refuses a job that it has looked up and does not know.
+constexpr bool isRefusal(Answer Given) {
+  return Given == Answer::TooLarge || Given == Answer::NotStorable ||
+         Given == Answer::Busy;
+}
+
 /// The state of a job as callers see it.
 enum class JobState { Queued, Running, Complete, Failed, Cancelled };
 
--- a/src/cell/request_copies.h
+++ b/src/cell/request_copies.h
@@ -1,6 +1,8 @@
 #ifndef OLEANDERGAUGE_CELL_REQUEST_COPIES_H
 #define OLEANDERGAUGE_CELL_REQUEST_COPIES_H
 
+#include <optional>
+
 #include "cell/types.h"
 
 namespace oleandergauge::cell {
@@ -30,10 +32,46 @@
   friend bool operator==(const CopyStamp &, const CopyStamp &) = default;
 };
 
+/// The copies of one caller's request that a front end has sent to owners, and
+/// what their answers prove. At most one copy is in flight; an earlier one
+/// whose answer can no longer arrive is lost, and may still be carried out.
+class RequestCopies {
+public:
+  /// Records that a copy was sent to the owner of the epoch \p To.
+  void recordSent(Epoch To);
+  /// Records that the owner has not carried out the copy in flight.
+  void recordReturned() { InFlight_ = false; }
+  /// Records that the copy in flight, if any, will not be answered.
+  void recordLost();
+  bool isInFlight() const { return InFlight_; }
+  /// Whether some copy may have been carried out, or may be later.
+  bool mayHaveRun() const { return InFlight_ || Lost_; }
+  bool hasLostCopies() const { return Lost_; }
+  /// Returns the number of copies sent so far.
+  std::uint32_t count() const { return Count_; }
+  /// Returns whether the refusal of the copy in flight proves that no copy is
+  /// carried out, so that the caller may be told so. \p UnknownTo is the epoch
+  /// of the owner that refused, if it has looked up the job and does not know
+  /// it, and 0 otherwise.
+  bool provesNotRun(Epoch UnknownTo) const;
+
+private:
+  bool InFlight_ = false;
+  bool Lost_ = false;
+  std::uint32_t Count_ = 0;
+  Epoch LastEpoch_ = 0; ///< To which the last copy was sent.
+};
+
 /// Returns an upper limit on the age of a copy that the owner reads at \p Now,
 /// or 0 if the copy does not state when it was sent.
 Millis ageOf(const CopyStamp &Stamp, Millis Now);
 
+/// Returns for how long the caller of a copy that the owner of the epoch \p Own
+/// reads at \p Now still waits, or none if the copy is void and must not be
+/// carried out.
+std::optional<Millis> remainingTime(const CopyStamp &Stamp, Epoch Own,
+                                    Millis Now);
+
 } // namespace oleandergauge::cell
 
 #endif // OLEANDERGAUGE_CELL_REQUEST_COPIES_H
--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -82,7 +82,7 @@
   void sendHeartbeats();
   void removeLink(std::size_t At);
   void removeSilentLinks();
-  bool forwardToOwner(const cell::pb::Forward &Request);
+  std::optional<Epoch> forwardToOwner(const cell::pb::Forward &Request);
   bool isOwnerReachable() const;
   const HostLink *selectSuccessor() const;
   bool hasMuchMoreCpu(double CpuShare) const;
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -40,13 +40,10 @@
   cell::pb::Forward Forward_;
   Millis ReceivedAt_ = 0;
   Millis CallerTimeout_ = DefaultCallerTimeout;
-  bool SentToOwner_ = false; ///< To the current owner.
-  /// Whether an earlier owner may have carried it out.
-  bool MayHaveRunEarlier_ = false;
-  bool mayHaveRun() const { return SentToOwner_ || MayHaveRunEarlier_; }
+  cell::RequestCopies Copies_;
   /// Numbers the next copy, and sets the time for which the caller still waits.
   void prepareCopy() {
-    Forward_.set_copy(Forward_.copy() + 1);
+    Forward_.set_copy(Copies_.count() + 1);
     Forward_.set_timeout_ms(
         std::max<Millis>(1, CallerTimeout_ - (bootTime() - ReceivedAt_)));
   }
@@ -117,9 +114,15 @@
       return;
     }
   }
-  NewRequest->prepareCopy();
   Pending_[Out.token()] = NewRequest;
-  NewRequest->SentToOwner_ = SendToOwner_(Out);
+  sendCopy(*NewRequest);
+}
+
+/// Sends a copy of a request to the owner, if one is reachable.
+void FrontEnd::sendCopy(PendingRequest &Waiting) {
+  Waiting.prepareCopy();
+  if (const auto OwnerEpoch = SendToOwner_(Waiting.Forward_))
+    Waiting.Copies_.recordSent(*OwnerEpoch);
 }
 
 /// Answers a pending request, records its duration and logs it. Successful
@@ -144,9 +147,9 @@
          {"status", Status},
          {"queue", Queue},
          {"config", static_cast<std::int64_t>(Done->Forward_.config_version())},
-         {"sent", Done->mayHaveRun() ? 1 : 0},
-         {"copies", Done->Forward_.copy()},
-         {"open_copies", Done->MayHaveRunEarlier_ ? 1 : 0},
+         {"sent", Done->Copies_.mayHaveRun() ? 1 : 0},
+         {"copies", Done->Copies_.count()},
+         {"open_copies", Done->Copies_.hasLostCopies() ? 1 : 0},
          {"duration_ms", Duration}});
   sendAnswer(Done->Request_, Status, Body, RetryLater, RetryAfter);
 }
@@ -157,11 +160,12 @@
     return;
   if (Reply.not_owner()) {
     // It was not carried out and waits for the next owner.
-    It->second->SentToOwner_ = false;
+    It->second->Copies_.recordReturned();
     return;
   }
-  if (It->second->MayHaveRunEarlier_ &&
-      platform::promisesNotRun(Reply.status()))
+  const cell::RequestCopies &Copies = It->second->Copies_;
+  const bool Refuses = platform::promisesNotRun(Reply.status());
+  if (Refuses && Copies.hasLostCopies())
     Context_.Metrics_.incrementCounter("refusals_with_open_copies",
                                        It->second->Forward_.method());
   finishRequest(Reply.token(), Reply.status(), Reply.body(),
@@ -171,30 +175,21 @@
 void FrontEnd::sendPending() {
   std::vector<std::shared_ptr<PendingRequest>> Waiting;
   for (const auto &[Token, Each] : Pending_)
-    if (!Each->SentToOwner_)
+    if (!Each->Copies_.isInFlight())
       Waiting.push_back(Each);
-  for (const std::shared_ptr<PendingRequest> &Each : Waiting) {
-    // Set first, because the answer may arrive before the call returns.
-    Each->SentToOwner_ = true;
-    Each->prepareCopy();
-    if (SendToOwner_(Each->Forward_))
-      continue;
-    Each->SentToOwner_ = false;
-    Each->Forward_.set_copy(Each->Forward_.copy() - 1);
-  }
+  for (const std::shared_ptr<PendingRequest> &Each : Waiting)
+    sendCopy(*Each);
 }
 
 void FrontEnd::markOwnerLost() {
-  for (const auto &[Token, Each] : Pending_) {
-    Each->MayHaveRunEarlier_ = Each->mayHaveRun();
-    Each->SentToOwner_ = false;
-  }
+  for (const auto &[Token, Each] : Pending_)
+    Each->Copies_.recordLost();
 }
 
 /// Answers a request whose outcome did not arrive in time.
 void FrontEnd::answerUnfinished(std::uint64_t Token,
                                 const PendingRequest &Late) {
-  if (Late.mayHaveRun()) {
+  if (Late.Copies_.mayHaveRun()) {
     // The job may be stored; the caller retries with the same id.
     finishRequest(Token, 504, "{\"error\":\"outcome unknown, ask again\"}",
                   false);
@@ -215,7 +210,7 @@
     const auto Limit = static_cast<Millis>(
         UnknownOutcomeShare * static_cast<double>(Each->CallerTimeout_));
     const Millis MaxWait =
-        Each->mayHaveRun() ? Limit : std::min(MaxOwnerWait, Limit);
+        Each->Copies_.mayHaveRun() ? Limit : std::min(MaxOwnerWait, Limit);
     if (Waited > MaxWait)
       Late.emplace_back(Token, Each);
   }
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -2,6 +2,7 @@
 #define OLEANDERGAUGE_NODE_FRONT_H
 
 #include "cell/directory.h"
+#include "cell/request_copies.h"
 #include "node/context.h"
 #include "node/http_server.h"
 
@@ -18,8 +19,10 @@
 /// owner; this is safe because requests are idempotent by job id.
 class FrontEnd {
 public:
-  /// Sends a request to the owner. Returns false if no owner is reachable.
-  using RequestSender = std::function<bool(const cell::pb::Forward &Request)>;
+  /// Sends a request to the owner and returns the owner's epoch, or none if no
+  /// owner is reachable.
+  using RequestSender =
+      std::function<std::optional<Epoch>(const cell::pb::Forward &Request)>;
   FrontEnd(HostContext &Context, RequestSender SendToOwner);
 
   void setDesiredState(std::shared_ptr<const cell::DesiredState> State) {
@@ -43,6 +46,7 @@
 
 private:
   struct PendingRequest;
+  void sendCopy(PendingRequest &Waiting);
   void sendAnswer(const std::shared_ptr<IncomingRequest> &To, int Status,
                   const std::string &Body, bool RetryLater,
                   Millis RetryAfter = 0);
--- a/src/node/host_links.cc
+++ b/src/node/host_links.cc
@@ -257,11 +257,12 @@
          (OwnerLink_ && OwnerLink_->isConnected() && OwnerReportsReady_);
 }
 
-/// Sends a request to the owner, which may be this host. Returns false if no
-/// owner is reachable.
-bool EntryHost::forwardToOwner(const cell::pb::Forward &Request) {
+/// Sends a request to the owner, which may be this host. Returns the owner's
+/// epoch, or none if no owner is reachable.
+std::optional<Epoch>
+EntryHost::forwardToOwner(const cell::pb::Forward &Request) {
   if (!isOwnerReachable())
-    return false;
+    return std::nullopt;
   if (Owner_) {
     Owner_->handleRequest(Request, [this, Token = Request.token()](
                                        const cell::pb::ForwardReply &Reply) {
@@ -271,7 +272,7 @@
         FrontEnd_.handleReply(Reply);
       });
     });
-    return true;
+    return Owner_->epoch();
   }
   if (Request.copy() > 1)
     Log_.logDecision("request sent again",
@@ -285,7 +286,7 @@
   Copy.set_epoch(OwnerEpoch_);
   Copy.set_owner_clock_ms(OwnerClock_.at(bootTime()));
   OwnerLink_->send(Out);
-  return true;
+  return OwnerEpoch_;
 }
 
 } // namespace oleandergauge::node
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -45,7 +45,8 @@
 
 cell::CopyStamp stampOf(const cell::pb::Forward &Request) {
   return {Request.copy(), Request.epoch(), Request.owner_clock_ms(),
-          Request.timeout_ms()};
+          Request.timeout_ms() > 0 ? Request.timeout_ms()
+                                   : cell::DefaultCallerTimeout};
 }
 
 const char *nameOf(cell::Access Refused) {
@@ -193,7 +194,9 @@
 void Owner::handleRequest(const cell::pb::Forward &Request, ReplyHandler Then) {
   const BusyTime::Scope Scope(Busy_, OwnerPart::Requests);
   recordCopy(Request);
-  if (ReleaseHandler_) {
+  const auto Timeout =
+      cell::remainingTime(stampOf(Request), epoch(), bootTime());
+  if (ReleaseHandler_ || !Timeout) {
     Then(makeNotOwnerReply());
     return;
   }
@@ -233,12 +236,10 @@
   }
   ReplyHandlers_[Caller] = std::move(Then);
   const Millis Now = bootTime();
-  const Millis Timeout = Request.timeout_ms() > 0 ? Request.timeout_ms()
-                                                  : cell::DefaultCallerTimeout;
   // The job of a repeated or refused submission is not decoded.
-  if (Submits && !Cell_->resubmit(Now, Caller, Resolved, Timeout))
+  if (Submits && !Cell_->resubmit(Now, Caller, Resolved, *Timeout))
     Cell_->submit(Now, wallTime(), Caller, Resolved,
-                  cell::fromMessage(Request.job()).Spec_, Timeout);
+                  cell::fromMessage(Request.job()).Spec_, *Timeout);
   else if (Request.method() == "DELETE")
     Cell_->cancel(Now, Caller, Resolved);
   else if (!Submits)
@@ -430,6 +431,8 @@
   Out.set_body(Answer.Body_);
   Out.set_retry_later(Answer.RetryLater_);
   Out.set_retry_after_ms(Effect.RetryAfter_);
+  if (cell::isRefusal(Effect.Answer_))
+    Out.set_unknown_to_epoch(epoch());
   Then(Out);
 }
 
