Show the fault REFUSED: a refusal of one copy while another one is accepted

refused_copies_test simulates callers, front ends, their links and the owner's cell in virtual time: links cut without a reset, copies that arrive after the cut, a suspended or killed owner, a process that owns again, a store that is away or slow, requests refused by the desired state. Its invariant is that of the users: an id of which every answer was a refusal never starts; beside it, no attempt that was refused has a copy that an owner accepted.

--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -105,18 +105,24 @@
     PendingRenewals_.clear();
   }
 
-  void submit(const std::string &Id, const JobSpec &Spec,
-              const std::string &Queue = "slow") {
+  /// Submits a job and returns the token of its reply, see ReplyObserver_.
+  Token submit(const std::string &Id, const JobSpec &Spec,
+               const std::string &Queue = "slow",
+               Millis Timeout = DefaultCallerTimeout) {
     Specs_[Id] = Spec;
     Queues_[Id] = Queue;
+    const Token Caller = NextCaller_++;
     if (!Cell_)
-      return;
-    Cell_->submit(Now_, wall(), NextCaller_,
-                  {Access::Allowed, 1, Queue, "team", Id}, Spec);
-    SubmittedAt_[NextCaller_] = Now_;
-    Callers_[NextCaller_++] = Id;
+      return Caller;
+    SubmittedAt_[Caller] = Now_;
+    Callers_[Caller] = Id;
+    Cell_->submit(Now_, wall(), Caller, {Access::Allowed, 1, Queue, "team", Id},
+                  Spec, Timeout);
     processEffects();
+    return Caller;
   }
+  /// The token that the next submission gets.
+  Token nextCaller() const { return NextCaller_; }
 
   void cancel(const std::string &Id) {
     if (!Cell_)
@@ -179,12 +185,14 @@
   void run(Millis Span) {
     for (const Millis End = Now_ + Span; Now_ < End;) {
       Now_ += TickLength;
+      if (BeforeTick_)
+        BeforeTick_();
       recordDisconnections();
       updateGangs();
       for (FakeWorker &Each : Workers_)
         advance(Each);
       runDueEvents();
-      if (!Cell_)
+      if (!Cell_ || OwnerPaused_)
         continue;
       if (Now_ % 200 == 0)
         listWorkers();
@@ -215,6 +223,12 @@
     else
       Unlisted_.insert(Id);
   }
+  /// Called at the start of each tick, before the owner's.
+  std::function<void()> BeforeTick_;
+  std::function<void(const Reply &)> ReplyObserver_;
+  /// The owner's process is suspended: time passes, but it handles nothing.
+  bool OwnerPaused_ = false;
+  std::set<std::string> Started_; ///< Jobs of which a task was started.
   std::set<std::string> Accepted_;
   std::set<std::string> Refused_;
   std::set<std::string> TooLarge_;
@@ -263,13 +277,25 @@
   void schedule(Millis Delay, std::function<void()> Work) {
     Events_.emplace(Now_ + Delay, std::move(Work));
   }
+  /// Schedules what the process of the present owner handles. It waits while
+  /// that process is suspended, and is dropped once it has ended.
+  void scheduleForOwner(Millis Delay, std::function<void()> Work) {
+    schedule(Delay, [this, Work, Generation = OwnerGeneration_] {
+      if (!Cell_ || Generation != OwnerGeneration_)
+        return;
+      if (OwnerPaused_)
+        scheduleForOwner(TickLength, Work);
+      else
+        Work();
+    });
+  }
   void runDueEvents() {
     while (!Events_.empty() && Events_.begin()->first <= Now_) {
       const std::function<void()> Work = std::move(Events_.begin()->second);
       Events_.erase(Events_.begin());
       Work();
     }
-    for (std::size_t At = 0; At < PendingRenewals_.size();) {
+    for (std::size_t At = 0; !OwnerPaused_ && At < PendingRenewals_.size();) {
       FakeWorker *Receiver = find(PendingRenewals_[At].first.Worker_.Id_);
       if (Now_ < PendingRenewals_[At].second && Receiver->Ends_.empty()) {
         ++At;
@@ -455,6 +481,7 @@
       std::tie(Created.RemainingWork_, Created.Fails_) =
           TaskBehaviour_(Order.Task_);
     Receiver.Runs_[Order.Task_] = Created;
+    Started_.insert(Job);
     ++Tasks_[Order.Task_].RunningCount_;
     Tasks_[Order.Task_].StartedAt_ = Now_;
     ++Starts_;
@@ -540,10 +567,11 @@
   template <typename Order> void sendOrder(const Order &Each) {
     auto Answer = [this,
                    Generation = OwnerGeneration_](const OrderOutcome &Outcome) {
-      if (Cell_ && Generation == OwnerGeneration_) {
-        Cell_->handle(Now_, Outcome);
-        processEffects();
-      }
+      if (Generation == OwnerGeneration_)
+        scheduleForOwner(0, [this, Outcome] {
+          Cell_->handle(Now_, Outcome);
+          processEffects();
+        });
     };
     const OrderOutcome None{Each.Token_, OrderResult::NoAnswer, 0, 0};
     if (find(Each.Worker_.Id_)->Disconnected_) {
@@ -610,11 +638,9 @@
                                   static_cast<std::ptrdiff_t>(Count));
       Out.List_.AllEnds_ = Count < EndsPerList_;
     }
-    schedule(drawBetween(1, 3), [this, Out, Generation = OwnerGeneration_] {
-      if (Cell_ && Generation == OwnerGeneration_) {
-        Cell_->handle(Now_, Out);
-        processEffects();
-      }
+    scheduleForOwner(drawBetween(1, 3), [this, Out] {
+      Cell_->handle(Now_, Out);
+      processEffects();
     });
   }
 
@@ -629,6 +655,8 @@
         QueriedState_ = Each.State_;
       return;
     }
+    if (ReplyObserver_)
+      ReplyObserver_(Each);
     const auto Submitted = SubmittedAt_.find(Each.Token_);
     if (Submitted != SubmittedAt_.end()) {
       LongestSubmissionWait_ =
@@ -652,11 +680,9 @@
   void applyEffect(const SendStop &Each) { sendOrder(Each); }
   void applyEffect(const SendPace &Each) {
     Paces_[Each.Task_] = Each.Percent_;
-    schedule(2, [this, Each, Generation = OwnerGeneration_] {
-      if (Cell_ && Generation == OwnerGeneration_)
-        Cell_->handle(Now_,
-                      OrderOutcome{Each.Token_, OrderResult::Done,
-                                   find(Each.Worker_.Id_)->clock(Now_), 0});
+    scheduleForOwner(2, [this, Each] {
+      Cell_->handle(Now_, OrderOutcome{Each.Token_, OrderResult::Done,
+                                       find(Each.Worker_.Id_)->clock(Now_), 0});
     });
   }
   void applyEffect(const SendRenewal &Each) {
@@ -688,10 +714,7 @@
         10 + AdviceCost_.Base_ +
         AdviceCost_.PerWorker_ * static_cast<double>(Each.Workers_.size()));
     AdviceCalls_.emplace_back(Now_, Now_ + Took);
-    schedule(Took, [this, Out, Generation = OwnerGeneration_] {
-      if (Cell_ && Generation == OwnerGeneration_)
-        Cell_->handle(Now_, Out);
-    });
+    scheduleForOwner(Took, [this, Out] { Cell_->handle(Now_, Out); });
   }
   /// Checks a transaction against the limits of the store.
   void checkLimits(const Commit &Each) {
@@ -720,8 +743,10 @@
       return;
     }
     if (Rejects_ && Rejects_(Each)) {
-      Cell_->commitRejected(Now_);
-      processEffects();
+      scheduleForOwner(0, [this] {
+        Cell_->commitRejected(Now_);
+        processEffects();
+      });
       return;
     }
     for (const RowChange &Row : Each.Changes_) {
@@ -730,29 +755,29 @@
       else
         Rows_.erase({Row.Table_, Row.Key_});
     }
-    if (Cell_) {
+    scheduleForOwner(0, [this] {
       Cell_->committed(Now_, wall());
       processEffects();
-    }
+    });
   }
   void applyEffect(const ListMachines &) {
     std::vector<MachineEntry> Out;
     for (std::size_t At = 0; At < Machines_.size(); ++At)
       Out.push_back(
           {"m" + std::to_string(At), Workers_[At].Id_, Machines_[At].State_});
-    schedule(3, [this, Out, Generation = OwnerGeneration_] {
-      if (Cell_ && Generation == OwnerGeneration_)
-        Cell_->setMachines(Now_, Out);
-    });
+    scheduleForOwner(3, [this, Out] { Cell_->setMachines(Now_, Out); });
   }
   void applyEffect(const OrderUpkeep &Each) {
     const bool Lost = drawChance(Faults_.LostAnswer_);
     schedule(3, [this, Each, Lost, Generation = OwnerGeneration_] {
       const UpkeepResult Result = beginUpkeep(Each);
-      if (Cell_ && Generation == OwnerGeneration_)
+      if (Generation != OwnerGeneration_)
+        return;
+      scheduleForOwner(0, [this, Each, Lost, Result] {
         Cell_->handle(Now_,
                       UpkeepOutcome{Each.Machine_, Each.Wave_,
                                     Lost ? UpkeepResult::NoAnswer : Result});
+      });
     });
   }
   UpkeepResult beginUpkeep(const OrderUpkeep &Each) {
--- /dev/null
+++ b/test/cell/refused_copies_test.cc
@@ -0,0 +1,162 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "caller_world.h"
+
+namespace oleandergauge::cell::test {
+namespace {
+
+constexpr Millis FaultTime = 12000;
+constexpr Millis RecoveryTime = 15000;
+constexpr std::size_t FrontEnds = 3;
+constexpr int MaxAttempts = 4;
+
+struct World {
+  explicit World(std::uint64_t Seed) : Sim_(Seed), Callers_(Sim_, Seed) {
+    Sim_.TaskBehaviour_ = [](const std::string &) {
+      return std::pair(Millis{100}, false);
+    };
+    Sim_.takeOver();
+    Sim_.run(1000);
+  }
+  CellSimulation Sim_;
+  CallerSimulation Callers_;
+};
+
+std::string idOf(std::size_t At) {
+  char Id[17];
+  std::snprintf(Id, sizeof Id, "%016zx", At);
+  return Id;
+}
+
+void expectPromisesKept(const World &Played) {
+  for (const std::string &What : Played.Callers_.violations())
+    ADD_FAILURE() << What;
+}
+
+// Guards against a refusal that is passed on to the caller while an earlier
+// copy of its request, on a link that has ended, is still accepted.
+TEST(RefusedCopies, TellsNoRefusalWhileAnEarlierCopyIsOpen) {
+  World Played(1);
+  Played.Callers_.cutLink(0, 900, 1000);
+  const std::size_t At = Played.Callers_.submit(idOf(1), simpleJob(1, 100), 0);
+  Played.Sim_.run(890);
+  // The second copy is sent once the link is up again.
+  Played.Callers_.setAccessRefused(true);
+  Played.Sim_.run(100);
+  Played.Callers_.setAccessRefused(false);
+  EXPECT_EQ(Played.Callers_.attempt(At).Copies_.count(), 2U);
+  Played.Sim_.run(3000);
+  EXPECT_NE(Played.Callers_.attempt(At).Told_, Told::Nothing);
+  expectPromisesKept(Played);
+}
+
+struct Submission {
+  std::size_t Attempt_ = 0;
+  int Attempts_ = 0;
+  Millis NextAt_ = 0;
+};
+
+/// Submits again what was refused or has an unknown outcome.
+void retry(World &Played, std::vector<Submission> &Open,
+           std::mt19937_64 &Random) {
+  auto Draw = [&](int Low, int High) {
+    return std::uniform_int_distribution<int>(Low, High)(Random);
+  };
+  for (Submission &Each : Open) {
+    const Attempt Last = Played.Callers_.attempt(Each.Attempt_);
+    if (Last.Told_ == Told::Nothing || Last.Told_ == Told::Accepted ||
+        Each.Attempts_ >= MaxAttempts)
+      continue;
+    if (Each.NextAt_ == 0) {
+      Each.NextAt_ = Played.Sim_.now() + Draw(50, 1000);
+      continue;
+    }
+    if (Played.Sim_.now() < Each.NextAt_)
+      continue;
+    Each.Attempt_ = Played.Callers_.submit(
+        Last.Id_, simpleJob(1, 100),
+        static_cast<std::size_t>(Draw(0, FrontEnds - 1)));
+    Each.NextAt_ = 0;
+    ++Each.Attempts_;
+  }
+}
+
+void injectFault(World &Played, std::mt19937_64 &Random) {
+  auto Draw = [&](int Low, int High) {
+    return std::uniform_int_distribution<int>(Low, High)(Random);
+  };
+  CallerSimulation &Callers = Played.Callers_;
+  CellSimulation &Sim = Played.Sim_;
+  switch (Draw(0, 13)) {
+  case 0:
+  case 1:
+  case 2:
+    Callers.cutLink(static_cast<std::size_t>(Draw(0, FrontEnds - 1)),
+                    Draw(100, 2500), Draw(0, 3000));
+    break;
+  case 3:
+    if (Sim.hasOwner())
+      Callers.pauseOwner(Draw(100, 2500));
+    break;
+  case 4:
+    if (Sim.hasOwner() && !Sim.OwnerPaused_)
+      Callers.killOwner();
+    break;
+  case 5:
+    Sim.setStoreDown(true);
+    break;
+  case 6:
+    Sim.setStoreDown(false);
+    break;
+  case 7:
+    Sim.CommitTime_ = Draw(0, 1) == 0 ? 8 : Draw(200, 1500);
+    break;
+  case 8:
+    Callers.setAccessRefused(true);
+    break;
+  default:
+    Callers.setAccessRefused(false);
+    break;
+  }
+  if (!Sim.hasOwner() && Draw(0, 3) == 0)
+    Callers.takeOver(Draw(0, 2) == 0);
+}
+
+/// Plays submissions, with retries, among faults of links, owner and store.
+void playFaults(std::uint64_t Seed) {
+  std::mt19937_64 Random(Seed);
+  World Played(Seed);
+  std::vector<Submission> Open;
+  const Millis End = Played.Sim_.now() + FaultTime;
+  while (Played.Sim_.now() < End) {
+    if (Random() % 2 == 0)
+      Open.push_back(
+          {Played.Callers_.submit(idOf(Open.size()), simpleJob(1, 100),
+                                  Random() % FrontEnds),
+           1, 0});
+    Played.Sim_.run(50);
+    retry(Played, Open, Random);
+    injectFault(Played, Random);
+  }
+  Played.Sim_.OwnerPaused_ = false;
+  Played.Sim_.setStoreDown(false);
+  Played.Sim_.CommitTime_ = 8;
+  if (!Played.Sim_.hasOwner())
+    Played.Callers_.takeOver(false);
+  Played.Sim_.run(RecoveryTime);
+  for (const std::string &What : Played.Callers_.violations())
+    RC_FAIL(What);
+  for (const std::string &What : Played.Sim_.violations())
+    RC_FAIL(What);
+}
+
+// Guards against a job that runs although its callers were told that it does
+// not: an id of which every answer was a refusal never starts.
+TEST(RefusedCopies, StartsNothingOfWhichEveryAnswerWasARefusal) {
+  EXPECT_TRUE(
+      rc::check([] { playFaults(*rc::gen::arbitrary<std::uint32_t>()); }));
+}
+
+} // namespace
+} // namespace oleandergauge::cell::test
