Pass on a refusal only where no copy of the request is open

Cause: a front end that lost the link to the owner sent the request again and passed on whatever the owner answered to the new copy. The copy from before was still on its way: in the socket of a suspended owner, or in retransmission behind a cut. An owner that refused one of them, since its transaction looked old, its store was slow or its desired state had changed, accepted the other one a moment later. The front end knew that a copy was open; it asked for that only when time was up.

Now a refusal (400 to 404, 429, 503) of a POST or DELETE is passed on only if no copy is without an answer. Otherwise the caller gets 504, outcome unknown, at once, with the time to return if the owner has given one. Ruled out as better: waiting for the other copy (it may never arrive) and a cancel of it (the cancel may overtake it).

Each attempt's answer is true by itself, whatever other attempts are told. Without a lost link nothing changes.

--- a/src/cell/request_copies.cc
+++ b/src/cell/request_copies.cc
@@ -24,7 +24,7 @@
   InFlight_ = false;
 }
 
-bool RequestCopies::provesNotRun(Epoch) const { return true; }
+bool RequestCopies::provesNotRun(Epoch) const { return !Lost_; }
 
 Millis ageOf(const CopyStamp &Stamp, Millis Now) {
   return Stamp.OwnerClock_ == 0 ? 0
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -41,6 +41,7 @@
   Millis ReceivedAt_ = 0;
   Millis CallerTimeout_ = DefaultCallerTimeout;
   cell::RequestCopies Copies_;
+  bool changesState() const { return Forward_.method() != "GET"; }
   /// Numbers the next copy, and sets the time for which the caller still waits.
   void prepareCopy() {
     Forward_.set_copy(Copies_.count() + 1);
@@ -165,9 +166,14 @@
   }
   const cell::RequestCopies &Copies = It->second->Copies_;
   const bool Refuses = platform::promisesNotRun(Reply.status());
-  if (Refuses && Copies.hasLostCopies())
+  if (Refuses && It->second->changesState() &&
+      !Copies.provesNotRun(Reply.unknown_to_epoch())) {
     Context_.Metrics_.incrementCounter("refusals_with_open_copies",
                                        It->second->Forward_.method());
+    answerUnknownOutcome(Reply.token(), Reply.retry_later(),
+                         Reply.retry_after_ms());
+    return;
+  }
   finishRequest(Reply.token(), Reply.status(), Reply.body(),
                 Reply.retry_later(), Reply.retry_after_ms());
 }
@@ -186,13 +192,19 @@
     Each->Copies_.recordLost();
 }
 
+/// Answers a request of which a copy may have been, or may yet be, carried out.
+/// The caller retries with the same id.
+void FrontEnd::answerUnknownOutcome(std::uint64_t Token, bool RetryLater,
+                                    Millis RetryAfter) {
+  finishRequest(Token, 504, "{\"error\":\"outcome unknown, ask again\"}",
+                RetryLater, RetryAfter);
+}
+
 /// Answers a request whose outcome did not arrive in time.
 void FrontEnd::answerUnfinished(std::uint64_t Token,
                                 const PendingRequest &Late) {
   if (Late.Copies_.mayHaveRun()) {
-    // The job may be stored; the caller retries with the same id.
-    finishRequest(Token, 504, "{\"error\":\"outcome unknown, ask again\"}",
-                  false);
+    answerUnknownOutcome(Token, false, 0);
     return;
   }
   // The desired state of this host may be older than the owner's. A queue or
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -16,7 +16,8 @@
 /// The front end: accepts callers' requests, forwards them to the owner and
 /// answers. A request that no owner has received in time is refused as not run.
 /// A request that an owner may have carried out is sent again to the next
-/// owner; this is safe because requests are idempotent by job id.
+/// owner; this is safe because requests are idempotent by job id. A refusal is
+/// passed on only if it holds for all copies that were sent.
 class FrontEnd {
 public:
   /// Sends a request to the owner and returns the owner's epoch, or none if no
@@ -52,6 +53,8 @@
                   Millis RetryAfter = 0);
   void finishRequest(std::uint64_t Token, int Status, const std::string &Body,
                      bool RetryLater, Millis RetryAfter = 0);
+  void answerUnknownOutcome(std::uint64_t Token, bool RetryLater,
+                            Millis RetryAfter);
   void answerUnfinished(std::uint64_t Token, const PendingRequest &Late);
 
   HostContext &Context_;
