Void copies of a request that were sent to another ownership or too long ago

The owner counted the caller's time from when it read the copy, and a process that had become owner again took copies which were sent to its former ownership, after another owner may have refused the request.

The owner returns it as not carried out if the epoch is not its own or the caller's time is up, and takes only what is left of that time. A host that follows a process which becomes owner again, and a host that becomes owner itself, counts the copies it has sent as unanswered; before, these requests waited until their time was up. Each copy has a token of its own, so that the late reply of a former ownership in the same process is not taken for the reply to the present copy.

With that, a refusal by an owner of a later epoch that has looked up the id holds for all copies that earlier owners were sent, and is passed on as 503 with its time to return instead of 504: the later owner has read what was accepted, and nothing that a former one reads is stored any more.

--- a/src/cell/request_copies.cc
+++ b/src/cell/request_copies.cc
@@ -20,19 +20,28 @@
 }
 
 void RequestCopies::recordLost() {
+  if (InFlight_)
+    LostEpoch_ = LastEpoch_;
   Lost_ = Lost_ || InFlight_;
   InFlight_ = false;
 }
 
-bool RequestCopies::provesNotRun(Epoch) const { return !Lost_; }
+bool RequestCopies::provesNotRun(Epoch UnknownTo) const {
+  return !Lost_ || UnknownTo > LostEpoch_;
+}
 
 Millis ageOf(const CopyStamp &Stamp, Millis Now) {
   return Stamp.OwnerClock_ == 0 ? 0
                                 : std::max<Millis>(0, Now - Stamp.OwnerClock_);
 }
 
-std::optional<Millis> remainingTime(const CopyStamp &Stamp, Epoch, Millis) {
-  return Stamp.Timeout_;
+std::optional<Millis> remainingTime(const CopyStamp &Stamp, Epoch Own,
+                                    Millis Now) {
+  const bool OtherOwner = Stamp.Epoch_ != 0 && Stamp.Epoch_ != Own;
+  const Millis Remaining = Stamp.Timeout_ - ageOf(Stamp, Now);
+  if (OtherOwner || Remaining <= 0)
+    return std::nullopt;
+  return Remaining;
 }
 
 } // namespace oleandergauge::cell
--- a/src/cell/request_copies.h
+++ b/src/cell/request_copies.h
@@ -52,7 +52,8 @@
   /// Returns whether the refusal of the copy in flight proves that no copy is
   /// carried out, so that the caller may be told so. \p UnknownTo is the epoch
   /// of the owner that refused, if it has looked up the job and does not know
-  /// it, and 0 otherwise.
+  /// it, and 0 otherwise. Such an owner knows what earlier owners have
+  /// accepted, and nothing that they read from now on is stored.
   bool provesNotRun(Epoch UnknownTo) const;
 
 private:
@@ -60,6 +61,7 @@
   bool Lost_ = false;
   std::uint32_t Count_ = 0;
   Epoch LastEpoch_ = 0; ///< To which the last copy was sent.
+  Epoch LostEpoch_ = 0; ///< The latest to which a lost copy was sent.
 };
 
 /// Returns an upper limit on the age of a copy that the owner reads at \p Now,
--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -73,6 +73,7 @@
                        const Frame &Received);
   void handleOwnerFrame(const Frame &Received);
   void handleHeartbeat(const cell::pb::Beat &Beat);
+  void setOwnerEpoch(Epoch Current);
   void handleAnnouncement(const cell::pb::Announcement &Announcement);
   void handleRelease(const cell::pb::Release &Release);
   void handleReturnedRelease(const std::shared_ptr<PeerLink> &Link,
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -94,7 +94,6 @@
       Request->header(platform::ApiKeyHeader)};
   const cell::Resolution Resolved =
       cell::resolve(DesiredState_.get(), CallerRequest);
-  Out.set_token(NextToken_++);
   Out.set_method(methodName(Method));
   Out.set_host(CallerRequest.Host_);
   Out.set_path(CallerRequest.Path_);
@@ -115,15 +114,19 @@
       return;
     }
   }
-  Pending_[Out.token()] = NewRequest;
-  sendCopy(*NewRequest);
+  sendCopy(NewRequest);
 }
 
-/// Sends a copy of a request to the owner, if one is reachable.
-void FrontEnd::sendCopy(PendingRequest &Waiting) {
-  Waiting.prepareCopy();
-  if (const auto OwnerEpoch = SendToOwner_(Waiting.Forward_))
-    Waiting.Copies_.recordSent(*OwnerEpoch);
+/// Sends a copy of a request to the owner, if one is reachable. Each copy has a
+/// token of its own, so that a late reply to an earlier one is not taken for
+/// the reply to this one.
+void FrontEnd::sendCopy(const std::shared_ptr<PendingRequest> &Waiting) {
+  Pending_.erase(Waiting->Forward_.token());
+  Waiting->Forward_.set_token(NextToken_++);
+  Pending_[Waiting->Forward_.token()] = Waiting;
+  Waiting->prepareCopy();
+  if (const auto OwnerEpoch = SendToOwner_(Waiting->Forward_))
+    Waiting->Copies_.recordSent(*OwnerEpoch);
 }
 
 /// Answers a pending request, records its duration and logs it. Successful
@@ -184,7 +187,7 @@
     if (!Each->Copies_.isInFlight())
       Waiting.push_back(Each);
   for (const std::shared_ptr<PendingRequest> &Each : Waiting)
-    sendCopy(*Each);
+    sendCopy(Each);
 }
 
 void FrontEnd::markOwnerLost() {
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -47,7 +47,7 @@
 
 private:
   struct PendingRequest;
-  void sendCopy(PendingRequest &Waiting);
+  void sendCopy(const std::shared_ptr<PendingRequest> &Waiting);
   void sendAnswer(const std::shared_ptr<IncomingRequest> &To, int Status,
                   const std::string &Body, bool RetryLater,
                   Millis RetryAfter = 0);
@@ -60,6 +60,7 @@
   HostContext &Context_;
   RequestSender SendToOwner_;
   std::shared_ptr<const cell::DesiredState> DesiredState_;
+  /// By the token of the last copy.
   std::map<std::uint64_t, std::shared_ptr<PendingRequest>> Pending_;
   std::uint64_t NextToken_ = 1;
   bool Draining_ = false;
--- a/src/node/host_links.cc
+++ b/src/node/host_links.cc
@@ -132,13 +132,21 @@
   }
 }
 
+/// Notes the epoch of the owner at the end of OwnerLink_. The same process that
+/// became owner again has dropped what it had not answered before.
+void EntryHost::setOwnerEpoch(Epoch Current) {
+  if (Current != OwnerEpoch_)
+    FrontEnd_.markOwnerLost();
+  OwnerEpoch_ = Current;
+}
+
 /// Takes over the state that the owner reports in its heartbeat.
 void EntryHost::handleHeartbeat(const cell::pb::Beat &Beat) {
   const bool WasReady = OwnerReportsReady_;
-  OwnerEpoch_ = std::max(OwnerEpoch_, Beat.epoch());
+  setOwnerEpoch(std::max(OwnerEpoch_, Beat.epoch()));
   if (Beat.clock_ms() != 0)
     OwnerClock_.observe(Beat.clock_ms(), bootTime());
-  OwnerReportsReady_ = Beat.owner_ready();
+  OwnerReportsReady_ = Beat.owner_ready() && Beat.epoch() == OwnerEpoch_;
   Succession_.setOwnerHealthy(Beat.epoch() == OwnerEpoch_ &&
                               Beat.store_age_ms() < OwnerStoreSilenceLimit);
   Succession_.setPreferred(Beat.successor() == Settings_.Name_);
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -72,7 +72,7 @@
   if (JustRefused)
     return;
   if (OwnerLink_ && OwnerAddress_ == Address) {
-    OwnerEpoch_ = OwnerEpoch; // The same process has become owner again.
+    setOwnerEpoch(OwnerEpoch); // The same process has become owner again.
     return;
   }
   FrontEnd_.markOwnerLost();
@@ -175,6 +175,7 @@
   }
   UnconfirmedTakeover_.reset();
   OwnerLink_.reset();
+  FrontEnd_.markOwnerLost();
   PeerAddresses_.insert(OwnerAddress_);
   OwnerEpoch_ = Row.Epoch_;
   Owner_ = std::make_unique<Owner>(
--- a/test/cell/refused_copies_test.cc
+++ b/test/cell/refused_copies_test.cc
@@ -51,6 +51,61 @@
   expectPromisesKept(Played);
 }
 
+constexpr Epoch SentTo = 5;
+constexpr Millis OwnerSentAt = 100000;
+
+// Guards against a copy that a process accepts in a later ownership than the
+// one it was sent to, after another owner has refused the request.
+TEST(RefusedCopies, VoidsACopyThatWasSentToAnotherOwnership) {
+  const CopyStamp Stamp{1, SentTo, OwnerSentAt, 3000};
+  EXPECT_EQ(remainingTime(Stamp, SentTo, OwnerSentAt), 3000);
+  EXPECT_EQ(remainingTime(Stamp, SentTo + 1, OwnerSentAt), std::nullopt);
+  EXPECT_EQ(remainingTime(Stamp, SentTo - 1, OwnerSentAt), std::nullopt);
+}
+
+// Guards against a copy that is carried out after its caller has stopped
+// waiting: the time counts from when it was sent, not from when it is read.
+TEST(RefusedCopies, VoidsACopyWhoseCallerNoLongerWaits) {
+  const CopyStamp Stamp{1, SentTo, OwnerSentAt, 3000};
+  EXPECT_EQ(remainingTime(Stamp, SentTo, OwnerSentAt + 2000), 1000);
+  EXPECT_EQ(remainingTime(Stamp, SentTo, OwnerSentAt + 3000), std::nullopt);
+}
+
+// Guards against hosts of the version before being refused during an upgrade.
+TEST(RefusedCopies, TakesACopyThatDoesNotStateWhenItWasSent) {
+  EXPECT_EQ(remainingTime(CopyStamp{0, 0, 0, 3000}, SentTo, OwnerSentAt), 3000);
+}
+
+// Guards against an age that is too low: a copy must not look younger than it
+// is because the heartbeat with the owner's clock was under way for long.
+TEST(RefusedCopies, NeverTakesACopyForYoungerThanItIs) {
+  OwnerClock Clock;
+  EXPECT_EQ(Clock.at(50), 0);
+  // Sent at 1000 on the owner's clock, which is 40 ahead; received 300 later.
+  Clock.observe(1000, 1260);
+  const CopyStamp Stamp{1, SentTo, Clock.at(1360), 3000};
+  const Millis TrueAge = 50;
+  EXPECT_EQ(ageOf(Stamp, 1400 + TrueAge), TrueAge + 300);
+}
+
+// Guards against a refusal that is withheld although a later owner, which knows
+// all that was accepted before, has looked the id up; and against one that is
+// passed on where that is not so.
+TEST(RefusedCopies, ALaterOwnerThatDoesNotKnowTheIdProvesARefusal) {
+  RequestCopies Copies;
+  Copies.recordSent(SentTo);
+  EXPECT_TRUE(Copies.provesNotRun(0));
+  Copies.recordLost();
+  Copies.recordSent(SentTo);
+  EXPECT_FALSE(Copies.provesNotRun(0));
+  EXPECT_FALSE(Copies.provesNotRun(SentTo));
+  Copies.recordReturned();
+  EXPECT_TRUE(Copies.mayHaveRun());
+  Copies.recordSent(SentTo + 1);
+  EXPECT_TRUE(Copies.provesNotRun(SentTo + 1));
+  EXPECT_FALSE(Copies.provesNotRun(0)); // Refused before the id is looked up.
+}
+
 struct Submission {
   std::size_t Attempt_ = 0;
   int Attempts_ = 0;
