Refuse no job whose rejected transaction may still be stored

A transaction without an answer is sent again. If the store rejected the second copy, the owner took its jobs back and refused them once their callers' time was short, or returned them at a release as not carried out, although the first copy could still be stored; the next owner would have run them. An owner that then met its own abandoned sequence number in the owner row went on with the new version and without the changes that it had taken back.

Now a job that was taken back is not refused before another transaction is stored, which makes the condition of all earlier ones false; a release in between gives no reply, so that front ends ask the next owner; and an owner that finds an abandoned transaction stored steps down, so that the next one reads what the store holds.

Tests: RefusesNoJobOfARejectedTransactionBeforeTheNextIsStored failed before (Refused_ holds the job).

--- a/src/cell/engine_commit.cc
+++ b/src/cell/engine_commit.cc
@@ -282,6 +282,9 @@
   CommitTime_ += (Took - CommitTime_) / CommitTimeWeight;
   CommitChanges_.clear();
   CommitObsoleteRows_.clear();
+  // The condition of every earlier transaction has become false.
+  for (Job *Each : NewJobs_)
+    Each->MayBeStoredLate_ = false;
   recordStoredWorkers();
   acknowledgeStoredEnds();
   for (auto &[Number, Each] : Waves_)
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -529,7 +529,8 @@
 void Cell::Engine::refuseLateJobs() {
   const bool Stalled = storeStalled();
   const auto IsLate = [&](const Job *Each) {
-    return Stalled || Now_ + CommitTime_ > Each->AnswerBy_;
+    return !Each->MayBeStoredLate_ &&
+           (Stalled || Now_ + CommitTime_ > Each->AnswerBy_);
   };
   const auto Late =
       std::stable_partition(NewJobs_.begin(), NewJobs_.end(),
--- a/src/cell/engine_rejection.cc
+++ b/src/cell/engine_rejection.cc
@@ -78,8 +78,10 @@
   EndingJobs_.insert(EndingJobs_.begin(), CommitEndingJobs_.begin(),
                      CommitEndingJobs_.end());
   CommitEndingJobs_.clear();
-  for (Job *Each : CommitNewJobs_)
+  for (Job *Each : CommitNewJobs_) {
     Each->Sent_ = false;
+    Each->MayBeStoredLate_ = true;
+  }
   NewJobs_.insert(NewJobs_.begin(), CommitNewJobs_.begin(),
                   CommitNewJobs_.end());
   CommitNewJobs_.clear();
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -215,6 +215,10 @@
   Millis ObjectiveSpan_ = 0;
   /// Contained in a transaction. Until then the job waits in NewJobs_.
   bool Sent_ = false;
+  /// Contained in a rejected transaction since the last one that was stored. An
+  /// unanswered copy of that transaction may still be stored, so the job must
+  /// not be refused.
+  bool MayBeStoredLate_ = false;
   bool Stored_ = false;
   bool Started_ = false;
   /// Counted among the waiting jobs of its queue.
--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -70,6 +70,7 @@
   case TransactionResult::Done:
     Version_ = NewVersion;
     ++Row_.Sequence_;
+    FirstAbandoned_.reset();
     return Verdict::Committed;
   case TransactionResult::Refused:
   case TransactionResult::Unknown:
@@ -77,6 +78,8 @@
   case TransactionResult::Rejected:
     // The next transaction differs, so that a late copy of this one must not
     // be taken for it.
+    if (!FirstAbandoned_)
+      FirstAbandoned_ = Row_.Sequence_;
     ++Row_.Sequence_;
     return Verdict::Abandoned;
   case TransactionResult::Conflict:
@@ -90,8 +93,11 @@
   if (PresentRow.Sequence_ == Row_.Sequence_) {
     // An earlier copy of this transaction was stored, but its answer was lost.
     ++Row_.Sequence_;
+    FirstAbandoned_.reset();
     return Verdict::Committed;
   }
+  if (FirstAbandoned_ && PresentRow.Sequence_ >= *FirstAbandoned_)
+    return Verdict::Diverged;
   return Verdict::Retry;
 }
 
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -85,13 +85,17 @@
       : Row_(std::move(Self)), Version_(PreviousVersion) {}
 
   /// What the owner does next: proceed, repeat the transaction, compose another
-  /// one in its place, or stop acting because another host is the owner.
-  enum class Verdict { Committed, Retry, Abandoned, Deposed };
+  /// one in its place, stop acting because another host is the owner, or stop
+  /// because the store holds a transaction that it has abandoned.
+  enum class Verdict { Committed, Retry, Abandoned, Deposed, Diverged };
 
   /// The owner's row to write with the next transaction.
   const OwnerRow &row() const { return Row_; }
   /// The version of the row that the next transaction requires.
   std::uint64_t version() const { return Version_; }
+  /// Whether an unanswered copy of an abandoned transaction may still be
+  /// stored.
+  bool mayBeStoredLate() const { return FirstAbandoned_.has_value(); }
   /// Processes the outcome of a transaction. \p NewVersion is the version of
   /// the row after Done; \p Present is the row found after Conflict.
   Verdict settle(TransactionResult Result, std::uint64_t NewVersion,
@@ -100,6 +104,8 @@
 private:
   OwnerRow Row_;
   std::uint64_t Version_;
+  /// The first sequence number abandoned since the last stored transaction.
+  std::optional<std::uint64_t> FirstAbandoned_;
 };
 
 } // namespace oleandergauge::cell
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -572,6 +572,10 @@
   case cell::OwnerTransactions::Verdict::Deposed:
     stepDown("the owner row names another host");
     return;
+  case cell::OwnerTransactions::Verdict::Diverged:
+    // The next owner, which may be this host, reads what the store holds.
+    stepDown("the store holds a transaction that counted as rejected");
+    return;
   case cell::OwnerTransactions::Verdict::Retry:
     Context_.Metrics_.incrementCounter("commits", "retried");
     Context_.Loop_.runAfter(Answer.Result_ == cell::TransactionResult::Refused
@@ -617,9 +621,13 @@
     finishRelease(); // Otherwise handleCommitAnswer() calls it.
 }
 
-/// Returns all open requests and reports the last owner row.
+/// Returns all open requests and reports the last owner row. While a rejected
+/// transaction may still be stored, a request in it must not be returned as not
+/// carried out; without a reply, its front end asks the next owner.
 void Owner::finishRelease() {
   Stopped_ = true;
+  if (OwnerLog_.mayBeStoredLate())
+    ReplyHandlers_.clear();
   for (const auto &[Caller, Then] : std::exchange(ReplyHandlers_, {}))
     Then(makeNotOwnerReply());
   ReleaseHandler_({OwnerLog_.version(), OwnerLog_.row()});
--- a/test/cell/cell_rejection_test.cc
+++ b/test/cell/cell_rejection_test.cc
@@ -143,6 +143,32 @@
   EXPECT_TRUE(areEndsAcknowledged(Sim));
 }
 
+// Guards against a job that is refused while an unanswered copy of a rejected
+// transaction may still be stored: the next owner would run it.
+TEST(CellRejection, RefusesNoJobOfARejectedTransactionBeforeTheNextIsStored) {
+  CellSimulation Sim = runningCell();
+  bool Rejected = false;
+  Sim.Rejects_ = [&](const Commit &Each) {
+    // The store is gone after it has rejected the job once.
+    const bool HasJob =
+        std::any_of(Each.Changes_.begin(), Each.Changes_.end(),
+                    [](const RowChange &Row) { return Row.Key_ == FaultyId; });
+    Rejected = Rejected || HasJob;
+    Sim.setStoreDown(Rejected);
+    return HasJob;
+  };
+  Sim.submit(FaultyId, simpleJob(1, 100), "fast");
+  Sim.run(5000);
+  EXPECT_TRUE(Rejected);
+  EXPECT_EQ(Sim.Refused_.count(FaultyId), 0U);
+  Sim.Rejects_ = nullptr;
+  Sim.setStoreDown(false);
+  Sim.run(1000);
+  // The answer is late, but true.
+  EXPECT_EQ(Sim.Refused_.count(FaultyId) + Sim.Accepted_.count(FaultyId), 1U);
+  EXPECT_EQ(Sim.Started_.count(FaultyId), Sim.Accepted_.count(FaultyId));
+}
+
 // Guards against ends that are acknowledged although the transaction with them
 // was rejected, and the owner is gone before it is repeated.
 TEST(CellRejection, AcknowledgesNoEndOfARejectedTransaction) {
