Take no copy of a request once a later copy of it was read

A refusal that follows a lost link was answered 504 whenever the owner was still the same, although the owner can make it true: then the caller doesn't know whether its job runs, and asks again at once instead of when told to. Callers of requests that must not be repeated are hurt most.

Now all copies of a request carry one number, random per process, and the owner that has read a copy takes no earlier one of that request. So a refusal holds for all copies sent to this owner or to former ones, if it has looked the id up; for refusals of access it now does so too (Cell::knowsJob). Such a refusal is passed on as it is; 504 remains where the job is known and the desired state refuses the request, and with owners of the version before.

The record holds only requests that were sent more than once, until their callers no longer wait.

--- a/src/cell/cell.cc
+++ b/src/cell/cell.cc
@@ -112,6 +112,10 @@
   Engine_->commitChanges();
 }
 
+bool Cell::knowsJob(const std::string &Id) const {
+  return Engine_->knowsJob(Id);
+}
+
 void Cell::query(Millis Now, Token Caller, const Resolution &Request) {
   Engine_->Now_ = Now;
   Engine_->query(Caller, Request);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -317,6 +317,8 @@
                 Millis Timeout);
   /// Cancels a job. The reply follows once the cancellation is stored.
   void cancel(Millis Now, Token Caller, const Resolution &Request);
+  /// Returns whether a job is accepted, waits to be stored, or has ended.
+  bool knowsJob(const std::string &Id) const;
   /// Queries the state of a job, or the waiting jobs of a queue.
   void query(Millis Now, Token Caller, const Resolution &Request);
 
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -144,6 +144,7 @@
 
   // Jobs (engine_jobs.cc).
   void restore(const StoredCell &Stored);
+  bool knowsJob(const std::string &Id) const;
   bool resubmit(Token Caller, const Resolution &Request, Millis Timeout);
   void submit(Token Caller, const Resolution &Request, const JobSpec &Spec,
               Millis Timeout);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -57,6 +57,10 @@
   return It == Jobs_.end() ? nullptr : It->second.get();
 }
 
+bool Cell::Engine::knowsJob(const std::string &Id) const {
+  return Jobs_.count(Id) != 0 || EndedRecords_.count(Id) != 0;
+}
+
 StepRun *Cell::Engine::findStep(const TaskName &Name) {
   const Job *TargetJob = findJob(Name.Job_);
   if (TargetJob == nullptr)
--- a/src/cell/request_copies.cc
+++ b/src/cell/request_copies.cc
@@ -27,7 +27,7 @@
 }
 
 bool RequestCopies::provesNotRun(Epoch UnknownTo) const {
-  return !Lost_ || UnknownTo > LostEpoch_;
+  return !Lost_ || UnknownTo >= LostEpoch_;
 }
 
 Millis ageOf(const CopyStamp &Stamp, Millis Now) {
@@ -44,4 +44,24 @@
   return Remaining;
 }
 
+bool LatestCopies::isSuperseded(const CopyStamp &Stamp, Millis Now) {
+  removeExpired(Now);
+  const auto Known = Numbers_.find(Stamp.Request_);
+  if (Known != Numbers_.end() && Known->second > Stamp.Number_)
+    return true;
+  if (Stamp.Request_ == 0 || Stamp.Number_ <= 1)
+    return false;
+  Numbers_[Stamp.Request_] = Stamp.Number_;
+  // All copies of a request have the same deadline.
+  Expiry_.emplace(Now + Stamp.Timeout_, Stamp.Request_);
+  return false;
+}
+
+void LatestCopies::removeExpired(Millis Now) {
+  while (!Expiry_.empty() && Expiry_.begin()->first < Now) {
+    Numbers_.erase(Expiry_.begin()->second);
+    Expiry_.erase(Expiry_.begin());
+  }
+}
+
 } // namespace oleandergauge::cell
--- a/src/cell/request_copies.h
+++ b/src/cell/request_copies.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGAUGE_CELL_REQUEST_COPIES_H
 #define OLEANDERGAUGE_CELL_REQUEST_COPIES_H
 
+#include <map>
 #include <optional>
 
 #include "cell/types.h"
@@ -25,6 +26,7 @@
 /// What a copy of a caller's request states of itself. A front end sends a
 /// further copy when the link on which it sent the last one has ended.
 struct CopyStamp {
+  std::uint64_t Request_ = 0; ///< The same in all copies; 0 if unknown.
   std::uint32_t Number_ = 1;
   Epoch Epoch_ = 0;       ///< Of the owner that it was sent to; 0 if unknown.
   Millis OwnerClock_ = 0; ///< At which it was sent; 0 if unknown.
@@ -74,6 +76,22 @@
 std::optional<Millis> remainingTime(const CopyStamp &Stamp, Epoch Own,
                                     Millis Now);
 
+/// The latest copies that an owner has read of the requests that were sent more
+/// than once. An earlier copy that arrives after a later one is void, since the
+/// later one may have been refused.
+class LatestCopies {
+public:
+  /// Returns whether a later copy of the request was read before \p Now. If
+  /// not, records this one until its caller no longer waits.
+  bool isSuperseded(const CopyStamp &Stamp, Millis Now);
+  std::size_t size() const { return Numbers_.size(); }
+
+private:
+  void removeExpired(Millis Now);
+  std::map<std::uint64_t, std::uint32_t> Numbers_; ///< By request.
+  std::multimap<Millis, std::uint64_t> Expiry_;
+};
+
 } // namespace oleandergauge::cell
 
 #endif // OLEANDERGAUGE_CELL_REQUEST_COPIES_H
--- a/src/node/front.cc
+++ b/src/node/front.cc
@@ -1,6 +1,7 @@
 #include "node/front.h"
 
 #include <algorithm>
+#include <random>
 
 #include "caller_calls.h"
 #include "cell.pb.h"
@@ -29,6 +30,12 @@
   }
 }
 
+/// Returns a random number, so that the requests of two processes differ.
+std::uint64_t drawFirstRequest() {
+  std::random_device Source;
+  return std::uniform_int_distribution<std::uint64_t>(1)(Source);
+}
+
 std::string withoutPort(const std::string &Host) {
   return Host.substr(0, Host.find(':'));
 }
@@ -51,7 +58,8 @@
 };
 
 FrontEnd::FrontEnd(HostContext &Context, RequestSender SendToOwner)
-    : Context_(Context), SendToOwner_(std::move(SendToOwner)) {}
+    : Context_(Context), SendToOwner_(std::move(SendToOwner)),
+      NextRequest_(drawFirstRequest()) {}
 
 void FrontEnd::sendAnswer(const std::shared_ptr<IncomingRequest> &To,
                           int Status, const std::string &Body, bool RetryLater,
@@ -94,6 +102,7 @@
       Request->header(platform::ApiKeyHeader)};
   const cell::Resolution Resolved =
       cell::resolve(DesiredState_.get(), CallerRequest);
+  Out.set_request(NextRequest_++);
   Out.set_method(methodName(Method));
   Out.set_host(CallerRequest.Host_);
   Out.set_path(CallerRequest.Path_);
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -44,7 +44,8 @@
 namespace {
 
 cell::CopyStamp stampOf(const cell::pb::Forward &Request) {
-  return {Request.copy(), Request.epoch(), Request.owner_clock_ms(),
+  return {Request.request(), Request.copy(), Request.epoch(),
+          Request.owner_clock_ms(),
           Request.timeout_ms() > 0 ? Request.timeout_ms()
                                    : cell::DefaultCallerTimeout};
 }
@@ -194,9 +195,10 @@
 void Owner::handleRequest(const cell::pb::Forward &Request, ReplyHandler Then) {
   const BusyTime::Scope Scope(Busy_, OwnerPart::Requests);
   recordCopy(Request);
-  const auto Timeout =
-      cell::remainingTime(stampOf(Request), epoch(), bootTime());
-  if (ReleaseHandler_ || !Timeout) {
+  const cell::CopyStamp Stamp = stampOf(Request);
+  const auto Timeout = cell::remainingTime(Stamp, epoch(), bootTime());
+  if (ReleaseHandler_ || !Timeout ||
+      LatestCopies_.isSuperseded(Stamp, bootTime())) {
     Then(makeNotOwnerReply());
     return;
   }
@@ -231,6 +233,8 @@
     Reply.set_status(Refused.Status_);
     Reply.set_body(Refused.Body_);
     Reply.set_retry_later(Refused.RetryLater_);
+    if (!Request.job_id().empty() && !Cell_->knowsJob(Request.job_id()))
+      Reply.set_unknown_to_epoch(epoch());
     Then(Reply);
     return;
   }
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -3,6 +3,7 @@
 
 #include "cell/cell.h"
 #include "cell/ownership.h"
+#include "cell/request_copies.h"
 #include "node/busy_time.h"
 #include "node/context.h"
 #include "node/peer_link.h"
@@ -138,6 +139,7 @@
       WorkerConnections_; ///< By worker address.
   std::unordered_map<cell::Token, ReplyHandler> ReplyHandlers_;
   cell::Token NextCallerToken_ = 1;
+  cell::LatestCopies LatestCopies_;
   bool CommitPending_ = false;
   Millis CommitPendingSince_ = 0; ///< Time of the first attempt.
   std::vector<cell::RowChange> CommitChanges_;
--- a/test/cell/caller_world.h
+++ b/test/cell/caller_world.h
@@ -82,6 +82,7 @@
     if (!SameHost)
       ++Process_;
     ++Epoch_;
+    LatestCopies_ = {};
     Sim_.takeOver();
   }
   /// Lets the owner refuse all requests by its desired state.
@@ -205,8 +206,9 @@
     const Millis Remaining =
         std::max<Millis>(1, CallerTimeout - (Sim_.now() - Each.ReceivedAt_));
     const CopyInTransit Copy{At, LastToken_, Over.Number_, Over.Process_,
-                             CopyStamp{Each.Copies_.count(), Over.Epoch_,
-                                       Over.Clock_.at(Sim_.now()), Remaining}};
+                             CopyStamp{At + 1, Each.Copies_.count(),
+                                       Over.Epoch_, Over.Clock_.at(Sim_.now()),
+                                       Remaining}};
     Millis Arrival = Sim_.now() + drawBetween(1, 3);
     if (isCut(Over))
       Arrival = Over.CutUntil_ + Over.LateBy_;
@@ -224,15 +226,16 @@
       return;
     }
     const auto Timeout = remainingTime(Copy.Stamp_, Epoch_, ownerTime());
-    if (!Timeout) {
+    if (!Timeout || LatestCopies_.isSuperseded(Copy.Stamp_, ownerTime())) {
       sendReply(Copy, std::nullopt, 0);
       return;
     }
+    const Attempt &Each = Attempts_[Copy.Attempt_];
     if (AccessRefused_) {
-      sendReply(Copy, Told::Refused, 0);
+      const bool Known = Sim_.cell().knowsJob(Each.Id_);
+      sendReply(Copy, Told::Refused, Known ? 0 : Epoch_);
       return;
     }
-    Attempt &Each = Attempts_[Copy.Attempt_];
     ReadCopies_[Sim_.nextCaller()] = Copy;
     Sim_.submit(Each.Id_, Specs_.at(Each.Id_), "fast", *Timeout);
   }
@@ -297,6 +300,7 @@
   Epoch Epoch_ = 1; ///< The simulated cell starts with one takeover.
   Millis PausedUntil_ = 0;
   bool AccessRefused_ = false;
+  LatestCopies LatestCopies_; ///< Of the present owner.
   std::uint64_t LastToken_ = 0;
   std::vector<Attempt> Attempts_;
   std::map<std::string, JobSpec> Specs_;
--- a/test/cell/refused_copies_test.cc
+++ b/test/cell/refused_copies_test.cc
@@ -57,7 +57,7 @@
 // Guards against a copy that a process accepts in a later ownership than the
 // one it was sent to, after another owner has refused the request.
 TEST(RefusedCopies, VoidsACopyThatWasSentToAnotherOwnership) {
-  const CopyStamp Stamp{1, SentTo, OwnerSentAt, 3000};
+  const CopyStamp Stamp{9, 1, SentTo, OwnerSentAt, 3000};
   EXPECT_EQ(remainingTime(Stamp, SentTo, OwnerSentAt), 3000);
   EXPECT_EQ(remainingTime(Stamp, SentTo + 1, OwnerSentAt), std::nullopt);
   EXPECT_EQ(remainingTime(Stamp, SentTo - 1, OwnerSentAt), std::nullopt);
@@ -66,14 +66,15 @@
 // Guards against a copy that is carried out after its caller has stopped
 // waiting: the time counts from when it was sent, not from when it is read.
 TEST(RefusedCopies, VoidsACopyWhoseCallerNoLongerWaits) {
-  const CopyStamp Stamp{1, SentTo, OwnerSentAt, 3000};
+  const CopyStamp Stamp{9, 1, SentTo, OwnerSentAt, 3000};
   EXPECT_EQ(remainingTime(Stamp, SentTo, OwnerSentAt + 2000), 1000);
   EXPECT_EQ(remainingTime(Stamp, SentTo, OwnerSentAt + 3000), std::nullopt);
 }
 
 // Guards against hosts of the version before being refused during an upgrade.
 TEST(RefusedCopies, TakesACopyThatDoesNotStateWhenItWasSent) {
-  EXPECT_EQ(remainingTime(CopyStamp{0, 0, 0, 3000}, SentTo, OwnerSentAt), 3000);
+  EXPECT_EQ(remainingTime(CopyStamp{0, 0, 0, 0, 3000}, SentTo, OwnerSentAt),
+            3000);
 }
 
 // Guards against an age that is too low: a copy must not look younger than it
@@ -83,22 +84,49 @@
   EXPECT_EQ(Clock.at(50), 0);
   // Sent at 1000 on the owner's clock, which is 40 ahead; received 300 later.
   Clock.observe(1000, 1260);
-  const CopyStamp Stamp{1, SentTo, Clock.at(1360), 3000};
+  const CopyStamp Stamp{9, 1, SentTo, Clock.at(1360), 3000};
   const Millis TrueAge = 50;
   EXPECT_EQ(ageOf(Stamp, 1400 + TrueAge), TrueAge + 300);
 }
 
-// Guards against a refusal that is withheld although a later owner, which knows
-// all that was accepted before, has looked the id up; and against one that is
+// Guards against an earlier copy that is carried out after a later one of the
+// same request was refused, and against a copy that is taken for an earlier
+// one.
+TEST(RefusedCopies, VoidsACopyOnceALaterOneWasRead) {
+  LatestCopies Latest;
+  const CopyStamp First{9, 1, SentTo, OwnerSentAt, 3000};
+  const CopyStamp Second{9, 2, SentTo, OwnerSentAt + 700, 2300};
+  const CopyStamp OfAnother{8, 1, SentTo, OwnerSentAt, 3000};
+  EXPECT_FALSE(Latest.isSuperseded(First, OwnerSentAt));
+  EXPECT_FALSE(Latest.isSuperseded(Second, OwnerSentAt + 700));
+  EXPECT_TRUE(Latest.isSuperseded(First, OwnerSentAt + 710));
+  EXPECT_FALSE(Latest.isSuperseded(Second, OwnerSentAt + 710));
+  EXPECT_FALSE(Latest.isSuperseded(OfAnother, OwnerSentAt + 710));
+  EXPECT_TRUE(Latest.isSuperseded(First, OwnerSentAt + 2999));
+}
+
+// Guards against memory that grows with the requests that were sent again.
+TEST(RefusedCopies, ForgetsCopiesWhoseCallersNoLongerWait) {
+  LatestCopies Latest;
+  for (std::uint64_t Request = 1; Request <= 1000; ++Request) {
+    const Millis Now = OwnerSentAt + static_cast<Millis>(Request) * 100;
+    Latest.isSuperseded({Request, 2, SentTo, Now, 3000}, Now);
+  }
+  EXPECT_LE(Latest.size(), 31U);
+}
+
+// Guards against a refusal that is withheld although the owner that all copies
+// were sent to, or a later one, has looked the id up; and against one that is
 // passed on where that is not so.
-TEST(RefusedCopies, ALaterOwnerThatDoesNotKnowTheIdProvesARefusal) {
+TEST(RefusedCopies, AnOwnerThatDoesNotKnowTheIdProvesARefusal) {
   RequestCopies Copies;
   Copies.recordSent(SentTo);
   EXPECT_TRUE(Copies.provesNotRun(0));
   Copies.recordLost();
   Copies.recordSent(SentTo);
   EXPECT_FALSE(Copies.provesNotRun(0));
-  EXPECT_FALSE(Copies.provesNotRun(SentTo));
+  EXPECT_FALSE(Copies.provesNotRun(SentTo - 1));
+  EXPECT_TRUE(Copies.provesNotRun(SentTo));
   Copies.recordReturned();
   EXPECT_TRUE(Copies.mayHaveRun());
   Copies.recordSent(SentTo + 1);
