Keep the machine lists of two requests apart

The owner reads the list of machines page by page. The cell counts a request as lost after 2.5 s and makes another one, but an answer to the first was still taken: it was passed on as the list of the later request, and both readings collected their pages in one place. Two calls of 1.5 s, a queue in the connection pool or a pause of the process are enough for that.

By reading, operators would see the following. A list from before an order shows the machine as up and has the time of a later request, so that its upkeep counts as done and the next machine goes down while it is still away. A list that lacks the pages of the other reading makes the machines on them count as removed, and the wave is reported as complete without their upkeep.

A reading is now an object of its own; a newer one ends it, and what arrives for it is dropped.

--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -77,10 +77,12 @@
       DeposedHandler_(std::move(OnDeposed)), LastProofAt_(SentAt) {
   // The takeover was the first transaction of this owner.
   OwnerLog_.settle(cell::TransactionResult::Done, Version, {});
-  if (!Context.Settings_.MachinesAddress_.empty())
+  if (!Context.Settings_.MachinesAddress_.empty()) {
     MachineService_ = std::make_unique<HttpConnectionPool>(
         Context.Loop_, Context.Settings_.MachinesAddress_,
         MachineServiceConnections);
+    MachineLister_ = std::make_unique<MachineLister>(*MachineService_);
+  }
   Cell_ = std::make_unique<cell::Cell>(Row.Host_, Row.Epoch_,
                                        Context.Settings_.Bounds_);
 }
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -6,6 +6,7 @@
 #include "cell/request_copies.h"
 #include "node/busy_time.h"
 #include "node/context.h"
+#include "node/machine_lister.h"
 #include "node/peer_link.h"
 #include "operator_rows.h"
 
@@ -111,7 +112,6 @@
   void perform(const cell::ReportWave &Effect);
   void perform(const cell::DurationSample &Effect);
   void perform(const cell::Decision &Effect);
-  void requestMachinePage(const std::string &Page);
   void writeWaveState(std::uint64_t Wave);
 
   HostContext &Context_;
@@ -148,7 +148,8 @@
   std::map<std::string, std::string> UnusableWorkerEntries_;
   std::unique_ptr<HttpConnectionPool>
       MachineService_; ///< Null if no machine service is set.
-  std::vector<cell::MachineEntry> ListedMachines_;
+  std::unique_ptr<MachineLister>
+      MachineLister_; ///< Null if no machine service is set.
   /// The state of a wave to be written for operators.
   struct WaveReport {
     cell::ReportWave State_;
--- a/src/node/owner_upkeep.cc
+++ b/src/node/owner_upkeep.cc
@@ -13,31 +13,14 @@
 } // namespace
 
 void Owner::perform(const cell::ListMachines &) {
-  ListedMachines_.clear();
-  if (MachineService_)
-    requestMachinePage("");
-}
-
-void Owner::requestMachinePage(const std::string &Page) {
-  MachineService_->send(
-      platform::encodeMachineList(Page), MachineCallTimeout,
-      [this, Alive = Alive_](const HttpReply &Reply) {
-        if (!*Alive || Stopped_)
-          return;
-        const auto Read = platform::decodeMachineList(Reply);
-        if (Read)
-          ListedMachines_.insert(ListedMachines_.end(), Read->Machines_.begin(),
-                                 Read->Machines_.end());
-        if (Read && !Read->NextPage_.empty()) {
-          requestMachinePage(Read->NextPage_);
-          return;
-        }
-        Cell_->setMachines(bootTime(),
-                           Read ? std::optional(std::move(ListedMachines_))
-                                : std::nullopt);
-        ListedMachines_.clear();
-        performEffects();
-      });
+  if (!MachineLister_)
+    return;
+  MachineLister_->read([this, Alive = Alive_](const auto &Machines) {
+    if (!*Alive || Stopped_)
+      return;
+    Cell_->setMachines(bootTime(), Machines);
+    performEffects();
+  });
 }
 
 void Owner::perform(const cell::OrderUpkeep &Effect) {
