Send no queued upkeep order after the permission for it has run out

Orders to the machine service share two connections, and each call may take 1.5 s. Further orders wait in the connection pool, where their time does not count, and were sent whenever a connection became free: also if the process had been paused meanwhile, or had lost its proof of ownership, while the next owner already ordered upkeep of other machines of the wave. The platform checks the fence of these calls only where it enforces fences, so that more machines than max_count could be down (by reading; no run of two owners shows it).

The pool now asks before it starts a queued call. An order that may not leave counts as unanswered and is decided anew. Orders to workers are not changed: they state a deadline and a fence, which workers check.

The test fails while the pool ignores the condition (three requests sent instead of two) and passes with this change.

--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -100,8 +100,8 @@
   Connections_.clear();
 }
 
-void HttpConnectionPool::send(HttpCall Call, Millis Timeout,
-                              ReplyHandler Then) {
+void HttpConnectionPool::send(HttpCall Call, Millis Timeout, ReplyHandler Then,
+                              std::function<bool()> MayStart) {
   if (Port_ == 0) {
     Loop_.runAfter(0, [Then = std::move(Then), Alive = Alive_] {
       if (*Alive)
@@ -109,7 +109,8 @@
     });
     return;
   }
-  QueuedCall Next{std::move(Call), Timeout, std::move(Then)};
+  QueuedCall Next{std::move(Call), Timeout, std::move(Then),
+                  std::move(MayStart)};
   for (const auto &Each : Connections_)
     if (!Each->Busy_) {
       startCall(*Each, std::move(Next));
@@ -214,11 +215,24 @@
   const std::shared_ptr<bool> Alive = Alive_;
   if (Then)
     Then(std::move(Reply));
-  if (!*Alive || QueuedCalls_.empty())
-    return;
-  QueuedCall Next = std::move(QueuedCalls_.front());
-  QueuedCalls_.pop_front();
-  send(std::move(Next.Call_), Next.Timeout_, std::move(Next.Handler_));
+  if (*Alive)
+    startQueuedCall();
+}
+
+/// Starts the first queued call that may still start, and ends those before it.
+void HttpConnectionPool::startQueuedCall() {
+  while (!QueuedCalls_.empty()) {
+    QueuedCall Next = std::move(QueuedCalls_.front());
+    QueuedCalls_.pop_front();
+    if (!Next.MayStart_ || Next.MayStart_()) {
+      send(std::move(Next.Call_), Next.Timeout_, std::move(Next.Handler_));
+      return;
+    }
+    Loop_.runAfter(0, [Then = std::move(Next.Handler_), Alive = Alive_] {
+      if (*Alive)
+        Then({});
+    });
+  }
 }
 
 } // namespace oleandergauge::node
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -34,8 +34,10 @@
 
   /// Sends a call or queues it. \p Then receives the answer, or status 0 if the
   /// connection breaks or \p Timeout passes after sending; the time in the
-  /// queue does not count.
-  void send(HttpCall Call, Millis Timeout, ReplyHandler Then);
+  /// queue does not count. A queued call for which \p MayStart then returns
+  /// false is not sent, and \p Then receives status 0.
+  void send(HttpCall Call, Millis Timeout, ReplyHandler Then,
+            std::function<bool()> MayStart = nullptr);
   /// Returns the number of calls in flight.
   std::size_t countBusy() const;
 
@@ -45,9 +47,11 @@
     HttpCall Call_;
     Millis Timeout_ = 0;
     ReplyHandler Handler_;
+    std::function<bool()> MayStart_; ///< Null if it may always start.
   };
   void startCall(Connection &Target, QueuedCall Next);
   void finishCall(Connection &Target, HttpReply Reply);
+  void startQueuedCall();
   static void onReply(evhttp_request *Request, void *Argument);
   static void onTimeout(int Socket, short What, void *Connection);
   static void onInput(evbuffer *Input, const evbuffer_cb_info *Change,
--- a/src/node/owner_upkeep.cc
+++ b/src/node/owner_upkeep.cc
@@ -23,6 +23,7 @@
   });
 }
 
+/// Sends an order, unless another host may have taken over while it was queued.
 void Owner::perform(const cell::OrderUpkeep &Effect) {
   MachineService_->send(
       platform::encodeUpkeepOrder(Effect, OwnerLog_.row()), MachineCallTimeout,
@@ -33,7 +34,8 @@
                       cell::UpkeepOutcome{Effect.Machine_, Effect.Wave_,
                                           platform::decodeUpkeepAnswer(Reply)});
         performEffects();
-      });
+      },
+      [this] { return isAuthorized() && !isReleasing() && !Stopped_; });
 }
 
 void Owner::perform(const cell::ReportWave &Effect) {
--- a/test/node/http_client_test.cc
+++ b/test/node/http_client_test.cc
@@ -40,6 +40,8 @@
 
   std::string address() const { return "127.0.0.1:" + std::to_string(Port_); }
   bool isListening() const { return Listening_; }
+  /// Number of requests received so far.
+  int countRequests() const { return Requests_; }
   /// Accepts requests, but leaves them without an answer.
   void setSilent() { Silent_ = true; }
 
@@ -47,9 +49,11 @@
   void serve() {
     const int Connection = accept(Listener_, nullptr, nullptr);
     char Buffer[4096];
-    while (recv(Connection, Buffer, sizeof Buffer, 0) > 0)
+    while (recv(Connection, Buffer, sizeof Buffer, 0) > 0) {
+      ++Requests_;
       if (!Silent_)
         answer(Connection);
+    }
     close(Connection);
   }
   void answer(int Connection) {
@@ -65,6 +69,7 @@
   bool Listening_ = false;
   int Port_ = 0;
   std::atomic<bool> Silent_ = false;
+  std::atomic<int> Requests_ = 0;
   std::thread Thread_;
 };
 
@@ -145,6 +150,33 @@
   EXPECT_LT(EndedAt - SentAt, TestTimeout / 2);
 }
 
+// Guards against an order that waits in the queue and is sent although the
+// permission for it has run out meanwhile.
+TEST(HttpConnectionPoolTest, QueuedCallThatMayNoLongerStartIsNotSent) {
+  FakeHttpServer Server;
+  EventLoop Loop;
+  HttpConnectionPool Pool(Loop, Server.address(), 1);
+  bool Permitted = true;
+  std::vector<int> Statuses;
+  auto Record = [&](const HttpReply &Reply) {
+    Statuses.push_back(Reply.Status_);
+    if (Statuses.size() == 3)
+      Loop.stop();
+  };
+  auto Revoke = [&](const HttpReply &Reply) {
+    Permitted = false;
+    Record(Reply);
+  };
+  const HttpCall Call{HttpMethod::Get, "/", {}, ""};
+  Pool.send(Call, CallTimeout, Revoke, [&] { return Permitted; });
+  Pool.send(Call, CallTimeout, Record, [&] { return Permitted; });
+  Pool.send(Call, CallTimeout, Record);
+  Loop.runAfter(TestTimeout, [&] { Loop.stop(); });
+  Loop.run();
+  EXPECT_EQ(Statuses, (std::vector<int>{200, 0, 200}));
+  EXPECT_EQ(Server.countRequests(), 2);
+}
+
 // A connection is kept for the next call.
 TEST(HttpConnectionPoolTest, CallsShareAConnection) {
   FakeHttpServer Server;
