--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -297,6 +297,23 @@
             Progress.Steps_[0].Failures_);
 }
 
+// Guards against a row that was removed or replaced and is in use again because
+// the answer to an earlier read arrives late.
+TEST(OperatorRows, IgnoresOlderVersionsOfARow) {
+  OperatorRows Rows;
+  const Row Withdrawn{"op", "evacuate/z1", "{}", 3, false};
+  const Row Wave{"op", "wave/7", R"({"wave":7,"machines":["m1"]})", 4, false};
+  EXPECT_TRUE(applyOperatorRow(Withdrawn, Rows));
+  EXPECT_TRUE(applyOperatorRow(Wave, Rows));
+  EXPECT_EQ(Rows.Waves_.size(), 1U);
+  EXPECT_TRUE(applyOperatorRow({"op", "evacuate/z1", "", 5, true}, Rows));
+  EXPECT_TRUE(applyOperatorRow({"op", "wave/7", "", 6, true}, Rows));
+  EXPECT_TRUE(applyOperatorRow(Withdrawn, Rows));
+  EXPECT_TRUE(applyOperatorRow(Wave, Rows));
+  EXPECT_TRUE(Rows.WithdrawnDomains_.empty());
+  EXPECT_TRUE(Rows.Waves_.empty());
+}
+
 TEST(OperatorRows, ReadsAndRemovesWaves) {
   OperatorRows Rows;
   EXPECT_TRUE(applyOperatorRow(
