Test that finished occurrences count only with the row that states them

The new one has a schedule whose first occurrence runs long, so that the progress behind it is divided into rows. When that occurrence ends, other accepted jobs fill the transactions: one row is left for progress, and the job's last row, which changes all the time, takes it three times in a row. Then the owner is gone.

--- a/test/cell/cell_rows_test.cc
+++ b/test/cell/cell_rows_test.cc
@@ -14,8 +14,8 @@
 
 /// A cell whose store accepts small rows only, and whose tasks are short. Each
 /// transaction is checked against the limits of the store.
-CellSimulation cellWithSmallRows() {
-  CellSimulation Sim(1);
+CellSimulation cellWithSmallRows(std::size_t WorkerCount = 4) {
+  CellSimulation Sim(1, WorkerCount);
   Sim.Bounds_.RowBytes_ = SmallRow;
   Sim.TaskBehaviour_ = [](const std::string &) {
     return std::pair(Millis{40}, false);
@@ -25,6 +25,18 @@
   return Sim;
 }
 
+/// The same with slow transactions and workers for one task each. These report
+/// ends at different times, so that each transaction has some.
+CellSimulation cellWithOneTaskPerWorker() {
+  constexpr std::size_t Workers = 20;
+  CellSimulation Sim = cellWithSmallRows(Workers);
+  Sim.CommitTime_ = 60;
+  for (std::size_t At = 0; At < Workers; ++At)
+    Sim.worker(At).Capacity_.CpuMilli_ = 100;
+  Sim.run(300);
+  return Sim;
+}
+
 /// A schedule that is due now, of steps without an order among them.
 JobSpec schedule(const CellSimulation &Sim) {
   JobSpec Out = simpleJob(1, 100);
@@ -42,6 +54,57 @@
       }));
 }
 
+std::string firstTaskOf(const std::string &Job) { return Job + ".0.0.0"; }
+
+bool isRunning(CellSimulation &Sim, const std::string &Task) {
+  for (std::size_t At = 0; At < Sim.workerCount(); ++At)
+    if (Sim.worker(At).Runs_.count(Task) != 0)
+      return true;
+  return false;
+}
+
+/// Whether a transaction contains rows of a job's progress, but not its first
+/// one.
+bool holdsFurtherRowsOnly(const Commit &Each, const std::string &Job) {
+  bool Out = false;
+  for (const RowChange &Row : Each.Changes_) {
+    if (Row.Table_ != ProgressTable)
+      continue;
+    if (Row.Key_ == Job)
+      return false;
+    Out = Out || (Row.Value_ && Row.Key_.rfind(Job + ".", 0) == 0);
+  }
+  return Out;
+}
+
+/// Submits jobs that no worker has room for. They fill a transaction up to the
+/// row that stays free for one job's progress.
+void submitWaitingJobs(CellSimulation &Sim) {
+  constexpr int Jobs = 20;
+  for (int At = 0; At < Jobs; ++At)
+    Sim.submit("waiting" + std::to_string(Sim.nextCaller()),
+               simpleJob(1, 100000));
+}
+
+/// Runs until the given number of transactions after the end of \p Long had
+/// further rows of its job only. Returns that number, or less after 500 ms.
+int storeFurtherRowsOnly(CellSimulation &Sim, const std::string &Long,
+                         int Transactions) {
+  constexpr int Ticks = 100;
+  int Out = 0;
+  Sim.BeforeTick_ = [&] { submitWaitingJobs(Sim); };
+  Sim.Rejects_ = [&](const Commit &Each) {
+    if (!isRunning(Sim, Long) && holdsFurtherRowsOnly(Each, JobId))
+      ++Out;
+    return false;
+  };
+  for (int Tick = 0; Tick < Ticks && Out < Transactions; ++Tick)
+    Sim.run(5);
+  Sim.BeforeTick_ = nullptr;
+  Sim.Rejects_ = nullptr;
+  return Out;
+}
+
 void expectNoViolation(const CellSimulation &Sim) {
   EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
 }
@@ -83,7 +146,7 @@
 TEST(CellRows, ProgressBehindALongOccurrenceIsDividedIntoRows) {
   CellSimulation Sim = cellWithSmallRows();
   Sim.TaskBehaviour_ = [](const std::string &Task) {
-    const bool Long = Task == JobId + ".0.0.0";
+    const bool Long = Task == firstTaskOf(JobId);
     return std::pair(Millis{Long ? 15000 : 40}, false);
   };
   Sim.submit(JobId, schedule(Sim), "fast");
@@ -99,6 +162,36 @@
   expectNoViolation(Sim);
 }
 
+// Guards against finished occurrences that run again, since they count as
+// stored while the store has other rows of the job, but not the one that states
+// their number: later rows then leave them out.
+TEST(CellRows, OccurrencesAreNotStoredAsDoneBeforeTheRowThatStatesThem) {
+  constexpr Millis ShortInterval = 20;
+  constexpr Millis LongTask = 2400;
+  constexpr int Transactions = 3;
+  CellSimulation Sim = cellWithOneTaskPerWorker();
+  const std::string Long = firstTaskOf(JobId);
+  Sim.TaskBehaviour_ = [&](const std::string &Task) {
+    return std::pair(Millis{Task == Long ? LongTask : 40}, false);
+  };
+  JobSpec Spec = schedule(Sim);
+  Spec.Interval_ = ShortInterval;
+  Sim.submit(JobId, Spec, "fast");
+  Sim.run(LongTask - 200);
+  ASSERT_TRUE(isRunning(Sim, Long));
+  ASSERT_GT(rowsOf(Sim, ProgressTable), 2U);
+  EXPECT_EQ(storeFurtherRowsOnly(Sim, Long, Transactions), Transactions);
+  Sim.killOwner();
+  const auto First = decodeProgress(Sim.Rows_.at({ProgressTable, JobId}));
+  ASSERT_TRUE(First);
+  ASSERT_EQ(First->DoneOccurrences_, 0U);
+  Sim.takeOver();
+  Sim.run(Occurrences * ShortInterval + 5000);
+  EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
+  EXPECT_EQ(Sim.starts(), Occurrences * StepsPerOccurrence);
+  expectNoViolation(Sim);
+}
+
 // Guards against rows that grow with the failed attempts of many tasks, and
 // against attempts that a next owner does not count.
 TEST(CellRows, FailuresOfManyTasksAreDividedIntoRows) {
