Test on real links what a later copy proves of earlier ones

system_refused_copies_test was written beside, by which a refusal of the owner that all copies were sent to holds. refused_by_the_same_epoch asked for 504 there, which was right before; it now asks for 503 and that both copies name one request, and refused_by_an_earlier_epoch keeps the case where nothing is proved. Two checks of the owner are new: an earlier copy after a later one is returned and never starts, and a refusal by the desired state doesn't claim that an accepted job is unknown.

--- a/test/system/fake_hosts.py
+++ b/test/system/fake_hosts.py
@@ -144,11 +144,11 @@
                 return beat
         raise AssertionError("the owner is not ready")
 
-    def send_submission(self, ident, timeout_ms, **stamp):
+    def send_submission(self, ident, timeout_ms, prefix="/jobs/", **stamp):
         self.last_token += 1
         step = {"count": 1, "cpu_milli": 500, "memory_mib": 100, "estimate_ms": 300}
         self.link.send("forward", token=self.last_token, method="POST", host="cell.example",
-                       path="/jobs/" + ident, key="key-1", job_id=ident,
+                       path=prefix + ident, key="key-1", job_id=ident,
                        job={"payload": "work", "steps": [step]}, timeout_ms=timeout_ms, **stamp)
 
     def reply(self):
--- a/test/system/host_frames.py
+++ b/test/system/host_frames.py
@@ -23,7 +23,7 @@
     "Forward": {"token": (1, int), "method": (2, str), "host": (3, str), "path": (4, str),
                 "key": (5, str), "job_id": (10, str), "job": (11, "Job"),
                 "timeout_ms": (12, int), "copy": (13, int), "epoch": (14, int),
-                "owner_clock_ms": (15, int)},
+                "owner_clock_ms": (15, int), "request": (16, int)},
     "ForwardReply": {"token": (1, int), "status": (2, int), "body": (3, str),
                      "retry_later": (4, int), "not_owner": (5, int),
                      "retry_after_ms": (6, int), "unknown_to_epoch": (7, int)},
--- a/test/system/refused_copies_test.py
+++ b/test/system/refused_copies_test.py
@@ -128,15 +128,26 @@
     expect(answer, 404, False)
 
 
-def refused_by_the_same_epoch(bench):
-    """An owner that does not know the job may still read the first copy, which was
-    sent to its own epoch, and accept it."""
+def refused_by_an_earlier_epoch(bench):
+    """An owner of an earlier epoch than the first copy was sent to says nothing of
+    that copy, even if it does not know the job."""
     answer, lost, first = lose_first_copy(bench, "%016x" % 0x110)
     link, second = second_copy(bench.owners[-1], lost, first)
-    refuse(link, second, unknown_to_epoch=FIRST_EPOCH)
+    refuse(link, second, unknown_to_epoch=FIRST_EPOCH - 1)
     expect(answer, 504, True)
 
 
+def refused_by_the_same_epoch(bench):
+    """The refusal of an owner that does not know the job holds for all copies sent
+    to it, since they name one request, and it takes no earlier one after a later
+    one. Answering "unknown" instead would make callers ask again at once."""
+    answer, lost, first = lose_first_copy(bench, "%016x" % 0x118)
+    link, second = second_copy(bench.owners[-1], lost, first)
+    assert first.request == second.request != 0, (first.request, second.request)
+    refuse(link, second, unknown_to_epoch=FIRST_EPOCH)
+    expect(answer, 503, True)
+
+
 def refused_by_the_next_owner_unseen(bench):
     """A later owner that refuses without having looked the job up says nothing of
     the first copy, which the former owner may have accepted."""
@@ -290,6 +301,30 @@
     bench.expect_accepted(ident)
 
 
+def earlier_copy_after_a_later_one(bench):
+    """A copy that arrives after a later one of its request was refused is not
+    carried out: the caller was told that its job does not run."""
+    ident = "%016x" % 0x238
+    stamp = {"epoch": FIRST_EPOCH, "owner_clock_ms": boot_clock_ms(), "request": 77}
+    bench.send(ident, copy=2, prefix="/nowhere/", **stamp)
+    reply = bench.front_end.reply()
+    assert (reply.status, reply.unknown_to_epoch) == (404, FIRST_EPOCH), reply
+    bench.send(ident, copy=1, **stamp)
+    bench.expect_returned(ident)
+
+
+def refusal_of_a_known_job(bench):
+    """A refusal by the desired state does not claim that the job is unknown where
+    an earlier copy was accepted."""
+    ident = "%016x" % 0x23c
+    stamp = {"epoch": FIRST_EPOCH, "owner_clock_ms": boot_clock_ms(), "request": 78}
+    bench.send(ident, copy=1, **stamp)
+    bench.expect_accepted(ident)
+    bench.send(ident, copy=2, prefix="/nowhere/", **stamp)
+    reply = bench.front_end.reply()
+    assert (reply.status, reply.unknown_to_epoch) == (404, 0), reply
+
+
 def suspend(bench, seconds):
     bench.owner.process.send_signal(signal.SIGSTOP)
     threading.Timer(seconds, bench.owner.process.send_signal, [signal.SIGCONT]).start()
@@ -334,12 +369,14 @@
 
 CHECKS = {
     FrontEndBench: (refused_second_copy, refused_second_copy_of_a_cancel,
-                    refused_second_copy_of_a_query, refused_by_the_same_epoch,
+                    refused_second_copy_of_a_query, refused_by_an_earlier_epoch,
+                    refused_by_the_same_epoch,
                     refused_by_the_next_owner_unseen, refused_by_the_next_owner,
                     refused_only_copy, refused_after_return, accepted_second_copy,
                     copies_are_stamped, owner_again_in_the_same_process),
     OwnerBench: (copy_of_another_epoch, copy_older_than_its_timeout, copy_in_time,
-                 copy_without_stamp, copy_in_the_socket_of_a_suspended_owner,
+                 copy_without_stamp, earlier_copy_after_a_later_one, refusal_of_a_known_job,
+                 copy_in_the_socket_of_a_suspended_owner,
                  copies_in_the_socket_of_a_long_suspended_owner, heartbeats_state_the_clock),
 }
 
