--- a/test/standin/platform_world.py
+++ b/test/standin/platform_world.py
@@ -1,9 +1,10 @@
 """Stand-in for the platform, on loopback: store, workers, advice.
 
 Speaks the published calls, one thread a connection. Faults are set by
-attributes: Store.down, Store.delay_s, Store.lose (share of writes done without
-an answer), Store.mute (the connection of such a write stays open),
-StoreDoor.silent (one host gets no answer), Worker.cut. The checks of a test read Worker.history.
+attributes: Store.down, Store.delay_s, Store.write_delay_s, Store.lose (share of
+writes done without an answer), Store.mute (the connection of such a write stays
+open), StoreDoor.silent (one host gets no answer), Worker.cut. The checks of a
+test read Worker.history.
 """
 import base64
 import json
@@ -76,6 +77,7 @@
         self.changed = threading.Condition()
         self.down = False
         self.delay_s = 0.004
+        self.write_delay_s = 0.0  # Of transactions, in addition.
         self.row_bytes = 65536
         self.rejected = 0  # Transactions beyond the limits.
         self.faulty_rows = ()  # (table, key) of rows that are never written.
@@ -121,6 +123,7 @@
         time.sleep(self.delay_s)
         query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
         if url.path == "/rows-tx":
+            time.sleep(self.write_delay_s)
             return self.transact(body)
         if url.path == "/rows-get":
             with self.changed:
@@ -184,6 +187,7 @@
         self.store = store
         self.silent = False
         self.refused = set()  # Tables.
+        self.rewrite = None  # Returns the row as this host reads it.
         super().__init__("127.0.0.1", 0)
 
     def handle(self, request, url, body):
@@ -194,7 +198,10 @@
             time.sleep(0.02)
         if parse_qs(url.query).get("table", [""])[0] in self.refused:
             return 503, {}
-        return self.store.handle(request, url, body)
+        answer = self.store.handle(request, url, body)
+        if answer and self.rewrite and "rows" in answer[1]:
+            answer[1]["rows"] = [self.rewrite(row) for row in answer[1]["rows"]]
+        return answer
 
 
 class GangRun:
