soak: a refused cancel cancels nothing

Now a cancel that was refused (400 to 404, 429 or 503) leaves the job owed: it must end as complete, and a status of canceled is a problem.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -183,8 +183,11 @@
 
     def cancel(self, ident):
         self.jobs.asked_to_cancel.add(ident)
-        if self.call(self.host(), "DELETE", "/jobs/" + ident)[0] == 200:
+        status, _ = self.call(self.host(), "DELETE", "/jobs/" + ident)
+        if status == 200:
             self.jobs.cancelled[ident] = time.monotonic()
+        elif status in REFUSALS:  # The job goes on, so it must end as complete.
+            self.jobs.asked_to_cancel.discard(ident)
 
     def run(self):
         while not self.stopping:
