Keep the condition and the place of queued calls; ignore rows that a later read lacked

- HttpConnectionPool: the handler of a finished call often sends the next one and takes the connection; the queued call then went to the end of the queue without its condition, and could leave after the right to own had run out.
QueuedCallKeepsItsConditionAndItsPlace failed (the call was sent).
- Operator's rows: a row removed before a full read was put back by a late answer to an earlier read, since no version of it was known.
IgnoresARowThatALaterReadOfAllRowsLacked failed.
By reading, without a test: a refusal of access looked up whatever text stood in place of the id, which an older desired state may resolve otherwise (isJobId is asked first); a list of machines slower than 2.5 s was given up by each following one and never arrived (10 s now; a list ends by itself within its pages' timeouts), and pages of a list that was given up are not requested any more.

A takeover that came too late has a line; LatestCopies::recordUnlessSuperseded says what it does; doc comments added.

--- a/src/cell/directory.cc
+++ b/src/cell/directory.cc
@@ -7,12 +7,6 @@
 
 constexpr std::size_t JobIdDigits = 16;
 
-bool isJobId(const std::string &Text) {
-  return Text.size() == JobIdDigits &&
-         std::all_of(Text.begin(), Text.end(),
-                     [](unsigned char C) { return std::isxdigit(C) != 0; });
-}
-
 template <typename Row>
 const Row *findByName(const std::vector<Row> &Rows, const std::string &Name) {
   const auto It = std::find_if(Rows.begin(), Rows.end(), [&](const Row &Each) {
@@ -44,6 +38,12 @@
 
 } // namespace
 
+bool isJobId(const std::string &Text) {
+  return Text.size() == JobIdDigits &&
+         std::all_of(Text.begin(), Text.end(),
+                     [](unsigned char C) { return std::isxdigit(C) != 0; });
+}
+
 Resolution resolve(const DesiredState *State, const CallerRequest &Request) {
   Resolution Out;
   if (State == nullptr)
--- a/src/cell/directory.h
+++ b/src/cell/directory.h
@@ -28,6 +28,9 @@
   friend bool operator==(const Resolution &, const Resolution &) = default;
 };
 
+/// Whether a text has the form of a job's id.
+bool isJobId(const std::string &Text);
+
 /// Finds the queue and the team of a request. The queue with the longest
 /// matching prefix wins.
 Resolution resolve(const DesiredState *State, const CallerRequest &Request);
--- a/src/cell/engine_upkeep.cc
+++ b/src/cell/engine_upkeep.cc
@@ -14,7 +14,7 @@
 /// active.
 constexpr Millis MachineListInterval = 500;
 /// Time after which an unanswered request for the list counts as lost.
-constexpr Millis MachineListTimeout = 2500;
+constexpr Millis MachineListTimeout = 10000;
 /// Delay before an order without an answer is retried.
 constexpr Millis UpkeepRetryDelay = 250;
 /// Delay before the order for a busy machine is retried.
--- a/src/cell/request_copies.cc
+++ b/src/cell/request_copies.cc
@@ -44,17 +44,17 @@
   return Remaining;
 }
 
-bool LatestCopies::isSuperseded(const CopyStamp &Stamp, Millis Now) {
+bool LatestCopies::recordUnlessSuperseded(const CopyStamp &Stamp, Millis Now) {
   removeExpired(Now);
   const auto Known = Numbers_.find(Stamp.Request_);
   if (Known != Numbers_.end() && Known->second > Stamp.Number_)
-    return true;
-  if (Stamp.Request_ == 0 || Stamp.Number_ <= 1)
     return false;
+  if (Stamp.Request_ == 0 || Stamp.Number_ <= 1)
+    return true;
   Numbers_[Stamp.Request_] = Stamp.Number_;
   // All copies of a request have the same deadline.
   Expiry_.emplace(Now + Stamp.Timeout_, Stamp.Request_);
-  return false;
+  return true;
 }
 
 void LatestCopies::removeExpired(Millis Now) {
--- a/src/cell/request_copies.h
+++ b/src/cell/request_copies.h
@@ -45,9 +45,11 @@
   void recordReturned() { InFlight_ = false; }
   /// Records that the copy in flight, if any, will not be answered.
   void recordUnanswered();
+  /// Whether a copy waits for its answer.
   bool isInFlight() const { return InFlight_; }
   /// Whether some copy may have been carried out, or may be later.
   bool mayHaveRun() const { return InFlight_ || Unanswered_; }
+  /// Whether some copy will not be answered.
   bool hasUnansweredCopies() const { return Unanswered_; }
   /// Returns the number of copies sent so far.
   std::uint32_t count() const { return Count_; }
@@ -82,9 +84,10 @@
 /// later one may have been refused.
 class LatestCopies {
 public:
-  /// Returns whether a later copy of the request was read before \p Now. If
-  /// not, records this one until its caller no longer waits.
-  bool isSuperseded(const CopyStamp &Stamp, Millis Now);
+  /// Records a copy that is read at \p Now, until its caller no longer waits.
+  /// Returns false, and records nothing, if a later one was read before.
+  bool recordUnlessSuperseded(const CopyStamp &Stamp, Millis Now);
+  /// Returns the number of requests on record.
   std::size_t size() const { return Numbers_.size(); }
 
 private:
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -62,8 +62,8 @@
   std::shared_ptr<const cell::DesiredState> DesiredState_;
   /// By the token of the last copy.
   std::map<std::uint64_t, std::shared_ptr<PendingRequest>> Pending_;
-  std::uint64_t NextToken_ = 1;   ///< Of a copy.
-  std::uint64_t NextRequest_ = 1; ///< The same in all copies of a request.
+  std::uint64_t NextToken_ = 1; ///< Of a copy.
+  std::uint64_t NextRequest_;   ///< The same in all copies of a request.
   bool Draining_ = false;
   bool Refusing_ = false;
 };
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -94,6 +94,7 @@
                          platform::keepLastRead(OperatorRows_, Page->Rows_);
                      for (const platform::Row &Each : Page->Rows_)
                        applyOperatorRow(Each, Read);
+                     Read.ReadAsOf_ = Page->Version_;
                      OperatorRows_ = std::move(Read);
                      OperatorRowsVersion_ = Page->Version_;
                      publishOperatorRows();
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -170,8 +170,12 @@
 /// host had taken over is void.
 void EntryHost::becomeOwner(const cell::OwnerRow &Row, std::uint64_t Version,
                             Millis SentAt) {
-  if (Row.Epoch_ < OwnerEpoch_)
+  if (Row.Epoch_ < OwnerEpoch_) {
+    Log_.logEvent("takeover void",
+                  {{"epoch", static_cast<std::int64_t>(Row.Epoch_)},
+                   {"later_epoch", static_cast<std::int64_t>(OwnerEpoch_)}});
     return;
+  }
   if (DrainingSince_ != 0) {
     handOverOwnership({Version, Row});
     return;
--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -219,9 +219,15 @@
     startQueuedCall();
 }
 
+bool HttpConnectionPool::hasFreeConnection() const {
+  return countBusy() < MaxConnections_;
+}
+
 /// Starts the first queued call that may still start, and ends those before it.
+/// A handler that has just sent a call may have taken the connection; then all
+/// queued calls keep waiting in their order.
 void HttpConnectionPool::startQueuedCall() {
-  while (!QueuedCalls_.empty()) {
+  while (!QueuedCalls_.empty() && hasFreeConnection()) {
     QueuedCall Next = std::move(QueuedCalls_.front());
     QueuedCalls_.pop_front();
     if (!Next.MayStart_ || Next.MayStart_()) {
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -51,6 +51,7 @@
   };
   void startCall(Connection &Target, QueuedCall Next);
   void finishCall(Connection &Target, HttpReply Reply);
+  bool hasFreeConnection() const;
   void startQueuedCall();
   static void onReply(evhttp_request *Request, void *Argument);
   static void onTimeout(int Socket, short What, void *Connection);
--- a/src/node/machine_lister.cc
+++ b/src/node/machine_lister.cc
@@ -7,6 +7,7 @@
 namespace oleandergauge::node {
 namespace {
 
+/// Time for the answer to one page.
 constexpr Millis PageTimeout = 1500;
 
 } // namespace
@@ -22,7 +23,8 @@
       [this, Weak = std::weak_ptr<Reading>(Open_)](const HttpReply &Reply) {
         if (!Weak.expired())
           handlePage(Reply);
-      });
+      },
+      [Weak = std::weak_ptr<Reading>(Open_)] { return !Weak.expired(); });
 }
 
 /// Adds a page of the open reading, and ends the reading with the last one.
--- a/src/node/machine_lister.h
+++ b/src/node/machine_lister.h
@@ -19,6 +19,7 @@
   /// Receives all machines, or none if the platform did not return the list.
   using Handler = std::function<void(
       const std::optional<std::vector<cell::MachineEntry>> &Machines)>;
+  /// Reads through \p Service, which must outlive this object.
   explicit MachineLister(HttpConnectionPool &Service) : Service_(Service) {}
 
   /// Starts a reading. The one before, if it has not ended, is given up: its
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -206,7 +206,7 @@
   const cell::CopyStamp Stamp = stampOf(Request);
   const auto Timeout = cell::remainingTime(Stamp, epoch(), bootTime());
   if (ReleaseHandler_ || !Timeout ||
-      LatestCopies_.isSuperseded(Stamp, bootTime())) {
+      !LatestCopies_.recordUnlessSuperseded(Stamp, bootTime())) {
     Then(makeNotOwnerReply());
     return;
   }
@@ -241,7 +241,9 @@
     Reply.set_status(Refused.Status_);
     Reply.set_body(Refused.Body_);
     Reply.set_retry_later(Refused.RetryLater_);
-    if (!Request.job_id().empty() && !Cell_->knowsJob(Request.job_id()))
+    // With another text in place of an id, an earlier copy may have named a job
+    // by an older desired state.
+    if (cell::isJobId(Request.job_id()) && !Cell_->knowsJob(Request.job_id()))
       Reply.set_unknown_to_epoch(epoch());
     Then(Reply);
     return;
--- a/test/cell/caller_world.h
+++ b/test/cell/caller_world.h
@@ -226,7 +226,8 @@
       return;
     }
     const auto Timeout = remainingTime(Copy.Stamp_, Epoch_, ownerTime());
-    if (!Timeout || LatestCopies_.isSuperseded(Copy.Stamp_, ownerTime())) {
+    if (!Timeout ||
+        !LatestCopies_.recordUnlessSuperseded(Copy.Stamp_, ownerTime())) {
       sendReply(Copy, std::nullopt, 0);
       return;
     }
--- a/test/cell/refused_copies_test.cc
+++ b/test/cell/refused_copies_test.cc
@@ -97,12 +97,12 @@
   const CopyStamp First{9, 1, SentTo, OwnerSentAt, 3000};
   const CopyStamp Second{9, 2, SentTo, OwnerSentAt + 700, 2300};
   const CopyStamp OfAnother{8, 1, SentTo, OwnerSentAt, 3000};
-  EXPECT_FALSE(Latest.isSuperseded(First, OwnerSentAt));
-  EXPECT_FALSE(Latest.isSuperseded(Second, OwnerSentAt + 700));
-  EXPECT_TRUE(Latest.isSuperseded(First, OwnerSentAt + 710));
-  EXPECT_FALSE(Latest.isSuperseded(Second, OwnerSentAt + 710));
-  EXPECT_FALSE(Latest.isSuperseded(OfAnother, OwnerSentAt + 710));
-  EXPECT_TRUE(Latest.isSuperseded(First, OwnerSentAt + 2999));
+  EXPECT_TRUE(Latest.recordUnlessSuperseded(First, OwnerSentAt));
+  EXPECT_TRUE(Latest.recordUnlessSuperseded(Second, OwnerSentAt + 700));
+  EXPECT_FALSE(Latest.recordUnlessSuperseded(First, OwnerSentAt + 710));
+  EXPECT_TRUE(Latest.recordUnlessSuperseded(Second, OwnerSentAt + 710));
+  EXPECT_TRUE(Latest.recordUnlessSuperseded(OfAnother, OwnerSentAt + 710));
+  EXPECT_FALSE(Latest.recordUnlessSuperseded(First, OwnerSentAt + 2999));
 }
 
 // Guards against memory that grows with the requests that were sent again.
@@ -110,7 +110,7 @@
   LatestCopies Latest;
   for (std::uint64_t Request = 1; Request <= 1000; ++Request) {
     const Millis Now = OwnerSentAt + static_cast<Millis>(Request) * 100;
-    Latest.isSuperseded({Request, 2, SentTo, Now, 3000}, Now);
+    Latest.recordUnlessSuperseded({Request, 2, SentTo, Now, 3000}, Now);
   }
   EXPECT_LE(Latest.size(), 31U);
 }
--- a/test/node/http_client_test.cc
+++ b/test/node/http_client_test.cc
@@ -1,6 +1,8 @@
 #include <thread>
 
 #include <arpa/inet.h>
+#include <set>
+
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -150,6 +152,39 @@
   EXPECT_LT(EndedAt - SentAt, TestTimeout / 2);
 }
 
+// Guards against the same where the handler of the call before sends another
+// call and takes the connection: the queued call lost its condition then.
+TEST(HttpConnectionPoolTest, QueuedCallKeepsItsConditionAndItsPlace) {
+  FakeHttpServer Server;
+  EventLoop Loop;
+  HttpConnectionPool Pool(Loop, Server.address(), 1);
+  bool Permitted = true;
+  std::vector<std::pair<int, int>> Ends; ///< Number of the call and status.
+  auto Record = [&](int Number) {
+    return [&, Number](const HttpReply &Reply) {
+      Ends.emplace_back(Number, Reply.Status_);
+      if (Ends.size() == 4)
+        Loop.stop();
+    };
+  };
+  const HttpCall Call{HttpMethod::Get, "/", {}, ""};
+  Pool.send(Call, CallTimeout, [&](const HttpReply &Reply) {
+    Pool.send(Call, CallTimeout, [&](const HttpReply &Second) {
+      Permitted = false;
+      Record(4)(Second);
+    });
+    Record(1)(Reply);
+  });
+  Pool.send(Call, CallTimeout, Record(2), [&] { return Permitted; });
+  Pool.send(Call, CallTimeout, Record(3));
+  Loop.runAfter(TestTimeout, [&] { Loop.stop(); });
+  Loop.run();
+  const std::vector<std::pair<int, int>> Expected = {
+      {1, 200}, {4, 200}, {2, 0}, {3, 200}};
+  EXPECT_EQ(std::set(Ends.begin(), Ends.end()),
+            std::set(Expected.begin(), Expected.end()));
+}
+
 // Guards against an order that waits in the queue and is sent although the
 // permission for it has run out meanwhile.
 TEST(HttpConnectionPoolTest, QueuedCallThatMayNoLongerStartIsNotSent) {
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -297,6 +297,20 @@
             Progress.Steps_[0].Failures_);
 }
 
+// Guards against the same where the row was removed before all rows were read,
+// so that no version of it is known.
+TEST(OperatorRows, IgnoresARowThatALaterReadOfAllRowsLacked) {
+  OperatorRows Rows;
+  Rows.ReadAsOf_ = 12;
+  const Row Withdrawn{"op", "evacuate/z1", "{}", 10, false};
+  EXPECT_TRUE(applyOperatorRow(Withdrawn, Rows));
+  EXPECT_TRUE(Rows.WithdrawnDomains_.empty());
+  EXPECT_TRUE(applyOperatorRow(Withdrawn, Rows));
+  EXPECT_TRUE(Rows.WithdrawnDomains_.empty());
+  EXPECT_TRUE(applyOperatorRow({"op", "evacuate/z1", "{}", 13, false}, Rows));
+  EXPECT_EQ(Rows.WithdrawnDomains_.size(), 1U);
+}
+
 // Guards against a row that was removed or replaced and is in use again because
 // the answer to an earlier read arrives late.
 TEST(OperatorRows, IgnoresOlderVersionsOfARow) {
