Name the difference of clocks in the simulated callers

Now a constant of type Millis; the linter of this file passes and refused_copies_test passes; the whole script was not run again on this commit.

--- a/test/cell/caller_world.h
+++ b/test/cell/caller_world.h
@@ -108,6 +108,8 @@
 
 private:
   static constexpr Millis HeartbeatInterval = 200;
+  /// Between the clocks of two processes that own the cell in turn.
+  static constexpr Millis ClockDifference = 5000;
   static constexpr Millis SilenceLimit = 650;
   static constexpr Millis MaxOwnerWait = 500;
   static constexpr Millis UnknownOutcomeTime = CallerTimeout * 85 / 100;
@@ -140,7 +142,7 @@
     return Each.Number_ != 0 && Each.Ready_;
   }
   /// The clock of the owner's machine differs from the front ends'.
-  Millis ownerTime() const { return Sim_.now() + 5000 * Process_; }
+  Millis ownerTime() const { return Sim_.now() + ClockDifference * Process_; }
 
   void advance() {
     const Millis Now = Sim_.now();
