Log answers that prove a restart which the owner may not know of

An answer to an order carries the worker's clock, which never goes back during an incarnation. No logic is changed.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -41,6 +41,8 @@
   std::string Task_;
   std::uint64_t Attempt_ = 0;
   std::uint64_t Fence_ = 0;
+  /// The worker's clock in the latest list before the order was sent.
+  Millis ClockMs_ = 0;
   bool IsStart_ = false;
   /// The requested pace in percent; negative if the order does not set the
   /// pace.
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -146,8 +146,9 @@
 void Cell::Engine::sendStart(Worker &Target, const std::string &Name,
                              Run &TargetRun) {
   const Token Id = NextToken_++;
-  PendingOrders_[Id] = {Target.Id_,    Name, TargetRun.Attempt_,
-                        Target.Fence_, true, -1};
+  PendingOrders_[Id] = {Target.Id_,    Name,            TargetRun.Attempt_,
+                        Target.Fence_, Target.ClockMs_, true,
+                        -1};
   TargetRun.OrderInFlight_ = true;
   TargetRun.LastOrderAt_ = Now_;
   TargetRun.LastStartAt_ = Now_;
@@ -168,8 +169,9 @@
 void Cell::Engine::sendStop(Worker &Target, const std::string &Name,
                             Run &TargetRun) {
   const Token Id = NextToken_++;
-  PendingOrders_[Id] = {Target.Id_,    Name,  TargetRun.Attempt_,
-                        Target.Fence_, false, -1};
+  PendingOrders_[Id] = {Target.Id_,    Name,            TargetRun.Attempt_,
+                        Target.Fence_, Target.ClockMs_, false,
+                        -1};
   TargetRun.OrderInFlight_ = true;
   TargetRun.LastOrderAt_ = Now_;
   Effects_.push_back(SendStop{Id,
@@ -345,6 +347,16 @@
   if (Target == nullptr)
     return;
   markDue(*Target);
+  // The clock of an incarnation never goes back, so that a lower one proves a
+  // restart that the owner may not know of yet.
+  if (Outcome.ClockMs_ != 0 && Outcome.ClockMs_ < Order.ClockMs_)
+    Effects_.push_back(Decision{
+        "answer_of_later_incarnation", Order.Task_,
+        Order.Worker_ + (Order.IsStart_ ? " start " : " stop ") +
+            (Outcome.Result_ == OrderResult::Done ? "done" : "rejected") +
+            " clock=" + std::to_string(Outcome.ClockMs_) +
+            " expected=" + std::to_string(workerClock(*Target)),
+        Now_ - Target->ClockAt_, Order.Attempt_});
   if (Outcome.Result_ == OrderResult::OtherIncarnation) {
     loseWorker(*Target, "another incarnation at its address");
     return;
