Keep runs whose orders a new incarnation of the worker may have carried out

A worker that is back under its id carries out orders that were meant for its former incarnation, and an answer does not tell which one gave it. The owner took each answered start for a run of the incarnation that it knew: once it heard of the restart it gave the run up and started another one, while the new incarnation went on with the first. Only lists name the incarnation. So now - a run is gone with its incarnation only if all of its starts were answered before that incarnation was asked for its latest list; any other one is kept until the new incarnation has listed its runs under a higher fence; - that list is requested at once, beside a renewal that is still held; - a deadline on the clock of a former incarnation means the longest lease on the new one, so that a cut worker, or one inherited from a former owner, is waited for as long as that; - ends are acknowledged only while the worker answers: a new incarnation would forget ends that nobody has read; - outcomes of orders and renewals that were sent before the restart count no more, tickets and paces end with the incarnation, and a 421 from an address that the worker has left does not end it; - an answer with an impossible clock makes the owner ask for a list.

The simulated orders answered with the start time of the worker, which the platform does not do, and its clock began anew at 1; the fuzz restarted no worker. All three are mended.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -103,6 +103,7 @@
 /// Renews the lease of a worker's runs and requests the list of running and
 /// ended runs.
 struct SendRenewal {
+  Token Token_ = 0;
   WorkerAddress Worker_;
   /// In milliseconds on the worker's clock; zero does not extend the lease.
   Millis Deadline_ = 0;
@@ -194,14 +195,13 @@
   OrderResult Result_ = OrderResult::NoAnswer;
   /// The worker's clock; zero if the answer did not contain it.
   Millis ClockMs_ = 0;
-  Millis Incarnation_ = 0;
   friend bool operator==(const OrderOutcome &, const OrderOutcome &) = default;
 };
 
 /// Reports the outcome of a lease renewal.
 struct RenewalOutcome {
-  std::string Worker_;
-  std::uint64_t Fence_ = 0; ///< The fence of the renewal request.
+  Token Token_ = 0;
+  WorkerAddress Worker_; ///< As the renewal was addressed.
   OrderResult Result_ = OrderResult::NoAnswer;
   WorkerList List_; ///< Valid if Result_ is Done.
   friend bool operator==(const RenewalOutcome &,
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -17,6 +17,13 @@
 /// the estimate of that clock has an error.
 constexpr Millis LeaseClockSlack = LeaseTime * 3 / 100 + 100;
 
+/// Returns the longest real time for which a worker keeps a lease, whatever
+/// deadline an order names. A deadline on the clock of a former incarnation has
+/// no meaning on the present one's, which then grants the longest lease.
+inline Millis longestLease(const Bounds &Limits) {
+  return Limits.MaxLease_ + Limits.MaxLease_ * 3 / 100 + 100;
+}
+
 /// Time besides the stop itself until the end of a preempted run is listed and
 /// the start that takes its room arrives at the worker.
 constexpr Millis PreemptionOverhead = 150;
@@ -37,12 +44,13 @@
 
 /// An order whose outcome is not known yet.
 struct PendingOrder {
-  std::string Worker_;
+  WorkerAddress Worker_;
   std::string Task_;
   std::uint64_t Attempt_ = 0;
-  std::uint64_t Fence_ = 0;
-  /// The worker's clock in the latest list before the order was sent.
+  /// The worker's clock in the latest list before the order was sent, and when
+  /// that list was requested.
   Millis ClockMs_ = 0;
+  Millis ListRequestedAt_ = 0;
   bool IsStart_ = false;
   /// The requested pace in percent; negative if the order does not set the
   /// pace.
@@ -249,13 +257,23 @@
   /// Removes a run that is over without an end that counts. Its task waits for
   /// another run.
   void loseRun(Worker &Target, const std::string &Name, std::string_view Why);
+  bool isPresentIncarnation(const Worker &Target, const PendingOrder &Order,
+                            Millis ClockMs) const;
+  bool mayRunInLaterIncarnation(const Worker &Target,
+                                const Run &TargetRun) const;
   void changeIncarnation(Worker &Target, Millis Incarnation);
+  void keepForNextList(Worker &Target, Run &TargetRun);
+  void requestListNow(Worker &Target);
+  void assumeLongestLease(Worker &Target);
   void loseWorker(Worker &Gone, std::string_view Why);
   void expireLease(Worker &Target);
   void applyOrderOutcome(Worker &Target, const PendingOrder &Order,
                          Run &TargetRun, const OrderOutcome &Outcome);
+  void applyStopOutcome(Run &TargetRun, const OrderOutcome &Outcome);
+  static WorkerAddress addressOf(const Worker &Target);
   Millis workerClock(const Worker &Target) const;
   bool isRecovering() const;
+  Millis recoveryEndOf(const Worker *Target) const;
   void endRecoveryWithoutContact();
   void recordHealth(Worker &Target, EndKind Kind, const Job &Cause);
 
@@ -391,6 +409,7 @@
   AdviceHost *chooseAdviceHost(double Cost, const std::string &Queue);
   bool hasEnoughCapacity(const StepRun &Step) const;
   void dropAdviceOn(const Worker &Gone);
+  void dropTicketsOn(const Worker &Restarted);
 
   // engine_schedule.cc
   std::uint32_t openedOccurrences(const Job &TargetJob) const;
--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -135,6 +135,17 @@
     }
 }
 
+/// Ends the validity of the tickets of a worker that has restarted. The steps
+/// that it may run stay the same.
+void Cell::Engine::dropTicketsOn(const Worker &Restarted) {
+  for (const auto &[Id, Each] : Jobs_)
+    for (const auto &Step : Each->Steps_) {
+      const auto Found = Step->Allowed_.find(Restarted.Number_);
+      if (Found != Step->Allowed_.end())
+        Found->second.ValidUntil_ = 0;
+    }
+}
+
 /// Returns how many workers a call for the step should name at least.
 std::size_t Cell::Engine::minWorkersAsked(const StepRun &Step) const {
   const Queue *JobQueue = queueOf(*Step.Job_);
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -34,6 +34,7 @@
   }
   Sender.Reachable_ = true;
   Sender.UnreachableSince_ = 0;
+  Sender.ListRequestedAt_ = Sender.RenewalSentAt_;
   Sender.ClockMs_ = List.ClockMs_;
   Sender.ClockAt_ = Now_;
   for (const EndEntry &End : List.Ended_)
@@ -44,6 +45,8 @@
   loseUnlistedRuns(Sender, List);
   adjustFillerPaces(Sender);
   if (!Sender.FenceAccepted_) {
+    if (Wall_ - Sender.Incarnation_ < longestLease(Limits_))
+      assumeLongestLease(Sender);
     Sender.FenceAccepted_ = true;
     PlacementNeeded_ = true;
   }
@@ -90,6 +93,8 @@
     if (TargetRun.Attempt_ != Entry.Attempt_)
       return; // A later list contains only one of the two runs.
     TargetRun.ConfirmedClock_ = std::max(TargetRun.ConfirmedClock_, Clock);
+    if (TargetRun.SentStarts_ == 1)
+      TargetRun.OpenStarts_ = 0; // The list shows what became of the only one.
     confirmStart(Sender, TargetRun);
     if (TargetRun.Phase_ == Run::Phase::Stopping && TargetRun.StopConfirmed_ &&
         !TargetRun.OrderInFlight_ &&
--- a/src/cell/engine_pace.cc
+++ b/src/cell/engine_pace.cc
@@ -69,16 +69,14 @@
       continue;
     const Token Id = NextToken_++;
     PendingOrder &Order = PendingOrders_[Id];
-    Order = {Target.Id_, Name, Each.Attempt_, Target.Fence_, false, Each.Pace_};
+    Order = {addressOf(Target),       Name,  Each.Attempt_, Target.ClockMs_,
+             Target.ListRequestedAt_, false, Each.Pace_};
     Each.PaceOrder_ = Id;
     Effects_.push_back(Decision{"task_paced", Name,
                                 std::to_string(Each.Pace_) + " percent",
                                 Now_ - Target.ClockAt_});
-    Effects_.push_back(SendPace{Id,
-                                {Target.Id_, Target.Address_, Target.Fence_},
-                                Name,
-                                Each.Attempt_,
-                                Each.Pace_});
+    Effects_.push_back(
+        SendPace{Id, addressOf(Target), Name, Each.Attempt_, Each.Pace_});
   }
 }
 
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -42,6 +42,8 @@
 /// Fences are numbered by epoch times this factor plus the number of restarts
 /// of the worker that this owner has seen.
 constexpr std::uint64_t FencesPerEpoch = 1000;
+/// Error of a comparison of a worker's clock with the owner's.
+constexpr Millis ClockTolerance = 50;
 
 } // namespace
 
@@ -50,6 +52,10 @@
   return It == Workers_.end() ? nullptr : It->second.get();
 }
 
+WorkerAddress Cell::Engine::addressOf(const Worker &Target) {
+  return {Target.Id_, Target.Address_, Target.Fence_};
+}
+
 /// Returns the estimated present time on the worker's clock.
 Millis Cell::Engine::workerClock(const Worker &Target) const {
   return Target.ClockMs_ + (Now_ - Target.ClockAt_);
@@ -58,6 +64,18 @@
 /// Returns whether runs of a former owner may still exist unseen.
 bool Cell::Engine::isRecovering() const { return !UnconfirmedWorkers_.empty(); }
 
+/// Returns when the leases on a worker that a former owner granted have
+/// certainly ended. If the worker has restarted lately, orders that were meant
+/// for its former incarnation may have got it the longest lease.
+Millis Cell::Engine::recoveryEndOf(const Worker *Target) const {
+  const Millis Longest = longestLease(Limits_);
+  const bool Young = Target != nullptr && Target->Listed_ &&
+                     Wall_ - Target->Incarnation_ < 2 * Longest;
+  const Millis Extra =
+      std::max<Millis>(0, Longest - LeaseTime - LeaseClockSlack);
+  return Young ? RecoveryEnd_ + Extra : RecoveryEnd_;
+}
+
 /// Ends the wait for workers that have not answered since the takeover: the
 /// leases of a former owner have ended. A worker that answers, but has more
 /// ends than a list holds, may still report that an inherited task is done.
@@ -66,6 +84,8 @@
     return;
   const auto HasEnded = [this](const std::string &Id) {
     const Worker *Target = findWorker(Id);
+    if (Now_ < recoveryEndOf(Target))
+      return false;
     if (Target == nullptr || !Target->FenceAccepted_ || !Target->EndsHidden_)
       return true;
     return !Target->Reachable_ && Now_ > Target->LeaseEnd_;
@@ -124,8 +144,12 @@
 
 void Cell::Engine::sendRenewal(Worker &Target) {
   SendRenewal Out;
-  Out.Worker_ = {Target.Id_, Target.Address_, Target.Fence_};
-  Out.AcknowledgedEnd_ = Target.LastStoredEnd_;
+  Out.Token_ = NextToken_++;
+  Out.Worker_ = addressOf(Target);
+  // The worker may have restarted since it last answered. The new incarnation
+  // counts its ends anew, and would forget some that no owner has read.
+  if (Target.Reachable_ && Target.FenceAccepted_)
+    Out.AcknowledgedEnd_ = Target.LastStoredEnd_;
   // An unanswered renewal may still extend the lease. Renewals of an
   // unreachable worker therefore soon stop requesting one, so that the lease
   // can end.
@@ -139,22 +163,29 @@
       Out.Wait_ =
           runsTaskWithTailGoal(Target) ? RenewalWaitWithTailGoal : RenewalWait;
   }
-  Target.RenewalInFlight_ = true;
+  Target.Renewal_ = Out.Token_;
+  Target.RenewalSentAt_ = Now_;
   Effects_.push_back(std::move(Out));
 }
 
 void Cell::Engine::sendStart(Worker &Target, const std::string &Name,
                              Run &TargetRun) {
   const Token Id = NextToken_++;
-  PendingOrders_[Id] = {Target.Id_,    Name,            TargetRun.Attempt_,
-                        Target.Fence_, Target.ClockMs_, true,
+  PendingOrders_[Id] = {addressOf(Target),
+                        Name,
+                        TargetRun.Attempt_,
+                        Target.ClockMs_,
+                        Target.ListRequestedAt_,
+                        true,
                         -1};
   TargetRun.OrderInFlight_ = true;
+  ++TargetRun.SentStarts_;
+  ++TargetRun.OpenStarts_;
   TargetRun.LastOrderAt_ = Now_;
   TargetRun.LastStartAt_ = Now_;
   SendStart Out;
   Out.Token_ = Id;
-  Out.Worker_ = {Target.Id_, Target.Address_, Target.Fence_};
+  Out.Worker_ = addressOf(Target);
   Out.Task_ = Name;
   Out.Attempt_ = TargetRun.Attempt_;
   Out.Job_ = TargetRun.Step_->Job_->Spec_;
@@ -169,15 +200,16 @@
 void Cell::Engine::sendStop(Worker &Target, const std::string &Name,
                             Run &TargetRun) {
   const Token Id = NextToken_++;
-  PendingOrders_[Id] = {Target.Id_,    Name,            TargetRun.Attempt_,
-                        Target.Fence_, Target.ClockMs_, false,
+  PendingOrders_[Id] = {addressOf(Target),
+                        Name,
+                        TargetRun.Attempt_,
+                        Target.ClockMs_,
+                        Target.ListRequestedAt_,
+                        false,
                         -1};
   TargetRun.OrderInFlight_ = true;
   TargetRun.LastOrderAt_ = Now_;
-  Effects_.push_back(SendStop{Id,
-                              {Target.Id_, Target.Address_, Target.Fence_},
-                              Name,
-                              TargetRun.Attempt_});
+  Effects_.push_back(SendStop{Id, addressOf(Target), Name, TargetRun.Attempt_});
 }
 
 void Cell::Engine::stopRun(Worker &Target, const std::string &Name,
@@ -254,32 +286,88 @@
   dropRun(Target, Name);
 }
 
-/// Handles a restart of the worker under its id. Its runs are gone, but an
-/// unanswered order may still reach the new incarnation until a higher fence
-/// arrives there.
+/// Returns whether the answer to an order can come from the incarnation that
+/// the order was meant for. Its clock never goes back and runs at most as fast
+/// as the owner's.
+bool Cell::Engine::isPresentIncarnation(const Worker &Target,
+                                        const PendingOrder &Order,
+                                        Millis ClockMs) const {
+  if (ClockMs == 0 || Order.Worker_.Fence_ != Target.Fence_)
+    return true;
+  const Millis Latest = Order.ClockMs_ + (Now_ - Order.ListRequestedAt_);
+  return ClockMs >= Order.ClockMs_ && ClockMs <= Latest + ClockTolerance;
+}
+
+/// Returns whether a later incarnation of the worker than the present one may
+/// have the run. A restarted worker carries out orders that were meant for its
+/// former incarnation, and answers do not tell which one gave them. Only a list
+/// does, so that the present one has certainly answered what was answered
+/// before it was asked for its latest list.
+bool Cell::Engine::mayRunInLaterIncarnation(const Worker &Target,
+                                            const Run &TargetRun) const {
+  return TargetRun.OpenStarts_ > 0 ||
+         TargetRun.StartAnsweredAt_ > Target.ListRequestedAt_;
+}
+
+/// Keeps a run that the worker may or may not have until its next list tells.
+void Cell::Engine::keepForNextList(Worker &Target, Run &TargetRun) {
+  TargetRun.OrderInFlight_ = false;
+  TargetRun.ConfirmedClock_ = 0;
+  TargetRun.ConfirmedPace_ = -1;
+  TargetRun.PaceOrder_ = 0;
+  TargetRun.Percent_ = -1;
+  if (TargetRun.Phase_ == Run::Phase::Ordered)
+    setPhase(Target, TargetRun, Run::Phase::Running);
+  // If the list contains a run that was being stopped, it is stopped again.
+  TargetRun.StopConfirmed_ = TargetRun.Phase_ == Run::Phase::Stopping;
+  TargetRun.LastOrderAt_ = 0;
+}
+
+/// Requests a list without waiting for a renewal in flight, which may have gone
+/// to a former incarnation of the worker.
+void Cell::Engine::requestListNow(Worker &Target) {
+  Target.FenceAccepted_ = false;
+  Target.Renewal_ = 0;
+  Target.NextRenewal_ = Now_;
+  markDue(Target);
+}
+
+/// Notes that orders with deadlines on the clock of a former incarnation may
+/// have reached the present one.
+void Cell::Engine::assumeLongestLease(Worker &Target) {
+  Target.LeaseEnd_ = std::max(Target.LeaseEnd_, Now_ + longestLease(Limits_));
+}
+
+/// Handles a restart of the worker under its id. Its runs are gone, but those
+/// whose orders may have reached the new incarnation are kept until it has
+/// listed what it runs. The higher fence makes orders void there that are still
+/// under way.
 void Cell::Engine::changeIncarnation(Worker &Target, Millis Incarnation) {
-  Effects_.push_back(
-      Decision{"worker_restarted", Target.Id_, "incarnation changed", 0});
   Target.Incarnation_ = Incarnation;
   ++Target.RestartCount_;
   Target.Fence_ = Epoch_ * FencesPerEpoch + Target.RestartCount_;
-  Target.FenceAccepted_ = false;
   Target.EndsHidden_ = false;
   Target.LastSeenEnd_ = 0;
   Target.LastStoredEnd_ = 0;
   Target.LastCommitEnd_ = 0;
   Target.UnstoredEnds_.clear();
   Target.ClockAt_ = 0;
-  Target.NextRenewal_ = Now_;
-  markDue(Target);
+  requestListNow(Target);
   std::vector<std::string> Lost;
-  for (auto &[Name, Each] : Target.Runs_) {
-    if (!Each.Unanswered_ && !Each.OrderInFlight_)
+  for (auto &[Name, Each] : Target.Runs_)
+    if (mayRunInLaterIncarnation(Target, Each))
+      keepForNextList(Target, Each);
+    else
       Lost.push_back(Name);
-    Each.ConfirmedClock_ = 0;
-    Each.StopConfirmed_ = true;
-    setPhase(Target, Each, Run::Phase::Stopping);
-  }
+  Target.ClockMs_ = 0;
+  Target.ListRequestedAt_ = 0;
+  assumeLongestLease(Target);
+  Effects_.push_back(Decision{
+      "worker_restarted", Target.Id_,
+      std::to_string(Lost.size()) + " runs lost, " +
+          std::to_string(Target.Runs_.size() - Lost.size()) + " uncertain",
+      0});
+  dropTicketsOn(Target);
   for (const std::string &Name : Lost)
     loseRun(Target, Name, "worker restarted");
   for (const auto &[Name, Each] : Target.Runs_)
@@ -304,13 +392,19 @@
     loseRun(Gone, Name, Why);
 }
 
-/// Drops the runs of an unreachable worker once its lease has ended. A run with
-/// an unanswered order is kept until no copy of the order can arrive any more.
+/// Drops the runs of an unreachable worker once their leases have ended. A run
+/// that a later incarnation may have is kept for the longest lease, and one
+/// with an unanswered order until no copy of the order can arrive any more.
 void Cell::Engine::expireLease(Worker &Target) {
+  const Millis LatestRenewal = Target.LeaseEnd_ - LeaseTime - LeaseClockSlack;
   std::vector<std::string> Lost;
-  for (const auto &[Name, Each] : Target.Runs_)
-    if (!Each.Unanswered_ || Now_ > Each.LastStartAt_ + MaxOrderDelay)
+  for (const auto &[Name, Each] : Target.Runs_) {
+    if (mayRunInLaterIncarnation(Target, Each) &&
+        Now_ <= LatestRenewal + longestLease(Limits_))
+      continue;
+    if (Each.OpenStarts_ == 0 || Now_ > Each.LastStartAt_ + MaxOrderDelay)
       Lost.push_back(Name);
+  }
   for (const std::string &Name : Lost)
     loseRun(Target, Name, "lease ended");
 }
@@ -343,65 +437,55 @@
     return;
   const PendingOrder Order = It->second;
   PendingOrders_.erase(It);
-  Worker *Target = findWorker(Order.Worker_);
-  if (Target == nullptr)
+  Worker *Target = findWorker(Order.Worker_.Id_);
+  // What became of an order to a former incarnation is told by the first list
+  // after the restart.
+  if (Target == nullptr || Order.Worker_.Fence_ != Target->Fence_)
     return;
   markDue(*Target);
-  // The clock of an incarnation never goes back, so that a lower one proves a
-  // restart that the owner may not know of yet.
-  if (Outcome.ClockMs_ != 0 && Outcome.ClockMs_ < Order.ClockMs_)
-    Effects_.push_back(Decision{
-        "answer_of_later_incarnation", Order.Task_,
-        Order.Worker_ + (Order.IsStart_ ? " start " : " stop ") +
-            (Outcome.Result_ == OrderResult::Done ? "done" : "rejected") +
-            " clock=" + std::to_string(Outcome.ClockMs_) +
-            " expected=" + std::to_string(workerClock(*Target)),
-        Now_ - Target->ClockAt_, Order.Attempt_});
-  if (Outcome.Result_ == OrderResult::OtherIncarnation) {
+  if (Outcome.Result_ == OrderResult::OtherIncarnation &&
+      Order.Worker_.Address_ == Target->Address_) {
     loseWorker(*Target, "another incarnation at its address");
     return;
   }
   const auto Found = Target->Runs_.find(Order.Task_);
-  if (Found == Target->Runs_.end() || Found->second.Attempt_ != Order.Attempt_)
-    return;
-  if (Outcome.Incarnation_ > Target->Incarnation_ &&
-      Target->Incarnation_ != 0) {
-    // The new incarnation may have carried out the order; its run lists tell.
-    Found->second.OrderInFlight_ = false;
-    Found->second.Unanswered_ = true;
-    changeIncarnation(*Target, Outcome.Incarnation_);
-    return;
-  }
-  if (Order.Pace_ >= 0) {
-    Found->second.PaceOrder_ = 0;
-    if (Outcome.Result_ == OrderResult::Done)
-      Found->second.ConfirmedPace_ = Order.Pace_;
-    return;
+  const bool Known =
+      Found != Target->Runs_.end() && Found->second.Attempt_ == Order.Attempt_;
+  if (Known)
+    applyOrderOutcome(*Target, Order, Found->second, Outcome);
+  if (!isPresentIncarnation(*Target, Order, Outcome.ClockMs_) &&
+      Target->FenceAccepted_) {
+    Effects_.push_back(
+        Decision{"worker_restart_suspected", Target->Id_,
+                 "clock=" + std::to_string(Outcome.ClockMs_) +
+                     " expected=" + std::to_string(workerClock(*Target)),
+                 Now_ - Target->ClockAt_, Order.Attempt_});
+    requestListNow(*Target);
   }
-  Found->second.OrderInFlight_ = false;
-  applyOrderOutcome(*Target, Order, Found->second, Outcome);
 }
 
-/// Applies the outcome of a start or stop order to its run.
+/// Applies the outcome of an order to its run.
 void Cell::Engine::applyOrderOutcome(Worker &Target, const PendingOrder &Order,
                                      Run &TargetRun,
                                      const OrderOutcome &Outcome) {
-  if (Outcome.Result_ == OrderResult::NoAnswer) {
-    if (Order.IsStart_) {
-      TargetRun.Unanswered_ = true;
-      Target.GangsNotBefore_ = Now_ + GangAvoidanceTime;
-    }
+  if (Order.Pace_ >= 0) {
+    TargetRun.PaceOrder_ = 0;
+    if (Outcome.Result_ == OrderResult::Done)
+      TargetRun.ConfirmedPace_ = Order.Pace_;
     return;
   }
+  TargetRun.OrderInFlight_ = false;
   if (!Order.IsStart_) {
-    if (Outcome.Result_ == OrderResult::Done) {
-      TargetRun.StopConfirmed_ = true;
-      TargetRun.ConfirmedClock_ =
-          std::max(TargetRun.ConfirmedClock_, Outcome.ClockMs_);
-    }
+    applyStopOutcome(TargetRun, Outcome);
     return;
   }
+  if (Outcome.Result_ == OrderResult::NoAnswer) {
+    Target.GangsNotBefore_ = Now_ + GangAvoidanceTime;
+    return;
+  }
+  --TargetRun.OpenStarts_;
   if (Outcome.Result_ == OrderResult::Done) {
+    TargetRun.StartAnsweredAt_ = Now_;
     TargetRun.ConfirmedClock_ =
         std::max(TargetRun.ConfirmedClock_, Outcome.ClockMs_);
     confirmStart(Target, TargetRun);
@@ -415,7 +499,7 @@
     Target.GangsNotBefore_ = Now_ + GangAvoidanceTime;
   else if (Step != nullptr && Step->Allowed_.count(Target.Number_) != 0)
     Step->Allowed_[Target.Number_].ValidUntil_ = 0;
-  if (TargetRun.Unanswered_) {
+  if (TargetRun.OpenStarts_ > 0) {
     // An earlier copy of the order may have started a run or may still arrive;
     // only a stop prevents that.
     stopRun(Target, Order.Task_, TargetRun, "start rejected");
@@ -426,14 +510,24 @@
   loseRun(Target, Order.Task_, "start rejected");
 }
 
+void Cell::Engine::applyStopOutcome(Run &TargetRun,
+                                    const OrderOutcome &Outcome) {
+  if (Outcome.Result_ != OrderResult::Done)
+    return;
+  TargetRun.StopConfirmed_ = true;
+  TargetRun.ConfirmedClock_ =
+      std::max(TargetRun.ConfirmedClock_, Outcome.ClockMs_);
+}
+
 void Cell::Engine::handle(const RenewalOutcome &Outcome) {
-  Worker *Target = findWorker(Outcome.Worker_);
-  if (Target == nullptr)
+  Worker *Target = findWorker(Outcome.Worker_.Id_);
+  // Only the latest renewal counts: an earlier one may have gone to a former
+  // incarnation.
+  if (Target == nullptr || Outcome.Token_ != Target->Renewal_)
     return;
-  Target->RenewalInFlight_ = false;
+  Target->Renewal_ = 0;
   markDue(*Target);
-  if (Outcome.Fence_ != Target->Fence_) {
-    // The renewal was sent before the fence was raised.
+  if (Outcome.Worker_.Address_ != Target->Address_) {
     Target->NextRenewal_ = Now_;
     return;
   }
@@ -499,12 +593,12 @@
 /// examined again.
 Millis Cell::Engine::examineWorker(Worker &Target) {
   const bool Wanted = Target.Listed_ || !Target.Runs_.empty();
-  if (Wanted && !Target.RenewalInFlight_ && Now_ >= Target.NextRenewal_)
+  if (Wanted && Target.Renewal_ == 0 && Now_ >= Target.NextRenewal_)
     sendRenewal(Target);
   if (!Target.Reachable_ && Now_ > Target.LeaseEnd_ && !Target.Runs_.empty())
     expireLease(Target);
   Millis Due = Now_ + MaxExamineInterval;
-  if (Wanted && !Target.RenewalInFlight_)
+  if (Wanted && Target.Renewal_ == 0)
     Due = std::min(Due, Target.NextRenewal_);
   for (auto &[Name, Each] : Target.Runs_)
     Due = std::min(Due, advanceRun(Target, Name, Each));
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -30,8 +30,12 @@
   /// The worker's clock when it confirmed the start or the stop.
   Millis ConfirmedClock_ = 0;
   bool StopConfirmed_ = false;
-  /// An order is unanswered, so that a copy of it may still arrive.
-  bool Unanswered_ = false;
+  std::uint32_t SentStarts_ = 0; ///< Start orders that were sent.
+  /// Start orders without an answer so far, copies of which may still arrive.
+  std::uint32_t OpenStarts_ = 0;
+  /// Time of the latest answer that confirmed a start. It does not tell which
+  /// incarnation of the worker gave it.
+  Millis StartAnsweredAt_ = 0;
   bool OrderInFlight_ = false;
   int Priority_ = 0;
   std::string Checkpoint_;
@@ -280,9 +284,13 @@
   /// Estimate of the worker's clock: it showed ClockMs_ at the time ClockAt_.
   Millis ClockMs_ = 0;
   Millis ClockAt_ = 0;
+  /// When the latest list of the present incarnation was requested. Every later
+  /// incarnation began after this time.
+  Millis ListRequestedAt_ = 0;
   /// Time by which all leases that were sent have certainly ended.
   Millis LeaseEnd_ = 0;
-  bool RenewalInFlight_ = false;
+  Token Renewal_ = 0; ///< The renewal in flight; zero if there is none.
+  Millis RenewalSentAt_ = 0;
   Millis NextRenewal_ = 0;
   /// When advanceWorkers() next has to examine the worker.
   Millis DueAt_ = 0;
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::size_t OrderConnectionsPerWorker = 2;
+/// The second one is used only while a renewal to a former incarnation of the
+/// worker still waits for its timeout.
+constexpr std::size_t RenewalConnectionsPerWorker = 2;
 constexpr Millis OrderTimeout = 150;
 /// Added to the time that a renewal waits at the worker.
 constexpr Millis RenewalTimeoutSlack = 500;
@@ -455,8 +458,8 @@
   if (!Out.OrderPool_) {
     Out.OrderPool_ = std::make_unique<HttpConnectionPool>(
         Context_.Loop_, To.Address_, OrderConnectionsPerWorker);
-    Out.RenewalPool_ =
-        std::make_unique<HttpConnectionPool>(Context_.Loop_, To.Address_, 1);
+    Out.RenewalPool_ = std::make_unique<HttpConnectionPool>(
+        Context_.Loop_, To.Address_, RenewalConnectionsPerWorker);
   }
   return Out;
 }
--- a/test/cell/cell_fuzz_test.cc
+++ b/test/cell/cell_fuzz_test.cc
@@ -54,7 +54,7 @@
 }
 
 void injectFault(CellSimulation &Sim, std::mt19937_64 &Random) {
-  const auto Pick = std::uniform_int_distribution<int>(0, 11)(Random);
+  const auto Pick = std::uniform_int_distribution<int>(0, 12)(Random);
   FakeWorker &Chosen = Sim.worker(std::uniform_int_distribution<std::size_t>(
       0, Sim.workerCount() - 1)(Random));
   switch (Pick) {
@@ -77,10 +77,14 @@
   case 5:
     rejectSome(Sim, Random());
     break;
+  case 6:
+    Sim.restartWorker(std::uniform_int_distribution<std::size_t>(
+        0, Sim.workerCount() - 1)(Random));
+    break;
   default:
     break;
   }
-  if (!Sim.hasOwner() && Pick > 7) {
+  if (!Sim.hasOwner() && Pick > 8) {
     Sim.setStoreDown(false);
     Sim.takeOver();
   }
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -130,6 +130,12 @@
   }
 
   FakeWorker &worker(std::size_t At) { return Fleet_.workers()[At]; }
+  /// Lets a worker end without a word and start anew under its id.
+  void restartWorker(std::size_t At) {
+    for (const auto &[Name, Run] : worker(At).Runs_)
+      Checks_.recordLostRun(Name);
+    worker(At).restart(now());
+  }
   std::size_t workerCount() const { return Fleet_.workers().size(); }
   std::size_t starts() const { return Checks_.starts(); }
   /// Returns the number of gang members that ended because others were missing.
@@ -145,11 +151,9 @@
 
 private:
   static constexpr Token QueryToken = ~Token{0};
-  /// Time in milliseconds between two reads of the list of workers.
-  static constexpr Millis ListInterval = 200;
 
   void runOwner() {
-    if (now() % ListInterval == 0)
+    if (now() % ListInterval_ == 0)
       Fleet_.tellOwner();
     cell().setStoreReachable(!Store_.isDown());
     cell().tick(now(), wall());
--- a/test/cell/fake_orders.h
+++ b/test/cell/fake_orders.h
@@ -33,13 +33,17 @@
           Core_.processEffects();
         });
     };
-    const OrderOutcome None{Each.Token_, OrderResult::NoAnswer, 0, 0};
+    const OrderOutcome None{Each.Token_, OrderResult::NoAnswer, 0};
     if (Fleet_.find(Each.Worker_.Id_)->Disconnected_) {
       Core_.schedule(AnswerTimeout, [Answer, None] { Answer(None); });
     } else if (Core_.drawChance(Core_.Faults_.LateOrder_)) {
       Core_.schedule(AnswerTimeout, [Answer, None] { Answer(None); });
-      Core_.schedule(Core_.drawBetween(2000, 8000),
-                     [this, Each] { execute(Each); });
+      // The worker holds the order, so that it ends with its incarnation.
+      const Millis Holder = Fleet_.find(Each.Worker_.Id_)->Incarnation_;
+      Core_.schedule(Core_.drawBetween(2000, 8000), [this, Each, Holder] {
+        if (Fleet_.find(Each.Worker_.Id_)->Incarnation_ == Holder)
+          execute(Each);
+      });
     } else if (Core_.drawChance(Core_.Faults_.LostAnswer_)) {
       Core_.schedule(Core_.drawBetween(1, 3), [this, Each] { execute(Each); });
       Core_.schedule(AnswerTimeout, [Answer, None] { Answer(None); });
@@ -58,7 +62,7 @@
       Core_.cell().handle(
           Core_.now(),
           OrderOutcome{Each.Token_, OrderResult::Done,
-                       Fleet_.find(Each.Worker_.Id_)->clock(Core_.now()), 0});
+                       Fleet_.find(Each.Worker_.Id_)->clock(Core_.now())});
     });
   }
 
@@ -70,7 +74,7 @@
   OrderOutcome execute(const SendStart &Order) {
     FakeWorker &Receiver = *Fleet_.find(Order.Worker_.Id_);
     OrderOutcome Out{Order.Token_, OrderResult::Rejected,
-                     Receiver.clock(Core_.now()), Receiver.Incarnation_};
+                     Receiver.clock(Core_.now())};
     if (Order.Worker_.Fence_ < Receiver.Fence_) {
       Out.Result_ = OrderResult::Fenced;
       return Out;
@@ -120,7 +124,7 @@
   OrderOutcome execute(const SendStop &Order) {
     FakeWorker &Receiver = *Fleet_.find(Order.Worker_.Id_);
     OrderOutcome Out{Order.Token_, OrderResult::Fenced,
-                     Receiver.clock(Core_.now()), Receiver.Incarnation_};
+                     Receiver.clock(Core_.now())};
     if (Order.Worker_.Fence_ < Receiver.Fence_)
       return Out;
     Receiver.Fence_ = Order.Worker_.Fence_;
--- a/test/cell/fake_renewals.h
+++ b/test/cell/fake_renewals.h
@@ -20,11 +20,12 @@
 
   void send(const SendRenewal &Each) {
     Core_.schedule(1, [this, Each, Generation = Core_.ownerGeneration()] {
-      if (Generation == Core_.ownerGeneration())
-        Pending_.emplace_back(
-            Each, Core_.now() + (Fleet_.find(Each.Worker_.Id_)->Disconnected_
-                                     ? Each.Wait_ + 500
-                                     : Each.Wait_));
+      if (Generation != Core_.ownerGeneration())
+        return;
+      const FakeWorker &Receiver = *Fleet_.find(Each.Worker_.Id_);
+      const Millis Until =
+          Core_.now() + Each.Wait_ + (Receiver.Disconnected_ ? Timeout : 0);
+      Pending_.push_back({Each, Until, Receiver.Incarnation_});
     });
   }
   /// Drops the renewals of an owner whose process has ended.
@@ -32,22 +33,34 @@
 
   void answerDue() {
     for (std::size_t At = 0; !Core_.OwnerPaused_ && At < Pending_.size();) {
-      FakeWorker *Receiver = Fleet_.find(Pending_[At].first.Worker_.Id_);
-      if (Core_.now() < Pending_[At].second && Receiver->Ends_.empty()) {
+      const PendingRenewal Next = Pending_[At];
+      FakeWorker *Receiver = Fleet_.find(Next.Renewal_.Worker_.Id_);
+      const bool HolderEnded = Receiver->Incarnation_ != Next.Holder_;
+      const Millis Until = Next.Until_ + (HolderEnded ? Timeout : 0);
+      if (Core_.now() < Until && (Receiver->Ends_.empty() || HolderEnded)) {
         ++At;
         continue;
       }
-      const SendRenewal Renewal = Pending_[At].first;
       Pending_.erase(Pending_.begin() + static_cast<std::ptrdiff_t>(At));
-      answer(*Receiver, Renewal);
+      answer(*Receiver, Next.Renewal_, HolderEnded);
     }
   }
 
 private:
-  void answer(FakeWorker &Receiver, const SendRenewal &Renewal) {
-    RenewalOutcome Out{
-        Renewal.Worker_.Id_, Renewal.Worker_.Fence_, OrderResult::Done, {}};
-    if (Receiver.Disconnected_) {
+  /// Time without an answer after which a renewal counts as unanswered.
+  static constexpr Millis Timeout = 500;
+
+  /// A renewal that a worker holds until a run ends.
+  struct PendingRenewal {
+    SendRenewal Renewal_;
+    Millis Until_ = 0;
+    Millis Holder_ = 0; ///< The incarnation of the worker that received it.
+  };
+
+  void answer(FakeWorker &Receiver, const SendRenewal &Renewal,
+              bool HolderEnded) {
+    RenewalOutcome Out{Renewal.Token_, Renewal.Worker_, OrderResult::Done, {}};
+    if (Receiver.Disconnected_ || HolderEnded) {
       Out.Result_ = OrderResult::NoAnswer;
     } else if (Renewal.Worker_.Fence_ < Receiver.Fence_) {
       Out.Result_ = OrderResult::Fenced;
@@ -99,8 +112,7 @@
   SimulationCore &Core_;
   FakeFleet &Fleet_;
   TaskChecks &Checks_;
-  /// Renewals with the time until which the worker may wait.
-  std::vector<std::pair<SendRenewal, Millis>> Pending_;
+  std::vector<PendingRenewal> Pending_;
 };
 
 } // namespace oleandergauge::cell::test
--- a/test/cell/fake_worker.h
+++ b/test/cell/fake_worker.h
@@ -30,13 +30,17 @@
     Millis WaitedForMembers_ = 0; ///< Time spent waiting for the other members.
   };
 
+  /// Milliseconds since 1970 at the time zero of a simulation.
+  static constexpr Millis WallAtZero = 1000000;
+
   std::string Id_;
   std::string Address_;
   std::string Domain_ = "d1";
   Resources Capacity_{4000, 8000, 0, 0, 0};
   Millis Incarnation_ = 1000;
   Millis StartedAt_ = 0;
-  bool Disconnected_ = false; ///< Answers no calls.
+  Millis ClockAtStart_ = 50000; ///< What its clock shows when it starts.
+  bool Disconnected_ = false;   ///< Answers no calls.
   bool Draining_ = false;
   bool RejectsStarts_ =
       false; ///< Rejects all starts, as an unhealthy worker does.
@@ -49,8 +53,10 @@
   /// Highest run number that has ended, by task.
   std::map<std::string, std::uint64_t> HighestEndedAttempt_;
 
-  Millis clock(Millis Now) const { return Now - StartedAt_ + 1; }
+  Millis clock(Millis Now) const { return Now - StartedAt_ + ClockAtStart_; }
 
+  /// Starts anew under its id. It has forgotten everything, and its clock shows
+  /// another time, which may be earlier or later.
   void restart(Millis Now) {
     Fence_ = 0;
     Deadline_ = 0;
@@ -59,7 +65,8 @@
     LastEndNumber_ = 0;
     HighestEndedAttempt_.clear();
     StartedAt_ = Now;
-    Incarnation_ += Now + 1;
+    ClockAtStart_ = 1 + Now * 7919 % 100000;
+    Incarnation_ = WallAtZero + Now;
   }
 
   Resources used() const {
--- a/test/cell/simulation_core.h
+++ b/test/cell/simulation_core.h
@@ -28,6 +28,7 @@
   Faults Faults_;
   Bounds Bounds_;                 ///< As the next owner is told.
   Millis CommitTime_ = 8;         ///< Duration of a transaction.
+  Millis ListInterval_ = 200;     ///< Time between two reads of the workers.
   std::size_t EndsPerList_ = 500; ///< Ends in one answer of a worker.
   /// The owner's process is suspended: time passes, but it handles nothing.
   bool OwnerPaused_ = false;
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -152,14 +152,15 @@
 }
 
 TEST(WorkerCalls, SkipsInvalidRowsOfRenewals) {
-  const cell::SendRenewal Renewal{{"w", "10.0.0.1:1", 5}, 100, 3, 0};
+  const cell::SendRenewal Renewal{8, {"w", "10.0.0.1:1", 5}, 100, 3, 0};
   const auto Outcome = decodeRenewalAnswer(
       Renewal,
       {200, R"({"clock_ms":50,"born":9,"running":[["a.0.0.1",2,"ck",41],)"
             R"(["b"],7],"finished":[[58,"a.0.0.9",1,"done",""],)"
             R"([59,"x",1,"odd",""]]})"});
   EXPECT_EQ(Outcome.Result_, cell::OrderResult::Done);
-  EXPECT_EQ(Outcome.Fence_, 5U);
+  EXPECT_EQ(Outcome.Token_, 8U);
+  EXPECT_EQ(Outcome.Worker_, Renewal.Worker_);
   ASSERT_EQ(Outcome.List_.Running_.size(), 1U);
   EXPECT_EQ(Outcome.List_.Running_[0].Checkpoint_, "ck");
   ASSERT_EQ(Outcome.List_.Ended_.size(), 1U);
