Count a job as started once a worker has started a task of it

A job counted as started with the first order, which may never reach a worker that is cut off. Now the answer to the start, a list or an end makes it started. The test fails on the code before (state running, no start).

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -225,6 +225,7 @@
   void requeueTask(StepRun &Step, std::uint32_t Index);
   void finishGang(StepRun &Step);
   void stopOtherRuns(StepRun &Step, std::uint32_t Index, std::uint64_t Attempt);
+  void markStarted(Job &TargetJob);
   void countJob(Job &TargetJob);
   bool isStorable(const std::string &Id, const JobRecord &Record) const;
   void setAnswerTime(Job &TargetJob, Millis Timeout) const;
--- a/src/cell/engine_gangs.cc
+++ b/src/cell/engine_gangs.cc
@@ -50,7 +50,10 @@
   if (TargetRun.Phase_ != Run::Phase::Ordered)
     return;
   setPhase(Target, TargetRun, Run::Phase::Running);
-  if (TargetRun.Step_ != nullptr && TargetRun.Step_->spec().Gang_ &&
+  if (TargetRun.Step_ == nullptr)
+    return;
+  markStarted(*TargetRun.Step_->Job_);
+  if (TargetRun.Step_->spec().Gang_ &&
       TargetRun.Step_->Gang_.isActive(TargetRun.Attempt_))
     confirmMember(*TargetRun.Step_);
 }
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -333,6 +333,16 @@
   return TargetJob.Started_ ? JobState::Running : JobState::Queued;
 }
 
+/// Notes that a worker has started a task of the job. An order alone does not
+/// count, since it may never arrive.
+void Cell::Engine::markStarted(Job &TargetJob) {
+  if (TargetJob.Started_)
+    return;
+  TargetJob.Started_ = true;
+  recordDuration("job_wait", TargetJob);
+  countJob(TargetJob);
+}
+
 /// Counts a job among the waiting ones of its queue or removes it from them.
 /// Called where its acceptance is stored, where it starts and where it ends.
 void Cell::Engine::countJob(Job &TargetJob) {
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -78,9 +78,8 @@
     TargetTask.Phase_ = Task::Phase::Active;
     TargetTask.AssignedWorker_ = &Target;
     ++Step.ActiveCount_;
-    Step.Job_->Started_ = true;
-    countJob(*Step.Job_);
   }
+  markStarted(*Step.Job_);
   addRun(Target, Entry.Task_, std::move(NewRun));
 }
 
@@ -96,6 +95,8 @@
     if (TargetRun.SentStarts_ == 1)
       TargetRun.OpenStarts_ = 0; // The list shows what became of the only one.
     confirmStart(Sender, TargetRun);
+    if (TargetRun.Step_ != nullptr)
+      markStarted(*TargetRun.Step_->Job_);
     if (TargetRun.Phase_ == Run::Phase::Stopping && TargetRun.StopConfirmed_ &&
         !TargetRun.OrderInFlight_ &&
         Now_ > TargetRun.LastOrderAt_ + 2 * Limits_.StopTime_)
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -220,10 +220,6 @@
   TargetTask.Phase_ = Task::Phase::Active;
   TargetTask.AssignedWorker_ = &Target;
   ++Step.ActiveCount_;
-  if (!Step.Job_->Started_)
-    recordDuration("job_wait", *Step.Job_);
-  Step.Job_->Started_ = true;
-  countJob(*Step.Job_);
   Run NewRun;
   NewRun.Step_ = &Step;
   NewRun.Index_ = Index;
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -224,7 +224,7 @@
   /// not be refused.
   bool MayBeStoredLate_ = false;
   bool Stored_ = false;
-  bool Started_ = false;
+  bool Started_ = false; ///< A worker has started one of its tasks.
   /// Counted among the waiting jobs of its queue.
   bool CountedWaiting_ = false;
   /// Time at which the latest submission that waits must have its answer.
--- a/test/cell/restarted_worker_test.cc
+++ b/test/cell/restarted_worker_test.cc
@@ -170,5 +170,17 @@
   expectNoViolation(0);
 }
 
+// Guards against jobs that are not counted among the waiting ones of their
+// queue although no worker has started any of their tasks: their orders went to
+// workers that are cut off.
+TEST_F(RestartedWorker, AnOrderThatNobodyTookDoesNotStartAJob) {
+  Sim_.worker(0).Disconnected_ = true;
+  Sim_.worker(1).Disconnected_ = true;
+  Sim_.submit(JobId, simpleJob(1, 1000), "fast");
+  Sim_.run(300);
+  EXPECT_EQ(Sim_.starts(), 0U);
+  EXPECT_EQ(Sim_.stateOf(JobId), JobState::Queued);
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
