Read the factor by which work takes longer away from its place

bounds.remote_factor is a number that may be a fraction; hosts ignored it so far. It becomes Bounds::RemoteFactor_. Missing or below 1 leaves the behaviour as it is.

--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -206,6 +206,10 @@
   /// Duration of a machine's upkeep.
   Millis UpkeepTime_ = 2000;
   std::size_t RowBytes_ = 65536; ///< The store accepts no larger row.
+  /// Factor by which a task runs longer away from its preferred rack, or a gang
+  /// for one rack on several. Below 1 it is not known: tasks do not wait for
+  /// their rack, and gangs wait without limit.
+  double RemoteFactor_ = 0;
   friend bool operator==(const Bounds &, const Bounds &) = default;
 };
 
--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -101,6 +101,7 @@
   std::size_t unsentFrameBytes() const;
   void logStop();
   void reloadSettings();
+  void reportIgnoredSetting(const std::string &Why);
 
   std::string SettingsPath_;
   platform::HostSettings Settings_;
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -336,11 +336,18 @@
   Settings_.Bounds_ = Read->Bounds_;
   Settings_.TerminationGrace_ = Read->TerminationGrace_;
   Log_.logEvent("settings reloaded", {{"path", SettingsPath_}});
+  reportIgnoredSetting(Read->Warning_);
+}
+
+void EntryHost::reportIgnoredSetting(const std::string &Why) {
+  if (!Why.empty())
+    Log_.logEvent("setting ignored", {{"why", Why}});
 }
 
 int EntryHost::run() {
   Log_.logEvent("started", {{"version", OLEANDERGAUGE_VERSION},
                             {"callers", Settings_.CallerAddress_}});
+  reportIgnoredSetting(Settings_.Warning_);
   if (!CallerServer_.listen(Settings_.CallerAddress_) ||
       !ReadinessServer_.listen(Settings_.ReadyAddress_) ||
       !PeerListener_.listen(Settings_.Ip_, Settings_.PeerPort_) ||
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -55,6 +55,26 @@
             std::string::npos);
 }
 
+TEST(HostSettings, ReadsTheRemoteFactorAsAFraction) {
+  EXPECT_EQ(decodeSettings(SettingsText)->Bounds_.RemoteFactor_, 0);
+  const auto Read = decodeSettings(SettingsText + "bounds.remote_factor=1.5\n");
+  ASSERT_TRUE(Read) << Read.error();
+  EXPECT_DOUBLE_EQ(Read->Bounds_.RemoteFactor_, 1.5);
+  EXPECT_EQ(Read->Warning_, "");
+}
+
+// Guards against a host that does not start because of a setting without which
+// it would work.
+TEST(HostSettings, IgnoresARemoteFactorThatCannotBeUsed) {
+  for (const std::string Value : {"fast", "1,5", "-2", "nan", "1e300"}) {
+    const auto Read =
+        decodeSettings(SettingsText + "bounds.remote_factor=" + Value + "\n");
+    ASSERT_TRUE(Read) << Read.error();
+    EXPECT_EQ(Read->Bounds_.RemoteFactor_, 0) << Value;
+    EXPECT_NE(Read->Warning_.find("bounds.remote_factor"), std::string::npos);
+  }
+}
+
 TEST(StoreCalls, TransactionsAreConditionalOnTheOwnerRow) {
   const cell::OwnerRow Owner{3, 9, "h", "10.0.0.1:7000", false};
   const node::HttpCall Call = encodeTransaction(
