Let tasks wait for their preferred rack while that pays

A task with a preferred rack started elsewhere at once when the rack was full, also when a place there became free some ms later, and then ran longer by the remote factor. With bounds.remote_factor set, the tasks of a step now wait for the rack while the expected wait is shorter than that loss. They reserve nothing, so other steps take whatever room there is. Without the factor nothing changes.

The fake workers have a rack, and work away from its place can take longer.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -270,6 +270,13 @@
   std::uint64_t WorkersExamined_ = 0;
   /// Workers compared for the steps examined, since the takeover.
   std::uint64_t WorkersCompared_ = 0;
+  /// Waits for a preferred place since the takeover: those that ended there,
+  /// those that were given up, the time of both, and the time that the starts
+  /// elsewhere are expected to lose.
+  std::uint64_t PlaceWaitsMet_ = 0;
+  std::uint64_t PlaceWaitsGivenUp_ = 0;
+  std::uint64_t PlaceWaitMs_ = 0;
+  std::uint64_t PlaceLossMs_ = 0;
   friend bool operator==(const CellStats &, const CellStats &) = default;
 };
 
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -4,6 +4,7 @@
 #include <unordered_set>
 
 #include "cell/model.h"
+#include "cell/place_wait.h"
 
 namespace oleandergauge::cell {
 
@@ -76,6 +77,14 @@
   bool HasTicket_ = false;  ///< A start is allowed now.
 };
 
+/// The outcomes of waits for preferred places, since the takeover.
+struct PlaceWaitCounts {
+  std::uint64_t Met_ = 0;     ///< Starts in the place after a wait for it.
+  std::uint64_t GivenUp_ = 0; ///< Starts elsewhere.
+  std::uint64_t WaitedMs_ = 0;
+  std::uint64_t LostMs_ = 0; ///< Expected extra duration of those elsewhere.
+};
+
 /// Which room counts for a gang.
 enum class GangRoom {
   Ready, ///< Free room on workers with a valid ticket.
@@ -296,6 +305,19 @@
                        const std::vector<Worker *> &Workers,
                        Millis Until) const;
 
+  // engine_place_wait.cc
+  bool isPlaceWaitOn() const { return Limits_.RemoteFactor_ >= 1; }
+  void recordFreed(const Worker &Target, const Resources &UsedBefore);
+  PlaceWait describePlaceWait(const StepRun &Step,
+                              std::optional<Millis> Expected) const;
+  std::uint32_t tasksHeldForRack(StepRun &Step,
+                                 const std::vector<Worker *> &Open,
+                                 std::uint32_t Left);
+  void recordPlaceStart(const StepRun &Step, const std::string &Name,
+                        bool Elsewhere, std::string_view Why);
+  void recordTaskPlace(const StepRun &Step, std::uint32_t Index,
+                       const Worker &Target);
+
   // engine_reservations.cc
   void reserve(Worker &Target, StepRun &Step, std::uint32_t Copies,
                Millis Until);
@@ -515,6 +537,11 @@
   /// Number of stored jobs that have not started, by queue.
   std::unordered_map<std::string, std::uint64_t> WaitingJobs_;
 
+  FreedRoomHistory FreedRoom_; ///< By rack of a service.
+  PlaceWaitCounts PlaceWaits_;
+  /// Tasks that wait for room, by place, in the present placement pass.
+  std::unordered_map<std::string, std::uint32_t> HeldForPlace_;
+
   std::map<std::uint64_t, WaveRun> Waves_;
   std::map<std::string, MachineEntry> Machines_;
   std::map<std::uint64_t, std::set<std::string>> RestoredWaves_;
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -313,6 +313,7 @@
   const std::vector<Worker *> Open = eligibleWorkers(Step);
   const StepSpec &Spec = Step.spec();
   std::uint32_t Left = Step.waiting();
+  std::optional<std::uint32_t> Held; // Tasks that wait for the preferred rack.
   for (std::uint32_t Index = 0; Index < Step.Tasks_.size() && Left > 0;
        ++Index) {
     Task &TargetTask = Step.Tasks_[Index];
@@ -338,9 +339,18 @@
     }
     if (Best == nullptr)
       break;
+    if (!Spec.PreferredRack_.empty() && Best->Rack_ != Spec.PreferredRack_) {
+      if (!Held)
+        Held = tasksHeldForRack(Step, Open, Left);
+      if (Left <= *Held)
+        return;
+    }
+    recordTaskPlace(Step, Index, *Best);
     startTask(Step, Index, *Best, nextAttempt(TargetTask, TargetTask.Starts_));
     --Left;
   }
+  if (Left == 0)
+    Step.PlaceWaitSince_.reset();
   for (const Worker *Each : Open) // Room that is already being freed.
     Left -= std::min(Left, reservedCopies(*Each, Step));
   if (Left == 0 || askBeforePreemption(Step))
@@ -458,6 +468,7 @@
   UsableWorkers_.clear();
   UsableCpu_ = 0;
   CollectedCpu_ = 0;
+  HeldForPlace_.clear();
   for (const auto &[Id, Each] : Workers_)
     if (acceptsTasks(*Each)) {
       UsableWorkers_.push_back(Each.get());
--- a/src/cell/engine_reports.cc
+++ b/src/cell/engine_reports.cc
@@ -134,6 +134,10 @@
   Out.StepsExamined_ = StepsExamined_;
   Out.WorkersExamined_ = WorkersExamined_;
   Out.WorkersCompared_ = WorkersCompared_;
+  Out.PlaceWaitsMet_ = PlaceWaits_.Met_;
+  Out.PlaceWaitsGivenUp_ = PlaceWaits_.GivenUp_;
+  Out.PlaceWaitMs_ = PlaceWaits_.WaitedMs_;
+  Out.PlaceLossMs_ = PlaceWaits_.LostMs_;
   Out.UsedShare_ =
       All == 0 ? 0 : static_cast<double>(Used) / static_cast<double>(All);
   return Out;
--- a/src/cell/engine_reservations.cc
+++ b/src/cell/engine_reservations.cc
@@ -7,14 +7,6 @@
 
 namespace oleandergauge::cell {
 
-/// Returns the resources that one task of the step takes on its worker.
-static Resources workerNeed(const StepSpec &Spec) {
-  Resources Out = Spec.Need_;
-  if (Spec.Fill_)
-    Out.CpuMilli_ = 0;
-  return Out;
-}
-
 /// Reserves room for \p Copies tasks, in place of an earlier reservation for
 /// the step on the same worker.
 void Cell::Engine::reserve(Worker &Target, StepRun &Step, std::uint32_t Copies,
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -146,9 +146,9 @@
 void Cell::Engine::sendStart(Worker &Target, const std::string &Name,
                              Run &TargetRun) {
   const Token Id = NextToken_++;
-  PendingOrders_[Id] = {Target.Id_,    Name,            TargetRun.Attempt_,
-                        Target.Fence_, Target.ClockMs_, true,
-                        -1};
+  PendingOrders_[Id] = {
+      Target.Id_, Name, TargetRun.Attempt_, Target.Fence_, Target.ClockMs_,
+      true,       -1};
   TargetRun.OrderInFlight_ = true;
   TargetRun.LastOrderAt_ = Now_;
   TargetRun.LastStartAt_ = Now_;
@@ -169,9 +169,9 @@
 void Cell::Engine::sendStop(Worker &Target, const std::string &Name,
                             Run &TargetRun) {
   const Token Id = NextToken_++;
-  PendingOrders_[Id] = {Target.Id_,    Name,            TargetRun.Attempt_,
-                        Target.Fence_, Target.ClockMs_, false,
-                        -1};
+  PendingOrders_[Id] = {
+      Target.Id_, Name, TargetRun.Attempt_, Target.Fence_, Target.ClockMs_,
+      false,      -1};
   TargetRun.OrderInFlight_ = true;
   TargetRun.LastOrderAt_ = Now_;
   Effects_.push_back(SendStop{Id,
@@ -220,7 +220,9 @@
   const Run Gone = It->second;
   Target.Runs_.erase(It);
   updateUsedWorker(Target);
+  const Resources UsedBefore = Target.Used_;
   Target.Used_ = Target.Used_ - Gone.Need_;
+  recordFreed(Target, UsedBefore);
   subtractNeedSum(Target, Gone);
   PlacementNeeded_ = true;
   abortGangOf(Gone, "member ended or was lost");
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -168,6 +168,9 @@
   /// Until when room for all members of a gang stays reserved.
   Millis GangPlanUntil_ = 0;
   Millis GangBackoff_ = 0; ///< Doubles with each attempt that did not assemble.
+  /// Since when the step could have started elsewhere and waits for room in its
+  /// preferred place; empty if it does not wait for the place.
+  std::optional<Millis> PlaceWaitSince_;
 
   const StepSpec &spec() const { return *Spec_; }
   bool hasAdvice() const { return !Allowed_.empty() || !Refused_.empty(); }
@@ -315,6 +318,8 @@
   std::map<int, Resources> PreemptibleNeed_;
 
   bool hasLabel(const std::string &Label) const;
+  /// Names the rack among those of all services.
+  std::string place() const { return Service_ + "/" + Rack_; }
 };
 
 /// The progress of one machine through its upkeep.
@@ -346,6 +351,14 @@
          Need.Accelerators_ <= Free.Accelerators_;
 }
 
+/// Returns the resources that one task of the step takes on its worker.
+inline Resources workerNeed(const StepSpec &Spec) {
+  Resources Out = Spec.Need_;
+  if (Spec.Fill_)
+    Out.CpuMilli_ = 0;
+  return Out;
+}
+
 /// The parts of a task name, "job.occurrence.step.index".
 struct TaskName {
   std::string Job_;
--- a/test/cell/fake_fleet.h
+++ b/test/cell/fake_fleet.h
@@ -51,7 +51,7 @@
                            Each.Address_,
                            Each.Domain_,
                            {},
-                           "r1",
+                           Each.Rack_,
                            Each.Capacity_,
                            Each.Draining_,
                            Each.Incarnation_});
--- a/test/cell/fake_orders.h
+++ b/test/cell/fake_orders.h
@@ -99,13 +99,14 @@
         Receiver.Deadline_,
         std::min(Order.Deadline_, Receiver.clock(Core_.now()) + MaxLease));
     Checks_.checkStart(Receiver, Order);
-    Receiver.Runs_[Order.Task_] = createRun(Order);
+    Receiver.Runs_[Order.Task_] = createRun(Order, Receiver.Rack_);
     Checks_.recordStart(Order.Task_);
     Out.Result_ = OrderResult::Done;
     return Out;
   }
 
-  FakeWorker::ActiveRun createRun(const SendStart &Order) {
+  FakeWorker::ActiveRun createRun(const SendStart &Order,
+                                  const std::string &Rack) {
     const StepSpec &Spec = Checks_.specOf(Order.Task_);
     FakeWorker::ActiveRun Out{
         Order.Attempt_, Spec.Need_, Core_.drawBetween(50, 900),
@@ -114,6 +115,8 @@
     if (Core_.TaskBehaviour_)
       std::tie(Out.RemainingWork_, Out.Fails_) =
           Core_.TaskBehaviour_(Order.Task_);
+    if (!Spec.PreferredRack_.empty() && Rack != Spec.PreferredRack_)
+      Out.RemainingWork_ = Core_.workAway(Out.RemainingWork_);
     return Out;
   }
 
--- a/test/cell/fake_worker.h
+++ b/test/cell/fake_worker.h
@@ -33,6 +33,7 @@
   std::string Id_;
   std::string Address_;
   std::string Domain_ = "d1";
+  std::string Rack_ = "r1";
   Resources Capacity_{4000, 8000, 0, 0, 0};
   Millis Incarnation_ = 1000;
   Millis StartedAt_ = 0;
--- a/test/cell/simulation_core.h
+++ b/test/cell/simulation_core.h
@@ -39,6 +39,8 @@
   /// Run time and failure of a task; drawn at random if not set.
   std::function<std::pair<Millis, bool>(const std::string &Task)>
       TaskBehaviour_;
+  /// Factor by which a task takes longer away from its preferred rack.
+  double AwayFactor_ = 1;
   /// Tail latency that a task of a service reports.
   std::function<double(const std::string &Task)> ReportedTail_;
 };
@@ -80,6 +82,11 @@
     return std::uniform_int_distribution<Millis>(Low, High)(Random_);
   }
 
+  /// Returns how long work takes away from its place.
+  Millis workAway(Millis Work) const {
+    return static_cast<Millis>(AwayFactor_ * static_cast<double>(Work));
+  }
+
   void addViolation(const std::string &What) {
     Violations_.push_back(std::to_string(Now_) + " ms: " + What);
   }
