Let gangs for one rack span racks where waiting does not pay

A gang with same_rack waited for a single rack without limit, and for ever if no rack is large enough. With bounds.remote_factor set it spans the fewest racks that have room: at once if no rack could hold it when empty, otherwise when the expected wait for one rack, also by preemption or for tickets, is not shorter than the time lost. It is still one attempt with all members. Without the factor nothing changes.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -296,6 +296,7 @@
   GangOptions gangOptions(const StepRun &Step);
   bool planGang(StepRun &Step, const GangOptions &Racks, GangRoom Room);
   void collectGangRoom(StepRun &Step, const GangOptions &Racks);
+  bool startReadyGang(StepRun &Step, const GangOptions &Racks);
   bool keepsGangPlan(StepRun &Step, const GangOptions &Racks);
   bool reserveGang(StepRun &Step,
                    const std::vector<GangAssignment> &Assignments,
@@ -318,6 +319,15 @@
   void recordTaskPlace(const StepRun &Step, std::uint32_t Index,
                        const Worker &Target);
 
+  // engine_gang_racks.cc
+  bool needsOneRack(const StepRun &Step) const;
+  bool fitsInRack(StepRun &Step);
+  std::optional<Millis> expectedRackWait(const StepRun &Step,
+                                         const GangOptions &Racks) const;
+  bool maySpanRacks(StepRun &Step, const GangOptions &Racks);
+  void recordGangPlace(StepRun &Step,
+                       const std::vector<GangAssignment> &Assignments);
+
   // engine_reservations.cc
   void reserve(Worker &Target, StepRun &Step, std::uint32_t Copies,
                Millis Until);
--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -379,7 +379,7 @@
                                       bool WithVictims) const {
   double Out = 0;
   // The room of all workers says little about that in a single rack.
-  if (!Step.spec().SameRack_)
+  if (!needsOneRack(Step))
     for (const auto &[Number, Each] : Step.Allowed_)
       if (isUsable(*Each.Target_, Step))
         Out += maxCopiesOn(*Each.Target_, Step, WithVictims);
@@ -391,7 +391,7 @@
 /// Returns whether the workers that may run the gang could hold it several
 /// times when empty.
 bool Cell::Engine::hasEnoughCapacity(const StepRun &Step) const {
-  if (Step.spec().SameRack_)
+  if (needsOneRack(Step))
     return false;
   std::size_t Capacity = 0;
   for (const auto &[Number, Each] : Step.Allowed_)
@@ -486,6 +486,7 @@
     Step.AdviceNotBefore_ = Now_ + AdviceRetryDelay;
     return;
   }
+  Step.RackSizesUntil_ = 0; // Fewer workers may remain in some rack.
   for (const std::string &Id : Open.Workers_)
     if (Worker *Target = findWorker(Id)) {
       Step.Allowed_.erase(Target->Number_);
--- a/src/cell/engine_gang_plan.cc
+++ b/src/cell/engine_gang_plan.cc
@@ -59,6 +59,32 @@
   return Out;
 }
 
+/// Joins the fewest racks that together have room for a gang into one group, or
+/// all of them if that is not enough.
+std::map<std::string, std::vector<GangOption>>
+joinRacks(const std::map<std::string, std::vector<GangOption>> &Racks,
+          std::uint32_t Size, GangRoom Room) {
+  std::vector<std::pair<std::size_t, const std::vector<GangOption> *>> ByRoom;
+  for (const auto &[Rack, Options] : Racks) {
+    std::size_t Sum = 0;
+    for (const GangOption &Each : Options)
+      Sum += roomOn(Each, Room);
+    ByRoom.emplace_back(Sum, &Options);
+  }
+  std::stable_sort(
+      ByRoom.begin(), ByRoom.end(),
+      [](const auto &A, const auto &B) { return A.first > B.first; });
+  std::vector<GangOption> Joined;
+  std::size_t Found = 0;
+  for (const auto &[Sum, Options] : ByRoom) {
+    if (Found >= Size)
+      break;
+    Found += Sum;
+    Joined.insert(Joined.end(), Options->begin(), Options->end());
+  }
+  return {{"", std::move(Joined)}};
+}
+
 } // namespace
 
 /// Returns the workers that may run the gang, by rack if all members need to
@@ -102,15 +128,17 @@
   for (const Task &Each : Step.Tasks_)
     if (Now_ < Each.NotBefore_)
       return;
-  const GangOptions Racks = gangOptions(Step);
-  for (const auto &[Rack, Options] : Racks) {
-    const auto Assignments = assignGang(Options, Size, GangRoom::Ready);
-    if (!Assignments.empty()) {
-      startGang(Step, Assignments);
-      return;
-    }
-  }
-  if (keepsGangPlan(Step, Racks) || planGang(Step, Racks, GangRoom::Free))
+  GangOptions Racks = gangOptions(Step);
+  if (startReadyGang(Step, Racks))
+    return;
+  const bool Spans = maySpanRacks(Step, Racks);
+  if (Spans && startReadyGang(Step, joinRacks(Racks, Size, GangRoom::Ready)))
+    return;
+  if (keepsGangPlan(Step, Racks))
+    return;
+  if (Spans)
+    Racks = joinRacks(Racks, Size, GangRoom::Free);
+  if (planGang(Step, Racks, GangRoom::Free))
     return;
   // Where advice is quick, free room on further workers is found sooner than
   // runs stop.
@@ -123,6 +151,20 @@
     collectGangRoom(Step, Racks);
 }
 
+/// Starts the gang if one of the groups of workers has room and tickets for
+/// all members. Returns whether it did.
+bool Cell::Engine::startReadyGang(StepRun &Step, const GangOptions &Racks) {
+  const auto Size = static_cast<std::uint32_t>(Step.Tasks_.size());
+  for (const auto &[Rack, Options] : Racks) {
+    const auto Assignments = assignGang(Options, Size, GangRoom::Ready);
+    if (Assignments.empty())
+      continue;
+    startGang(Step, Assignments);
+    return true;
+  }
+  return false;
+}
+
 /// Returns whether room for all members is still reserved. Requests tickets
 /// again that a call did not bring.
 bool Cell::Engine::keepsGangPlan(StepRun &Step, const GangOptions &Racks) {
--- a/src/cell/engine_gangs.cc
+++ b/src/cell/engine_gangs.cc
@@ -38,6 +38,7 @@
                std::to_string(Step.Tasks_.size()) + " members on " +
                    std::to_string(Assignments.size()) + " workers",
                Now_ - Step.ReadySince_, Attempt});
+  recordGangPlace(Step, Assignments);
   std::uint32_t Index = 0;
   for (const GangAssignment &Each : Assignments)
     for (std::uint32_t Member = 0; Member < Each.Members_; ++Member)
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -171,6 +171,11 @@
   /// Since when the step could have started elsewhere and waits for room in its
   /// preferred place; empty if it does not wait for the place.
   std::optional<Millis> PlaceWaitSince_;
+  /// A gang for one rack may start on several.
+  bool MaySpanRacks_ = false;
+  /// Some rack could hold the gang when empty, as found before RackSizesUntil_.
+  bool FitsInRack_ = true;
+  Millis RackSizesUntil_ = 0;
 
   const StepSpec &spec() const { return *Spec_; }
   bool hasAdvice() const { return !Allowed_.empty() || !Refused_.empty(); }
--- a/test/cell/cell_fuzz_test.cc
+++ b/test/cell/cell_fuzz_test.cc
@@ -53,6 +53,22 @@
   };
 }
 
+/// Distributes the workers over two racks, away from which work takes longer.
+void divideIntoRacks(CellSimulation &Sim) {
+  for (std::size_t At = 0; At < Sim.workerCount(); At += 2)
+    Sim.worker(At).Rack_ = "r2";
+  Sim.Bounds_.RemoteFactor_ = 1.5;
+  Sim.AwayFactor_ = 1.5;
+}
+
+/// Lets tasks prefer a rack, and gangs a single one.
+void preferRack(JobSpec &Spec, const std::string &Rack) {
+  for (StepSpec &Each : Spec.Steps_) {
+    Each.PreferredRack_ = Rack;
+    Each.SameRack_ = Each.Gang_;
+  }
+}
+
 void injectFault(CellSimulation &Sim, std::mt19937_64 &Random) {
   const auto Pick = std::uniform_int_distribution<int>(0, 11)(Random);
   FakeWorker &Chosen = Sim.worker(std::uniform_int_distribution<std::size_t>(
@@ -108,6 +124,9 @@
     Sim.EndsPerList_ = FewEnds;
   if (Seed % 3 == 0)
     Sim.Bounds_.RowBytes_ = SmallRow;
+  const bool Racks = Seed % 4 == 1;
+  if (Racks)
+    divideIntoRacks(Sim);
   Sim.takeOver();
   Sim.run(300);
   std::vector<std::string> Ids;
@@ -116,7 +135,9 @@
     char Id[17];
     std::snprintf(Id, sizeof Id, "%016zx", Ids.size());
     if (Sim.hasOwner()) {
-      const JobSpec Spec = drawJob(Random, Sim.wall());
+      JobSpec Spec = drawJob(Random, Sim.wall());
+      if (Racks)
+        preferRack(Spec, Ids.size() % 2 == 0 ? "r1" : "r2");
       constexpr const char *Queues[] = {"fast", "slow", "advised"};
       Sim.submit(Id, Spec, Queues[Ids.size() % 3]);
       Ids.emplace_back(Id);
--- a/test/cell/cell_place_wait_test.cc
+++ b/test/cell/cell_place_wait_test.cc
@@ -1,5 +1,5 @@
-// Tasks that prefer a rack: whether they wait for it or start elsewhere, and
-// when they end.
+// Tasks that prefer a rack and gangs for one rack: whether they wait for it or
+// start elsewhere, and when they end.
 
 #include <gtest/gtest.h>
 
@@ -23,6 +23,13 @@
   return Out;
 }
 
+JobSpec rackGang(std::uint32_t Count, Millis Estimate) {
+  JobSpec Out = wholeWorkerJob(Count, Estimate);
+  Out.Steps_[0].Gang_ = true;
+  Out.Steps_[0].SameRack_ = true;
+  return Out;
+}
+
 JobSpec rackTask(Millis Estimate) {
   JobSpec Out = wholeWorkerJob(1, Estimate);
   Out.Steps_[0].PreferredRack_ = "r1";
@@ -46,17 +53,18 @@
     Sim_->run(300);
   }
 
-  void submit(const std::string &Id, const JobSpec &Spec) {
+  void submit(const std::string &Id, const JobSpec &Spec,
+              const std::string &Queue = "slow") {
     Durations_[Id] = Spec.Steps_[0].Estimate_;
-    Sim_->submit(Id, Spec);
+    Sim_->submit(Id, Spec, Queue);
   }
 
-  /// Keeps the first worker of each of the given racks busy for \p Span.
+  /// Keeps one worker in each of the given racks busy for \p Span.
   void block(const std::vector<std::string> &Racks, Millis Span) {
-    for (std::size_t At = 0; At < Racks.size(); ++At) {
+    for (const std::string &Rack : Racks) {
       JobSpec Spec = wholeWorkerJob(1, Span);
-      Spec.Steps_[0].PreferredRack_ = Racks[At];
-      submit(BlockerId + std::to_string(At), Spec);
+      Spec.Steps_[0].PreferredRack_ = Rack;
+      submit(BlockerId + std::to_string(Blockers_++), Spec);
       Sim_->run(50);
     }
   }
@@ -83,9 +91,103 @@
   }
 
   std::map<std::string, Millis> Durations_;
+  int Blockers_ = 0;
   std::unique_ptr<CellSimulation> Sim_;
 };
 
+// Guards against a gang that waits for ever because no rack can hold it.
+TEST_F(CellPlaceWait, GangLargerThanAnyRackStartsAtOnce) {
+  start(AwayFactor);
+  EXPECT_LE(serve(rackGang(5, 1000)), 1500 + MessageTime);
+  EXPECT_EQ(Sim_->aloneEnds(), 0U);
+  EXPECT_EQ(stats().PlaceWaitsGivenUp_, 1U);
+  EXPECT_EQ(stats().PlaceLossMs_, 500U);
+  EXPECT_LE(stats().PlaceWaitMs_, 10U);
+}
+
+TEST_F(CellPlaceWait, GangLargerThanAnyRackWaitsWithoutARemoteFactor) {
+  start(0);
+  submit(JobId, rackGang(5, 1000));
+  Sim_->run(5000);
+  EXPECT_EQ(Sim_->stateOf(JobId), JobState::Queued);
+  EXPECT_EQ(stats().PlaceWaitsGivenUp_, 0U);
+}
+
+// Guards against a gang that spans racks although one has room soon. With a
+// factor of 1 nothing is lost by that, so that it does not wait.
+TEST_F(CellPlaceWait, GangWaitsForARackThatHasRoomSoon) {
+  start(1);
+  block({"r1", "r2"}, 250);
+  const Millis Spanning = serve(rackGang(3, 1000));
+  start(AwayFactor);
+  block({"r1", "r2"}, 250);
+  const Millis Waiting = serve(rackGang(3, 1000));
+  EXPECT_GE(Spanning, 1500);
+  EXPECT_LT(Waiting, Spanning - 200);
+  EXPECT_EQ(stats().PlaceWaitsMet_, 1U);
+  EXPECT_EQ(stats().PlaceWaitsGivenUp_, 0U);
+  EXPECT_GT(stats().PlaceWaitMs_, 0U);
+}
+
+// Guards against a gang that is spread over more racks than it needs.
+TEST_F(CellPlaceWait, GangPrefersFewRacks) {
+  start(AwayFactor);
+  Sim_->worker(4).Rack_ = "r3";
+  Sim_->worker(5).Rack_ = "r4";
+  Sim_->run(300); // r1: 3 workers, r2 to r4: one each.
+  submit(JobId, rackGang(4, 1000));
+  Sim_->run(MessageTime);
+  ASSERT_EQ(Sim_->starts(), 4U);
+  for (std::size_t At = 0; At < 3; ++At)
+    EXPECT_EQ(Sim_->worker(At).Runs_.size(), 1U) << At;
+}
+
+// Guards against a gang that spans racks although preemption in one frees room
+// sooner.
+TEST_F(CellPlaceWait, GangPreemptsInOneRackIfThatIsSooner) {
+  start(3);
+  for (const std::string Rack : {"r1", "r2"}) {
+    JobSpec Spec = wholeWorkerJob(1, 9000);
+    Spec.Steps_[0].PreferredRack_ = Rack;
+    Spec.Steps_[0].Checkpointed_ = true;
+    submit(BlockerId + Rack, Spec);
+  }
+  Sim_->run(100);
+  submit(JobId, rackGang(3, 1000), "fast");
+  EXPECT_LE(timeToEnd(JobId), 1350 + MessageTime);
+  EXPECT_EQ(Sim_->Stops_["preempted"], 1);
+  EXPECT_EQ(stats().PlaceWaitsGivenUp_, 0U);
+  EXPECT_EQ(stats().PlaceWaitsMet_, 2U); // The preempted task waits too.
+}
+
+// Guards against a gang that waits for a single rack although its queue's
+// advice allows too few workers in any. Every second worker is allowed.
+TEST_F(CellPlaceWait, GangSpansRacksIfAdviceAllowsTooFewWorkersInEach) {
+  start(AwayFactor);
+  Sim_->limitAdvice({2, 0.3, TicketValidity}, 2);
+  Sim_->takeOver();
+  Sim_->run(300);
+  submit(JobId, rackGang(3, 1000), "advised");
+  EXPECT_LE(timeToEnd(JobId), 1500 + 2 * MessageTime);
+  EXPECT_EQ(stats().PlaceWaitsGivenUp_, 1U);
+  EXPECT_LE(stats().PlaceWaitMs_, 10U);
+}
+
+// Guards against a gang that waits without limit while half of each rack is
+// idle.
+TEST_F(CellPlaceWait, GangSpansRacksWhereBothAreBusyForLong) {
+  start(0);
+  block({"r1", "r2"}, 6000);
+  const Millis Waiting = serve(rackGang(3, 1000));
+  start(AwayFactor);
+  block({"r1", "r2"}, 6000);
+  const Millis Spanning = serve(rackGang(3, 1000));
+  // Half a second of waiting and a run of 1500 ms.
+  EXPECT_LE(Spanning, 2000 + MessageTime);
+  EXPECT_LT(Spanning + 3000, Waiting);
+  EXPECT_EQ(stats().PlaceWaitsGivenUp_, 1U);
+}
+
 // Guards against a task with data that goes elsewhere a few ms before its rack
 // has room.
 TEST_F(CellPlaceWait, TaskWaitsSomeMsForItsRack) {
@@ -110,6 +212,21 @@
   EXPECT_EQ(stats().PlaceLossMs_, 500U);
 }
 
+// Guards against waiting where the room that became free so far shows that it
+// does not pay: the tasks in the rack end 600 ms apart on average.
+TEST_F(CellPlaceWait, TaskStartsElsewhereAtOnceIfTheRackIsKnownToBeSlow) {
+  start(AwayFactor);
+  for (int Round = 0; Round < 2; ++Round) {
+    block({"r1", "r1", "r1"}, 1500);
+    Sim_->run(1800);
+  }
+  block({"r1", "r1", "r1"}, 9000);
+  const CellStats Before = stats();
+  EXPECT_LE(serve(rackTask(1000)), 1500 + MessageTime);
+  EXPECT_EQ(stats().PlaceWaitMs_, Before.PlaceWaitMs_);
+  EXPECT_EQ(stats().PlaceWaitsGivenUp_, Before.PlaceWaitsGivenUp_ + 1);
+}
+
 // Guards against a waiting step that keeps others from room elsewhere.
 TEST_F(CellPlaceWait, OtherStepsStartWhileOneWaitsForItsRack) {
   start(3);
--- a/test/cell/fake_runs.h
+++ b/test/cell/fake_runs.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGAUGE_TEST_CELL_FAKE_RUNS_H
 #define OLEANDERGAUGE_TEST_CELL_FAKE_RUNS_H
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <utility>
@@ -68,11 +69,24 @@
       updateGang(membersOf(Step, Attempt));
   }
 
+  /// Whether a gang for one rack runs on several.
+  bool isAway(const std::vector<Member> &Members) const {
+    return Checks_.specOf(Members.front().second).SameRack_ &&
+           std::any_of(Members.begin(), Members.end(), [&](const Member &Each) {
+             return Each.first->Rack_ != Members.front().first->Rack_;
+           });
+  }
+
   void updateGang(const std::vector<Member> &Members) {
     const auto &[First, FirstTask] = Members.front();
     if (Members.size() == Checks_.specOf(FirstTask).Count_) {
-      for (const auto &[Worker, Task] : Members)
-        Worker->Runs_[Task].Assembled_ = true;
+      const bool Away = isAway(Members);
+      for (const auto &[Worker, Task] : Members) {
+        FakeWorker::ActiveRun &Each = Worker->Runs_[Task];
+        if (Away && !Each.Assembled_)
+          Each.RemainingWork_ = Core_.workAway(Each.RemainingWork_);
+        Each.Assembled_ = true;
+      }
       return;
     }
     if (First->Runs_[FirstTask].Assembled_)
--- a/test/cell/simulation_core.h
+++ b/test/cell/simulation_core.h
@@ -39,7 +39,8 @@
   /// Run time and failure of a task; drawn at random if not set.
   std::function<std::pair<Millis, bool>(const std::string &Task)>
       TaskBehaviour_;
-  /// Factor by which a task takes longer away from its preferred rack.
+  /// Factor by which a task takes longer away from its preferred rack, and a
+  /// gang for one rack on several.
   double AwayFactor_ = 1;
   /// Tail latency that a task of a service reports.
   std::function<double(const std::string &Task)> ReportedTail_;
