--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -362,6 +362,10 @@
   Publish("oldest_unstored_end_ms", Stats.OldestUnstoredEnd_);
   Publish("steps_examined", Stats.StepsExamined_);
   Publish("workers_examined", Stats.WorkersExamined_);
+  Publish("place_waits_met", Stats.PlaceWaitsMet_);
+  Publish("place_waits_given_up", Stats.PlaceWaitsGivenUp_);
+  Publish("place_wait_ms", Stats.PlaceWaitMs_);
+  Publish("place_loss_ms", Stats.PlaceLossMs_);
 }
 
 void Owner::tick() {
