Hold no more tasks for a rack than it can hold

Without an expected wait all tasks of a wide step waited for their rack, also those that it could not hold when empty, while workers elsewhere were idle. These now start elsewhere at once. cell_place_wait_test has a step of five tasks for a full rack of three workers: three wait, two start.

--- a/src/cell/engine_place_wait.cc
+++ b/src/cell/engine_place_wait.cc
@@ -34,37 +34,40 @@
 /// Returns how many of the \p Left waiting tasks wait for the preferred rack,
 /// which has no room now while other workers have. Its room goes to one task
 /// after the other, those of more urgent steps first, so that the last ones
-/// wait longest.
+/// wait longest. If nothing is known of the wait, no more tasks wait than the
+/// rack can hold when empty.
 std::uint32_t Cell::Engine::tasksHeldForRack(StepRun &Step,
                                              const std::vector<Worker *> &Open,
                                              std::uint32_t Left) {
   const StepSpec &Spec = Step.spec();
   if (!isPlaceWaitOn() || Spec.PreferredRack_.empty() || Spec.Service_)
     return 0;
-  const auto InRack =
-      std::find_if(Open.begin(), Open.end(), [&](const Worker *Each) {
-        return Each->Rack_ == Spec.PreferredRack_ &&
-               copiesIn(Each->Capacity_, Step) > 0;
-      });
-  if (InRack == Open.end())
+  std::string Place;
+  std::uint32_t Capacity = 0;
+  for (const Worker *Each : Open)
+    if (Each->Rack_ == Spec.PreferredRack_) {
+      Place = Each->place();
+      Capacity += copiesIn(Each->Capacity_, Step);
+    }
+  std::uint32_t &Ahead = HeldForPlace_[Place];
+  if (Capacity <= Ahead)
     return 0;
   if (!Step.PlaceWaitSince_)
     Step.PlaceWaitSince_ = Now_;
-  const std::string Place = (*InRack)->place();
-  std::uint32_t &Ahead = HeldForPlace_[Place];
   const std::optional<Millis> Expected =
       FreedRoom_.expectedWait(Place, Now_, workerNeed(Spec), Ahead + 1);
   const PlaceWait First = describePlaceWait(Step, Expected);
   if (choosePlace(First) == PlaceChoice::GoElsewhere)
     return 0;
-  std::uint32_t Held = Left;
-  if (Expected) {
-    const Millis Each = std::max<Millis>(1, *Expected / (Ahead + 1));
-    const Millis Most = (lossElsewhere(First) - 1) / Each - Ahead;
-    Held = static_cast<std::uint32_t>(std::clamp<Millis>(Most, 1, Left));
-  }
-  Ahead += Held;
-  return Held;
+  Millis Held = Capacity - Ahead;
+  if (Expected)
+    Held = (lossElsewhere(First) - 1) /
+               std::max<Millis>(1, *Expected / (Ahead + 1)) -
+           Ahead;
+  const auto Out =
+      static_cast<std::uint32_t>(std::clamp<Millis>(Held, 1, Left));
+  Ahead += Out;
+  return Out;
 }
 
 /// Records how a wait for a place ended: in the place, or elsewhere.
--- a/test/cell/cell_place_wait_test.cc
+++ b/test/cell/cell_place_wait_test.cc
@@ -212,6 +212,18 @@
   EXPECT_EQ(stats().PlaceLossMs_, 500U);
 }
 
+// Guards against a wide step that leaves workers idle elsewhere while more of
+// its tasks wait than its rack can hold.
+TEST_F(CellPlaceWait, NoMoreTasksWaitThanTheRackCanHold) {
+  start(AwayFactor);
+  block({"r1", "r1", "r1"}, 9000);
+  JobSpec Spec = rackTask(2000);
+  Spec.Steps_[0].Count_ = 5;
+  submit(JobId, Spec);
+  Sim_->run(MessageTime);
+  EXPECT_EQ(Sim_->starts(), 3U + 2U);
+}
+
 // Guards against waiting where the room that became free so far shows that it
 // does not pay: the tasks in the rack end 600 ms apart on average.
 TEST_F(CellPlaceWait, TaskStartsElsewhereAtOnceIfTheRackIsKnownToBeSlow) {
