--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -252,7 +252,9 @@
   const Run Gone = It->second;
   Target.Runs_.erase(It);
   updateUsedWorker(Target);
+  const Resources UsedBefore = Target.Used_;
   Target.Used_ = Target.Used_ - Gone.Need_;
+  recordFreed(Target, UsedBefore);
   subtractNeedSum(Target, Gone);
   PlacementNeeded_ = true;
   abortGangOf(Gone, "member ended or was lost");
