Refuse submissions that cannot end while they are of value

Callers saw a burst at four times the usual rate accepted as a whole; the backlog kept the workers busy with jobs that were worth nothing at their end.

--- a/src/cell/admission.cc
+++ b/src/cell/admission.cc
@@ -176,6 +176,13 @@
   return 0;
 }
 
+std::size_t QueueLoad::pressedWindows() const {
+  const auto First =
+      std::find_if(Windows_.rbegin(), Windows_.rend(),
+                   [](const Window &Each) { return !Each.Pressed_; });
+  return static_cast<std::size_t>(First - Windows_.rbegin());
+}
+
 Work QueueLoad::startedIn(std::size_t Count) const {
   Work Out = 0;
   for (auto It = Windows_.rbegin(); It != Windows_.rend() && Count > 0;
--- a/src/cell/admission.h
+++ b/src/cell/admission.h
@@ -101,6 +101,8 @@
   /// Returns the number of latest windows that show the rate of starts, or zero
   /// if too few are pressed or contain too few starts.
   std::size_t windowsForRate() const;
+  /// Returns the number of latest windows that are pressed without a gap.
+  std::size_t pressedWindows() const;
   /// Returns the work started in the latest \p Count windows.
   Work startedIn(std::size_t Count) const;
   Millis lengthOf(std::size_t Count) const;
--- a/src/cell/cell.cc
+++ b/src/cell/cell.cc
@@ -167,6 +167,8 @@
   Engine_->StoreReachable_ = Reachable;
 }
 
+void Cell::setAdmission(bool Enabled) { Engine_->setAdmission(Enabled); }
+
 void Cell::tick(Millis Now, Millis Wall) {
   Engine_->Now_ = Now;
   Engine_->Wall_ = Wall;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -270,6 +270,10 @@
   std::uint64_t WorkersExamined_ = 0;
   /// Workers compared for the steps examined, since the takeover.
   std::uint64_t WorkersCompared_ = 0;
+  /// Submissions refused since the takeover: those that would not have ended
+  /// while they are of value, and those over the share of their team.
+  std::uint64_t RefusedHopeless_ = 0;
+  std::uint64_t RefusedOverShare_ = 0;
   friend bool operator==(const CellStats &, const CellStats &) = default;
 };
 
@@ -341,6 +345,10 @@
   /// Sets whether the store answers at present, however slowly. While it does
   /// not, submissions that no transaction contains are refused.
   void setStoreReachable(bool Reachable);
+  /// Sets whether submissions are refused that are not expected to end while
+  /// they are of value, and those over a team's share while on-time work waits
+  /// for capacity. They are unless this is called.
+  void setAdmission(bool Enabled);
   /// Advances the time. Timeouts and retries depend on frequent calls.
   void tick(Millis Now, Millis Wall);
 
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -190,6 +190,9 @@
   void commitRejected();
   void commitChanges();
 
+  // Admission (engine_admission.cc).
+  void setAdmission(bool Enabled) { AdmissionEnabled_ = Enabled; }
+
   /// Advances all state machines to the present time and emits the effects that
   /// are due.
   void advanceAll();
@@ -233,6 +236,24 @@
   Millis longestChain(const JobSpec &Spec, const Queue *JobQueue,
                       std::uint32_t From, bool WithAdvice) const;
 
+  Millis objectiveSpan(const JobSpec &Spec, const Queue *JobQueue) const;
+  double *teamTokens(const std::string &TeamName);
+
+  // engine_admission.cc
+  AdmissionDecision decideSubmission(const Resolution &Request,
+                                     const JobSpec &Spec, bool OverTeamShare);
+  bool refuseSubmission(Token Caller, const Resolution &Request,
+                        const AdmissionDecision &Decided);
+  void addLoadAhead(AdmissionInput &Input, const Queue &JobQueue,
+                    const QueueLoad &Own, Millis LatestStart) const;
+  Millis onTimeWaitWithoutCapacity(const Queue &JobQueue) const;
+  void countWaitingWork(StepRun &Step);
+  void recordStartLoad(const StepRun &Step);
+  void recordFirstStart(const Job &Started);
+  std::map<std::string_view, double> freeShares() const;
+  void observeLoads();
+  void forgetLoadWindows();
+
   // engine_workers.cc
   Worker *findWorker(const std::string &Id);
   void markDue(Worker &Target);
@@ -512,6 +533,14 @@
   /// Scheduled jobs by the time since 1970 at which their next occurrence is
   /// due.
   std::multimap<Millis, std::string> DueOccurrences_;
+  bool AdmissionEnabled_ = true;
+  std::unordered_map<std::string, QueueLoad> QueueLoads_; ///< By queue.
+  Millis LastLoadCheck_ = 0;
+  Millis LoadWindowStart_ = 0;
+  /// Submissions that were refused by their forecast, and since their team was
+  /// over its share.
+  std::uint64_t RefusedHopeless_ = 0;
+  std::uint64_t RefusedOverShare_ = 0;
   /// Number of stored jobs that have not started, by queue.
   std::unordered_map<std::string, std::uint64_t> WaitingJobs_;
 
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -134,6 +134,16 @@
   return From < Count ? Longest[From] : Whole;
 }
 
+/// Returns the time from the submission of a job, or from its due time, to its
+/// objective.
+Millis Cell::Engine::objectiveSpan(const JobSpec &Spec,
+                                   const Queue *JobQueue) const {
+  const double Slack = JobQueue == nullptr ? 1 : JobQueue->SlackFactor_;
+  const auto Out = static_cast<Millis>(
+      Slack * static_cast<double>(longestChain(Spec, JobQueue, ~0U, true)));
+  return JobQueue == nullptr ? Out : Out + JobQueue->Objective_;
+}
+
 Job &Cell::Engine::makeJob(const std::string &Id, const JobRecord &Record) {
   auto OwnedJob = std::make_unique<Job>();
   Job &NewJob = *OwnedJob;
@@ -144,12 +154,7 @@
   NewJob.Team_ = Record.Team_;
   NewJob.AcceptedWall_ = Record.AcceptedAt_;
   const Queue *JobQueue = queueOf(NewJob);
-  const double Slack = JobQueue == nullptr ? 1 : JobQueue->SlackFactor_;
-  NewJob.ObjectiveSpan_ = static_cast<Millis>(
-      Slack *
-      static_cast<double>(longestChain(Record.Spec_, JobQueue, ~0U, true)));
-  if (JobQueue != nullptr)
-    NewJob.ObjectiveSpan_ += JobQueue->Objective_;
+  NewJob.ObjectiveSpan_ = objectiveSpan(Record.Spec_, JobQueue);
   NewJob.Objective_ =
       Now_ - (Wall_ - Record.AcceptedAt_) + NewJob.ObjectiveSpan_;
   NewJob.StepOffsets_ = {0};
@@ -278,6 +283,23 @@
          encode(EndedBatch{{Id, Ended}}).size() <= maxRowBytes();
 }
 
+/// Returns the submissions that a team may make at present within its share, or
+/// null for an unknown team.
+double *Cell::Engine::teamTokens(const std::string &TeamName) {
+  const Team *JobTeam = State_ ? findTeam(*State_, TeamName) : nullptr;
+  if (JobTeam == nullptr)
+    return nullptr;
+  auto &[Tokens, At] = TeamTokens_[TeamName];
+  const double Burst = JobTeam->Weight_ * ShareBurstSeconds;
+  Tokens =
+      At == 0
+          ? Burst
+          : std::min(Burst, Tokens + JobTeam->Weight_ *
+                                         static_cast<double>(Now_ - At) / 1000);
+  At = Now_;
+  return &Tokens;
+}
+
 void Cell::Engine::submit(Token Caller, const Resolution &Request,
                           const JobSpec &Spec, Millis Timeout) {
   if (resubmit(Caller, Request, Timeout))
@@ -289,23 +311,19 @@
     Effects_.push_back(Reply{Caller, Answer::TooLarge});
     return;
   }
+  double *Tokens = teamTokens(Request.Team_);
+  const bool OverTeamShare = Tokens != nullptr && *Tokens < 1;
+  const AdmissionDecision Decided =
+      decideSubmission(Request, Spec, OverTeamShare);
+  if (refuseSubmission(Caller, Request, Decided))
+    return;
+  if (Tokens != nullptr && !OverTeamShare)
+    *Tokens -= 1;
   Job &NewJob = makeJob(Request.JobId_, Record);
   NewJob.Callers_.push_back(Caller);
+  NewJob.OverTeamShare_ = OverTeamShare;
+  NewJob.ForecastWait_ = Decided.ExpectedWait_;
   setAnswerTime(NewJob, Timeout);
-  const Team *JobTeam = State_ ? findTeam(*State_, NewJob.Team_) : nullptr;
-  if (JobTeam != nullptr) {
-    auto &[Tokens, At] = TeamTokens_[NewJob.Team_];
-    const double Burst = JobTeam->Weight_ * ShareBurstSeconds;
-    Tokens = At == 0
-                 ? Burst
-                 : std::min(Burst, Tokens + JobTeam->Weight_ *
-                                                static_cast<double>(Now_ - At) /
-                                                1000);
-    At = Now_;
-    NewJob.OverTeamShare_ = Tokens < 1;
-    if (!NewJob.OverTeamShare_)
-      Tokens -= 1;
-  }
   if (Spec.Occurrences_ == 0)
     openOccurrence(NewJob, 0);
   refreshReadySteps(NewJob);
@@ -385,6 +403,7 @@
   --Step.ActiveCount_;
   if (Step.Ready_)
     addWaiting(Step);
+  countWaitingWork(Step);
   PlacementNeeded_ = true;
 }
 
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -75,6 +75,7 @@
     TargetTask.Phase_ = Task::Phase::Active;
     TargetTask.AssignedWorker_ = &Target;
     ++Step.ActiveCount_;
+    countWaitingWork(Step);
     Step.Job_->Started_ = true;
     countJob(*Step.Job_);
   }
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -220,8 +220,10 @@
   TargetTask.Phase_ = Task::Phase::Active;
   TargetTask.AssignedWorker_ = &Target;
   ++Step.ActiveCount_;
+  recordStartLoad(Step);
+  countWaitingWork(Step);
   if (!Step.Job_->Started_)
-    recordDuration("job_wait", *Step.Job_);
+    recordFirstStart(*Step.Job_);
   Step.Job_->Started_ = true;
   countJob(*Step.Job_);
   Run NewRun;
@@ -391,18 +393,21 @@
   Step.Urgency_ = {urgencyClassOf(Step), priorityOf(Step), Step.LatestStart_,
                    Step.Name_};
   WaitingSteps_.emplace(Step.Urgency_, &Step);
+  countWaitingWork(Step);
 }
 
 void Cell::Engine::removeWaiting(StepRun &Step) {
   if (Step.InWaiting_)
     WaitingSteps_.erase(Step.Urgency_);
   Step.InWaiting_ = false;
+  countWaitingWork(Step);
 }
 
 /// Sorts the waiting steps again after their priorities have changed.
 void Cell::Engine::reorderWaiting() {
   for (const auto &[Place, Step] : std::exchange(WaitingSteps_, {})) {
     Step->InWaiting_ = false;
+    countWaitingWork(*Step);
     addWaiting(*Step);
   }
 }
@@ -425,6 +430,7 @@
     }
     It = WaitingSteps_.erase(It);
     Step.InWaiting_ = false;
+    countWaitingWork(Step);
     if (Step.waiting() == 0)
       continue;
     addWaiting(Step);
@@ -484,6 +490,7 @@
   PassStartedAt_ = Now_;
   PassEnded_ = false;
   collectUsableWorkers();
+  observeLoads();
   reportUsage();
   const std::vector<StepRun *> First = takeWaiting(nullptr);
   const std::size_t Waiting = WaitingSteps_.size();
--- a/src/cell/engine_reports.cc
+++ b/src/cell/engine_reports.cc
@@ -134,6 +134,8 @@
   Out.StepsExamined_ = StepsExamined_;
   Out.WorkersExamined_ = WorkersExamined_;
   Out.WorkersCompared_ = WorkersCompared_;
+  Out.RefusedHopeless_ = RefusedHopeless_;
+  Out.RefusedOverShare_ = RefusedOverShare_;
   Out.UsedShare_ =
       All == 0 ? 0 : static_cast<double>(Used) / static_cast<double>(All);
   return Out;
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "cell/admission.h"
 #include "cell/cell.h"
 #include "cell/progress_rows.h"
 
@@ -152,6 +153,8 @@
   /// The step is in the set of waiting steps, at Urgency_.
   bool InWaiting_ = false;
   Urgency Urgency_;
+  /// Waiting work of the step that the load of its queue contains.
+  Work CountedWork_ = 0;
   /// Workers that may run the step and workers that may not, by
   /// Worker::Number_. Nothing is known of the others.
   std::unordered_map<std::uint32_t, Permission> Allowed_;
@@ -228,6 +231,8 @@
   bool Inherited_ = false; ///< A former owner accepted the job.
   /// Submitted while the team exceeded its share.
   bool OverTeamShare_ = false;
+  /// Wait until the first start, as forecast at the submission.
+  std::optional<Millis> ForecastWait_;
   std::optional<EndState> EndState_;
   Millis EndedAt_ = 0; ///< When EndState_ was set.
   /// Ordered by occurrence and step, from FirstOccurrence_ on.
--- a/test/cell/simulation_core.h
+++ b/test/cell/simulation_core.h
@@ -27,6 +27,7 @@
 struct SimulationSettings {
   Faults Faults_;
   Bounds Bounds_;                 ///< As the next owner is told.
+  bool Admission_ = true;         ///< Admission control of the next owner.
   Millis CommitTime_ = 8;         ///< Duration of a transaction.
   std::size_t EndsPerList_ = 500; ///< Ends in one answer of a worker.
   /// The owner's process is suspended: time passes, but it handles nothing.
@@ -96,6 +97,7 @@
     OwnerSince_ = Now_;
     Cell_ =
         std::make_unique<Cell>("h" + std::to_string(Epoch_), Epoch_, Bounds_);
+    Cell_->setAdmission(Admission_);
   }
   void destroyOwner() {
     Cell_.reset();
