Show refusals by forecast, and let operators switch them off

Operators had no way to tell why a submission was refused by the load, nor to go back to accepting everything.

No run on a whole system was made.

--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -339,8 +339,10 @@
 }
 
 int EntryHost::run() {
-  Log_.logEvent("started", {{"version", OLEANDERGAUGE_VERSION},
-                            {"callers", Settings_.CallerAddress_}});
+  Log_.logEvent("started",
+                {{"version", OLEANDERGAUGE_VERSION},
+                 {"callers", Settings_.CallerAddress_},
+                 {"admission", Settings_.Admission_ ? "on" : "off"}});
   if (!CallerServer_.listen(Settings_.CallerAddress_) ||
       !ReadinessServer_.listen(Settings_.ReadyAddress_) ||
       !PeerListener_.listen(Settings_.Ip_, Settings_.PeerPort_) ||
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -85,6 +85,7 @@
   }
   Cell_ = std::make_unique<cell::Cell>(Row.Host_, Row.Epoch_,
                                        Context.Settings_.Bounds_);
+  Cell_->setAdmission(Context.Settings_.Admission_);
 }
 
 Owner::~Owner() { *Alive_ = false; }
@@ -362,6 +363,8 @@
   Publish("oldest_unstored_end_ms", Stats.OldestUnstoredEnd_);
   Publish("steps_examined", Stats.StepsExamined_);
   Publish("workers_examined", Stats.WorkersExamined_);
+  Publish("refused_hopeless", Stats.RefusedHopeless_);
+  Publish("refused_over_share", Stats.RefusedOverShare_);
 }
 
 void Owner::tick() {
