Keep an entry host free of long calls where few are left

With two entry hosts a short call waited for up to 730 ms behind a long one, since four fifths of few hosts, rounded up, are all of them. Long calls now leave one host free unless there is only one.

cell_advice_test with 2, 3, 4, 6 and 9 hosts: short calls were made 460 and 730 ms late with 2 hosts before the change, within 50 ms with all now.

--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -65,6 +65,13 @@
       std::ceil(Share * static_cast<double>(Count)));
 }
 
+/// Returns the number of entry hosts that may process long calls: all but one
+/// at most, unless there is only one.
+std::size_t longHostsOf(std::size_t Count) {
+  const std::size_t Share = shareOf(LongHostShare, Count);
+  return Count > 1 ? std::min(Share, Count - 1) : Share;
+}
+
 /// Returns the number of workers that a call may name. The calls for a gang
 /// run side by side, so that each takes at most twice its base cost.
 std::size_t maxWorkersInCall(const AdviceCost &Rates) {
@@ -103,7 +110,7 @@
 AdviceHost *Cell::Engine::chooseAdviceHost(double Cost,
                                            const std::string &Queue) {
   const bool Long = Cost > LongCallMs;
-  const std::size_t LongHosts = shareOf(LongHostShare, AdviceHosts_.size());
+  const std::size_t LongHosts = longHostsOf(AdviceHosts_.size());
   if (Long && LongCalls_[Queue] >= shareOf(MaxQueueShare, LongHosts))
     return nullptr;
   AdviceHost *Best = nullptr;
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -193,7 +193,10 @@
   void applyEffect(const SendStop &Each) { Orders_.send(Each); }
   void applyEffect(const SendPace &Each) { Orders_.sendPace(Each); }
   void applyEffect(const SendRenewal &Each) { Renewals_.send(Each); }
-  void applyEffect(const AskAdvice &Each) { Advice_.ask(Each); }
+  void applyEffect(const AskAdvice &Each) {
+    AskedAt_.emplace(Each.Step_, now());
+    Advice_.ask(Each);
+  }
   void applyEffect(const Commit &Each) { Store_.begin(Each); }
   void applyEffect(const ListMachines &) { Machines_.list(); }
   void applyEffect(const OrderUpkeep &Each) { Machines_.order(Each); }
--- a/test/cell/fake_desired_state.h
+++ b/test/cell/fake_desired_state.h
@@ -11,8 +11,8 @@
 /// Time in milliseconds for which a ticket of the advised queue is valid.
 constexpr Millis TicketValidity = 1500;
 
-/// The desired state of a simulated cell: a fast, a slow and an advised queue,
-/// and one team. Changes apply to the next owner.
+/// The desired state of a simulated cell: a fast, a slow, an advised queue and
+/// one with quick advice, and one team. Changes apply to the next owner.
 class FakeDesiredState {
 public:
   FakeDesiredState() {
@@ -24,7 +24,10 @@
                   "svc",     1,   2,
                   2,         500, AdviceCost{2, 0.3, TicketValidity},
                   false};
-    State->Queues_ = {Fast, Slow, Advised};
+    Queue Quick = Advised;
+    Quick.Name_ = "quick";
+    Quick.Prefix_ = "/u/";
+    State->Queues_ = {Fast, Slow, Advised, Quick};
     State->Teams_ = {{"team", {"key"}, 100, {9000, 0, 0, 0, 0}}};
     State_ = State;
   }
@@ -49,7 +52,9 @@
   /// Sets the cost of advice for the advised queue.
   void setAdviceCost(const AdviceCost &Cost) {
     auto State = std::make_shared<DesiredState>(*State_);
-    State->Queues_.back().Advice_ = Cost;
+    for (auto &Each : State->Queues_)
+      if (Each.Name_ == "advised")
+        Each.Advice_ = Cost;
     State_ = State;
   }
 
--- a/test/cell/simulation_core.h
+++ b/test/cell/simulation_core.h
@@ -53,7 +53,8 @@
   std::set<std::string> NotStorable_;
   std::vector<Millis> RetryTimes_; ///< As told with refusals.
   std::map<std::string, Millis> CancelledAt_;
-  std::vector<std::size_t> CommitSizes_; ///< Rows written by transactions.
+  std::map<std::string, Millis> AskedAt_; ///< First call for advice, by step.
+  std::vector<std::size_t> CommitSizes_;  ///< Rows written by transactions.
   /// The latest report by wave; true if complete.
   std::map<std::uint64_t, bool> WaveStates_;
   std::map<std::string, int> Paces_; ///< The latest pace order by task.
