Make no calls for worthless steps while others wait for calls

Each part of a placement pass selects workers for 16 steps. When the first part had used its selections on on-time steps, the second one called for steps that are worth nothing, while further on-time steps waited. A pass now remembers that a step of some value lacked a call, and makes none for worthless steps.

cell_advice_test: with 200 on-time and 60 worthless steps the first worthless one was asked about 90 ms before the last on-time one; now after it.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -529,6 +529,8 @@
   std::int64_t CollectedCpu_ = 0;
   /// Selections of workers to ask about, in the present part of a pass.
   std::size_t AdviceSelections_ = 0;
+  /// A step of some value could not make a call in the present pass.
+  bool CallsLackHosts_ = false;
   Millis NextJobAdvance_ = 0;
   /// Scheduled jobs by the time since 1970 at which their next occurrence is
   /// due.
--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -250,9 +250,15 @@
     return false;
   if (!Step.Job_->Stored_ && (Step.hasAdvice() || !Step.AdviceCalls_.empty()))
     return false;
+  const bool Worthless = Step.Urgency_.Class_ == Urgency::Class::Worthless;
+  if (Worthless && CallsLackHosts_)
+    return false;
   // The answer to a pending call triggers another pass.
-  return AdviceSelections_ < MaxAdviceSelections &&
-         chooseAdviceHost(JobQueue->Advice_->Base_, JobQueue->Name_) != nullptr;
+  const bool Possible =
+      AdviceSelections_ < MaxAdviceSelections &&
+      chooseAdviceHost(JobQueue->Advice_->Base_, JobQueue->Name_) != nullptr;
+  CallsLackHosts_ = CallsLackHosts_ || (!Worthless && !Possible);
+  return Possible;
 }
 
 /// Requests advice for single tasks if their queue needs it and no call is
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -489,6 +489,7 @@
     return;
   PassStartedAt_ = Now_;
   PassEnded_ = false;
+  CallsLackHosts_ = false;
   collectUsableWorkers();
   observeLoads();
   reportUsage();
