--- a/test/cell/cell_admission_test.cc
+++ b/test/cell/cell_admission_test.cc
@@ -129,6 +129,16 @@
   EXPECT_EQ(Empty.refused(), 0U);
 }
 
+// Guards against refusals of work within the share because of the backlog of
+// work over it, which is behind all other work.
+TEST(CellAdmission, CountsNoWorkOverTheShare) {
+  AdmissionWorld World(true);
+  const int InTime = World.run(4000, 500, simpleJob(1, 100));
+  EXPECT_GE(InTime, 590); // Of 600 within the share.
+  EXPECT_GT(World.stats().WaitingSteps_, 200U);
+  EXPECT_EQ(World.stats().RefusedHopeless_, 0U);
+}
+
 // Guards against refusals on the figures from an outage of the store, and by a
 // new owner, which has no figures. A job that a former owner stored stays
 // accepted.
