--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -65,6 +65,13 @@
       std::ceil(Share * static_cast<double>(Count)));
 }
 
+/// Returns the number of entry hosts that may process long calls: all but one
+/// at most, unless there is only one.
+std::size_t longHostsOf(std::size_t Count) {
+  const std::size_t Share = shareOf(LongHostShare, Count);
+  return Count > 1 ? std::min(Share, Count - 1) : Share;
+}
+
 /// Returns the number of workers that a call may name. The calls for a gang
 /// run side by side, so that each takes at most twice its base cost.
 std::size_t maxWorkersInCall(const AdviceCost &Rates) {
@@ -103,7 +110,7 @@
 AdviceHost *Cell::Engine::chooseAdviceHost(double Cost,
                                            const std::string &Queue) {
   const bool Long = Cost > LongCallMs;
-  const std::size_t LongHosts = shareOf(LongHostShare, AdviceHosts_.size());
+  const std::size_t LongHosts = longHostsOf(AdviceHosts_.size());
   if (Long && LongCalls_[Queue] >= shareOf(MaxQueueShare, LongHosts))
     return nullptr;
   AdviceHost *Best = nullptr;
@@ -254,9 +261,15 @@
     return false;
   if (!Step.Job_->Stored_ && (Step.hasAdvice() || !Step.AdviceCalls_.empty()))
     return false;
+  const bool Worthless = Step.Urgency_.Class_ == Urgency::Class::Worthless;
+  if (Worthless && CallsLackHosts_)
+    return false;
   // The answer to a pending call triggers another pass.
-  return AdviceSelections_ < MaxAdviceSelections &&
-         chooseAdviceHost(JobQueue->Advice_->Base_, JobQueue->Name_) != nullptr;
+  const bool Possible =
+      AdviceSelections_ < MaxAdviceSelections &&
+      chooseAdviceHost(JobQueue->Advice_->Base_, JobQueue->Name_) != nullptr;
+  CallsLackHosts_ = CallsLackHosts_ || (!Worthless && !Possible);
+  return Possible;
 }
 
 /// Requests advice for single tasks if their queue needs it and no call is
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -78,6 +78,7 @@
     TargetTask.Phase_ = Task::Phase::Active;
     TargetTask.AssignedWorker_ = &Target;
     ++Step.ActiveCount_;
+    countWaitingWork(Step);
   }
   markStarted(*Step.Job_);
   addRun(Target, Entry.Task_, std::move(NewRun));
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -220,6 +220,8 @@
   TargetTask.Phase_ = Task::Phase::Active;
   TargetTask.AssignedWorker_ = &Target;
   ++Step.ActiveCount_;
+  recordStartLoad(Step);
+  countWaitingWork(Step);
   Run NewRun;
   NewRun.Step_ = &Step;
   NewRun.Index_ = Index;
@@ -397,18 +399,21 @@
   Step.Urgency_ = {urgencyClassOf(Step), priorityOf(Step), Step.LatestStart_,
                    Step.Name_};
   WaitingSteps_.emplace(Step.Urgency_, &Step);
+  countWaitingWork(Step);
 }
 
 void Cell::Engine::removeWaiting(StepRun &Step) {
   if (Step.InWaiting_)
     WaitingSteps_.erase(Step.Urgency_);
   Step.InWaiting_ = false;
+  countWaitingWork(Step);
 }
 
 /// Sorts the waiting steps again after their priorities have changed.
 void Cell::Engine::reorderWaiting() {
   for (const auto &[Place, Step] : std::exchange(WaitingSteps_, {})) {
     Step->InWaiting_ = false;
+    countWaitingWork(*Step);
     addWaiting(*Step);
   }
 }
@@ -431,6 +436,7 @@
     }
     It = WaitingSteps_.erase(It);
     Step.InWaiting_ = false;
+    countWaitingWork(Step);
     if (Step.waiting() == 0)
       continue;
     addWaiting(Step);
@@ -490,7 +496,9 @@
     return;
   PassStartedAt_ = Now_;
   PassEnded_ = false;
+  CallsLackHosts_ = false;
   collectUsableWorkers();
+  observeLoads();
   reportUsage();
   const std::vector<StepRun *> First = takeWaiting(nullptr);
   const std::size_t Waiting = WaitingSteps_.size();
--- a/src/cell/engine_reports.cc
+++ b/src/cell/engine_reports.cc
@@ -138,6 +138,8 @@
   Out.PlaceWaitsGivenUp_ = PlaceWaits_.GivenUp_;
   Out.PlaceWaitMs_ = PlaceWaits_.WaitedMs_;
   Out.PlaceLossMs_ = PlaceWaits_.LostMs_;
+  Out.RefusedHopeless_ = RefusedHopeless_;
+  Out.RefusedOverShare_ = RefusedOverShare_;
   Out.UsedShare_ =
       All == 0 ? 0 : static_cast<double>(Used) / static_cast<double>(All);
   return Out;
--- a/src/node/host.cc
+++ b/src/node/host.cc
@@ -345,8 +345,10 @@
 }
 
 int EntryHost::run() {
-  Log_.logEvent("started", {{"version", OLEANDERGAUGE_VERSION},
-                            {"callers", Settings_.CallerAddress_}});
+  Log_.logEvent("started",
+                {{"version", OLEANDERGAUGE_VERSION},
+                 {"callers", Settings_.CallerAddress_},
+                 {"admission", Settings_.Admission_ ? "on" : "off"}});
   reportIgnoredSetting(Settings_.Warning_);
   if (!CallerServer_.listen(Settings_.CallerAddress_) ||
       !ReadinessServer_.listen(Settings_.ReadyAddress_) ||
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -88,6 +88,7 @@
   }
   Cell_ = std::make_unique<cell::Cell>(Row.Host_, Row.Epoch_,
                                        Context.Settings_.Bounds_);
+  Cell_->setAdmission(Context.Settings_.Admission_);
 }
 
 Owner::~Owner() { *Alive_ = false; }
@@ -369,6 +370,8 @@
   Publish("place_waits_given_up", Stats.PlaceWaitsGivenUp_);
   Publish("place_wait_ms", Stats.PlaceWaitMs_);
   Publish("place_loss_ms", Stats.PlaceLossMs_);
+  Publish("refused_hopeless", Stats.RefusedHopeless_);
+  Publish("refused_over_share", Stats.RefusedOverShare_);
 }
 
 void Owner::tick() {
--- a/test/cell/simulation_core.h
+++ b/test/cell/simulation_core.h
@@ -27,6 +27,7 @@
 struct SimulationSettings {
   Faults Faults_;
   Bounds Bounds_;                 ///< As the next owner is told.
+  bool Admission_ = true;         ///< Admission control of the next owner.
   Millis CommitTime_ = 8;         ///< Duration of a transaction.
   Millis ListInterval_ = 200;     ///< Time between two reads of the workers.
   std::size_t EndsPerList_ = 500; ///< Ends in one answer of a worker.
@@ -56,7 +57,8 @@
   std::set<std::string> NotStorable_;
   std::vector<Millis> RetryTimes_; ///< As told with refusals.
   std::map<std::string, Millis> CancelledAt_;
-  std::vector<std::size_t> CommitSizes_; ///< Rows written by transactions.
+  std::map<std::string, Millis> AskedAt_; ///< First call for advice, by step.
+  std::vector<std::size_t> CommitSizes_;  ///< Rows written by transactions.
   /// The latest report by wave; true if complete.
   std::map<std::uint64_t, bool> WaveStates_;
   std::map<std::string, int> Paces_; ///< The latest pace order by task.
@@ -105,6 +107,7 @@
     OwnerSince_ = Now_;
     Cell_ =
         std::make_unique<Cell>("h" + std::to_string(Epoch_), Epoch_, Bounds_);
+    Cell_->setAdmission(Admission_);
   }
   void destroyOwner() {
     Cell_.reset();
