--- a/src/cell/cell.cc
+++ b/src/cell/cell.cc
@@ -133,6 +133,10 @@
   Engine_->advanceAll();
 }
 
+bool Cell::awaitsRenewal(const SendRenewal &Renewal) const {
+  return Engine_->awaitsRenewal(Renewal);
+}
+
 void Cell::handle(Millis Now, const AdviceOutcome &Outcome) {
   Engine_->Now_ = Now;
   Engine_->handle(Outcome);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -335,6 +335,9 @@
 
   void handle(Millis Now, const OrderOutcome &Outcome);
   void handle(Millis Now, const RenewalOutcome &Outcome);
+  /// Returns whether the outcome of the renewal still counts. A worker may
+  /// reject one that was sent before it restarted, in favour of a later one.
+  bool awaitsRenewal(const SendRenewal &Renewal) const;
   void handle(Millis Now, const AdviceOutcome &Outcome);
   void handle(Millis Now, const UpkeepOutcome &Outcome);
   /// Reports that the transaction in flight is stored.
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -185,6 +185,7 @@
   void setWorkers(const std::vector<WorkerEntry> &Entries, bool Fresh);
   void handle(const OrderOutcome &Outcome);
   void handle(const RenewalOutcome &Outcome);
+  bool awaitsRenewal(const SendRenewal &Renewal);
   void advanceWorkers();
 
   // Upkeep of machines (engine_upkeep.cc).
@@ -288,8 +289,7 @@
   /// Removes a run that is over without an end that counts. Its task waits for
   /// another run.
   void loseRun(Worker &Target, const std::string &Name, std::string_view Why);
-  bool isPresentIncarnation(const Worker &Target, const PendingOrder &Order,
-                            Millis ClockMs) const;
+  bool isPresentIncarnation(const PendingOrder &Order, Millis ClockMs) const;
   bool mayRunInLaterIncarnation(const Worker &Target,
                                 const Run &TargetRun) const;
   void changeIncarnation(Worker &Target, Millis Incarnation);
@@ -544,6 +544,9 @@
   std::map<std::string, std::pair<double, Millis>> TeamTokens_;
 
   std::unordered_map<std::string, std::unique_ptr<Worker>> Workers_;
+  /// Restarts by worker id. Kept when a worker is forgotten, since it may come
+  /// back with the fence that it has accepted.
+  std::unordered_map<std::string, std::uint32_t> RestartCounts_;
   /// The earliest DueAt_ of all workers.
   Millis NextWorkerDue_ = 0;
   std::uint32_t KnownWorkers_ = 0; ///< Number of workers known so far.
--- a/src/cell/engine_admission.cc
+++ b/src/cell/engine_admission.cc
@@ -73,9 +73,9 @@
 /// Records how long a job that now starts has waited, and how far its forecast
 /// was off.
 void Cell::Engine::recordFirstStart(const Job &Started) {
+  if (Started.Inherited_ || Started.Spec_->Occurrences_ > 0)
+    return; // An inherited job may have started under a former owner.
   recordDuration("job_wait", Started);
-  if (Started.Spec_->Occurrences_ > 0)
-    return;
   const Millis Wait = Wall_ - Started.AcceptedWall_;
   QueueLoads_[Started.Queue_].recordWait(Wait);
   if (Started.ForecastWait_)
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -450,6 +450,7 @@
                                  const EndEntry &End, Worker *Sender) {
   Task &TargetTask = Step.Tasks_[Index];
   Job &TargetJob = *Step.Job_;
+  markStarted(TargetJob);
   if (!End.Checkpoint_.empty())
     for (Task &Each : Step.Tasks_)
       if (&Each == &TargetTask || Step.spec().Gang_)
@@ -469,7 +470,6 @@
       ++Step.DoneCount_;
       markDirty(Step, Index, Index + 1);
     }
-    TargetJob.Started_ = true;
     countJob(TargetJob);
     refreshReadySteps(TargetJob);
     endJobIfComplete(TargetJob);
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -13,14 +13,19 @@
 constexpr Millis RenewalInterval = 25;
 /// Time until the next renewal while reported ends wait to be stored.
 constexpr Millis RenewalIntervalWhileStoring = 250;
+/// Difference between the wall clocks of a worker and of this host.
+constexpr Millis MaxClockSkew = 1000;
 
 } // namespace
 
 /// Processes the run list in a worker's answer to a lease renewal.
 void Cell::Engine::processList(Worker &Sender, const WorkerList &List) {
   if (List.Incarnation_ != 0 && Sender.Incarnation_ != 0 &&
-      List.Incarnation_ < Sender.Incarnation_)
-    return; // The answer comes from an earlier incarnation.
+      List.Incarnation_ < Sender.Incarnation_) {
+    // The answer comes from an earlier incarnation.
+    Sender.NextRenewal_ = Now_ + RenewalInterval;
+    return;
+  }
   if (List.Incarnation_ > Sender.Incarnation_ && Sender.Incarnation_ != 0) {
     changeIncarnation(Sender, List.Incarnation_);
     return; // The next renewal raises the fence at the new incarnation.
@@ -42,10 +47,11 @@
   for (const RunningEntry &Entry : List.Running_)
     processRunning(Sender, Entry, List.ClockMs_);
   Sender.EndsHidden_ = !List.AllEnds_;
+  Sender.ListsEnds_ = !List.Ended_.empty();
   loseUnlistedRuns(Sender, List);
   adjustFillerPaces(Sender);
   if (!Sender.FenceAccepted_) {
-    if (Wall_ - Sender.Incarnation_ < longestLease(Limits_))
+    if (Wall_ - Sender.Incarnation_ < longestLease(Limits_) + MaxClockSkew)
       assumeLongestLease(Sender);
     Sender.FenceAccepted_ = true;
     PlacementNeeded_ = true;
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -42,6 +42,9 @@
 /// Fences are numbered by epoch times this factor plus the number of restarts
 /// of the worker that this owner has seen.
 constexpr std::uint64_t FencesPerEpoch = 1000;
+/// Longest time from the sending of a renewal or an order until it is carried
+/// out, unless it is delayed by MaxOrderDelay.
+constexpr Millis MaxCallTime = 2000;
 /// Error of a comparison of a worker's clock with the owner's.
 constexpr Millis ClockTolerance = 50;
 
@@ -110,7 +113,10 @@
       Slot->Id_ = Entry.Id_;
       Slot->Number_ = ++KnownWorkers_;
       Slot->Incarnation_ = Entry.Incarnation_;
-      Slot->Fence_ = Epoch_ * FencesPerEpoch;
+      const auto Restarts = RestartCounts_.find(Entry.Id_);
+      if (Restarts != RestartCounts_.end())
+        Slot->RestartCount_ = Restarts->second;
+      Slot->Fence_ = Epoch_ * FencesPerEpoch + Slot->RestartCount_;
       Effects_.push_back(Decision{"worker_found", Entry.Id_, Entry.Domain_, 0});
     }
     Worker &Target = *Slot;
@@ -148,7 +154,7 @@
   Out.Worker_ = addressOf(Target);
   // The worker may have restarted since it last answered. The new incarnation
   // counts its ends anew, and would forget some that no owner has read.
-  if (Target.Reachable_ && Target.FenceAccepted_)
+  if (Target.Reachable_ && Target.FenceAccepted_ && Target.ListsEnds_)
     Out.AcknowledgedEnd_ = Target.LastStoredEnd_;
   // An unanswered renewal may still extend the lease. Renewals of an
   // unreachable worker therefore soon stop requesting one, so that the lease
@@ -291,11 +297,10 @@
 /// Returns whether the answer to an order can come from the incarnation that
 /// the order was meant for. Its clock never goes back and runs at most as fast
 /// as the owner's.
-bool Cell::Engine::isPresentIncarnation(const Worker &Target,
-                                        const PendingOrder &Order,
+bool Cell::Engine::isPresentIncarnation(const PendingOrder &Order,
                                         Millis ClockMs) const {
-  if (ClockMs == 0 || Order.Worker_.Fence_ != Target.Fence_)
-    return true;
+  if (ClockMs == 0 || Order.ListRequestedAt_ == 0)
+    return true; // Nothing to compare with.
   const Millis Latest = Order.ClockMs_ + (Now_ - Order.ListRequestedAt_);
   return ClockMs >= Order.ClockMs_ && ClockMs <= Latest + ClockTolerance;
 }
@@ -315,9 +320,11 @@
 void Cell::Engine::keepForNextList(Worker &Target, Run &TargetRun) {
   TargetRun.OrderInFlight_ = false;
   TargetRun.ConfirmedClock_ = 0;
-  TargetRun.ConfirmedPace_ = -1;
+  if (TargetRun.Step_ != nullptr && TargetRun.Step_->spec().Fill_)
+    TargetRun.ConfirmedPace_ = -1; // An order may have reached either.
   TargetRun.PaceOrder_ = 0;
   TargetRun.Percent_ = -1;
+  // Only a running run is lost if a complete list does not contain it.
   if (TargetRun.Phase_ == Run::Phase::Ordered)
     setPhase(Target, TargetRun, Run::Phase::Running);
   // If the list contains a run that was being stopped, it is stopped again.
@@ -346,7 +353,7 @@
 /// under way.
 void Cell::Engine::changeIncarnation(Worker &Target, Millis Incarnation) {
   Target.Incarnation_ = Incarnation;
-  ++Target.RestartCount_;
+  RestartCounts_[Target.Id_] = ++Target.RestartCount_;
   Target.Fence_ = Epoch_ * FencesPerEpoch + Target.RestartCount_;
   Target.EndsHidden_ = false;
   Target.LastSeenEnd_ = 0;
@@ -398,11 +405,11 @@
 /// that a later incarnation may have is kept for the longest lease, and one
 /// with an unanswered order until no copy of the order can arrive any more.
 void Cell::Engine::expireLease(Worker &Target) {
-  const Millis LatestRenewal = Target.LeaseEnd_ - LeaseTime - LeaseClockSlack;
+  const Millis LatestDeadline = Target.LeaseEnd_ - LeaseTime - LeaseClockSlack;
   std::vector<std::string> Lost;
   for (const auto &[Name, Each] : Target.Runs_) {
     if (mayRunInLaterIncarnation(Target, Each) &&
-        Now_ <= LatestRenewal + longestLease(Limits_))
+        Now_ <= LatestDeadline + MaxCallTime + longestLease(Limits_))
       continue;
     if (Each.OpenStarts_ == 0 || Now_ > Each.LastStartAt_ + MaxOrderDelay)
       Lost.push_back(Name);
@@ -455,7 +462,7 @@
       Found != Target->Runs_.end() && Found->second.Attempt_ == Order.Attempt_;
   if (Known)
     applyOrderOutcome(*Target, Order, Found->second, Outcome);
-  if (!isPresentIncarnation(*Target, Order, Outcome.ClockMs_) &&
+  if (!isPresentIncarnation(Order, Outcome.ClockMs_) &&
       Target->FenceAccepted_) {
     Effects_.push_back(
         Decision{"worker_restart_suspected", Target->Id_,
@@ -485,7 +492,8 @@
     Target.GangsNotBefore_ = Now_ + GangAvoidanceTime;
     return;
   }
-  --TargetRun.OpenStarts_;
+  if (TargetRun.OpenStarts_ > 0) // A list may have shown the run before.
+    --TargetRun.OpenStarts_;
   if (Outcome.Result_ == OrderResult::Done) {
     TargetRun.StartAnsweredAt_ = Now_;
     TargetRun.ConfirmedClock_ =
@@ -521,6 +529,11 @@
       std::max(TargetRun.ConfirmedClock_, Outcome.ClockMs_);
 }
 
+bool Cell::Engine::awaitsRenewal(const SendRenewal &Renewal) {
+  const Worker *Target = findWorker(Renewal.Worker_.Id_);
+  return Target != nullptr && Target->Renewal_ == Renewal.Token_;
+}
+
 void Cell::Engine::handle(const RenewalOutcome &Outcome) {
   Worker *Target = findWorker(Outcome.Worker_.Id_);
   // Only the latest renewal counts: an earlier one may have gone to a former
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -290,6 +290,7 @@
   std::uint64_t Fence_ = 0;
   /// The present incarnation has answered a request with this owner's fence.
   bool FenceAccepted_ = false;
+  bool ListsEnds_ = false; ///< The latest list contains ends.
   /// The latest list did not name all ends that are not acknowledged.
   bool EndsHidden_ = false;
   bool Reachable_ = false;
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -507,6 +507,7 @@
             const cell::RenewalOutcome Outcome =
                 platform::decodeRenewalAnswer(Effect, Reply);
             if (Outcome.Result_ == cell::OrderResult::Fenced &&
+                Cell_->awaitsRenewal(Effect) &&
                 ++FencedRenewals_ >= MaxFencedRenewals) {
               stepDown("workers obey a later owner");
               return;
--- a/test/cell/cell_place_wait_test.cc
+++ b/test/cell/cell_place_wait_test.cc
@@ -165,6 +165,7 @@
 TEST_F(CellPlaceWait, GangSpansRacksIfAdviceAllowsTooFewWorkersInEach) {
   start(AwayFactor);
   Sim_->limitAdvice({2, 0.3, TicketValidity}, 2);
+  Sim_->killOwner();
   Sim_->takeOver();
   Sim_->run(300);
   submit(JobId, rackGang(3, 1000), "advised");
--- a/test/cell/restarted_worker_test.cc
+++ b/test/cell/restarted_worker_test.cc
@@ -182,5 +182,26 @@
   EXPECT_EQ(Sim_.stateOf(JobId), JobState::Queued);
 }
 
+// Guards against a worker that rejects every order of its owner: it has
+// restarted once, is forgotten after a long absence, and comes back with the
+// fence that it accepted before.
+TEST_F(RestartedWorker, AForgottenWorkerComesBackWithItsFence) {
+  constexpr Millis Absence = 40000;
+  Work_ = 100;
+  Sim_.restartWorker(0);
+  Sim_.run(1000);
+  Sim_.worker(0).Disconnected_ = true;
+  Sim_.setListed("w0", false);
+  Sim_.run(Absence);
+  Sim_.worker(0).Disconnected_ = false;
+  Sim_.worker(1).Disconnected_ = true;
+  Sim_.setListed("w0", true);
+  Sim_.run(1000);
+  Sim_.submit(JobId, simpleJob(1, 1000), "fast");
+  Sim_.run(8000);
+  EXPECT_EQ(Sim_.stateOf(JobId), JobState::Complete);
+  expectNoViolation(0);
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
