Let the clock of an answer tell the incarnation once a worker is out of reach

Its clock continues that of the lists; only an answer with another clock, and an unanswered start, keep the run for longer.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -290,6 +290,7 @@
   /// another run.
   void loseRun(Worker &Target, const std::string &Name, std::string_view Why);
   bool isPresentIncarnation(const PendingOrder &Order, Millis ClockMs) const;
+  bool continuesClock(const Worker &Target, Millis ClockMs) const;
   bool mayRunInLaterIncarnation(const Worker &Target,
                                 const Run &TargetRun) const;
   void changeIncarnation(Worker &Target, Millis Incarnation);
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -45,6 +45,9 @@
 /// Longest time from the sending of a renewal or an order until it is carried
 /// out, unless it is delayed by MaxOrderDelay.
 constexpr Millis MaxCallTime = 2000;
+/// Longest time between an order's arrival at a worker and its outcome, and the
+/// delay of a slow clock since the latest list.
+constexpr Millis MaxAnswerDelay = 200;
 /// Error of a comparison of a worker's clock with the owner's.
 constexpr Millis ClockTolerance = 50;
 
@@ -305,6 +308,14 @@
   return ClockMs >= Order.ClockMs_ && ClockMs <= Latest + ClockTolerance;
 }
 
+/// Returns whether the clock in an answer that has just arrived is the one that
+/// the worker's latest list lets expect.
+bool Cell::Engine::continuesClock(const Worker &Target, Millis ClockMs) const {
+  const Millis Expected = workerClock(Target);
+  return Target.ClockAt_ != 0 && ClockMs <= Expected + ClockTolerance &&
+         ClockMs >= Expected - MaxAnswerDelay;
+}
+
 /// Returns whether a later incarnation of the worker than the present one may
 /// have the run. A restarted worker carries out orders that were meant for its
 /// former incarnation, and answers do not tell which one gave them. Only a list
@@ -320,6 +331,7 @@
 void Cell::Engine::keepForNextList(Worker &Target, Run &TargetRun) {
   TargetRun.OrderInFlight_ = false;
   TargetRun.ConfirmedClock_ = 0;
+  TargetRun.StartClockMatches_ = false;
   if (TargetRun.Step_ != nullptr && TargetRun.Step_->spec().Fill_)
     TargetRun.ConfirmedPace_ = -1; // An order may have reached either.
   TargetRun.PaceOrder_ = 0;
@@ -403,12 +415,14 @@
 
 /// Drops the runs of an unreachable worker once their leases have ended. A run
 /// that a later incarnation may have is kept for the longest lease, and one
-/// with an unanswered order until no copy of the order can arrive any more.
+/// with an unanswered order until no copy of the order can arrive any more. The
+/// clock in an answer suffices here, since nothing else speaks for a restart.
 void Cell::Engine::expireLease(Worker &Target) {
   const Millis LatestDeadline = Target.LeaseEnd_ - LeaseTime - LeaseClockSlack;
   std::vector<std::string> Lost;
   for (const auto &[Name, Each] : Target.Runs_) {
-    if (mayRunInLaterIncarnation(Target, Each) &&
+    const bool Certain = Each.OpenStarts_ == 0 && Each.StartClockMatches_;
+    if (!Certain && mayRunInLaterIncarnation(Target, Each) &&
         Now_ <= LatestDeadline + MaxCallTime + longestLease(Limits_))
       continue;
     if (Each.OpenStarts_ == 0 || Now_ > Each.LastStartAt_ + MaxOrderDelay)
@@ -496,6 +510,7 @@
     --TargetRun.OpenStarts_;
   if (Outcome.Result_ == OrderResult::Done) {
     TargetRun.StartAnsweredAt_ = Now_;
+    TargetRun.StartClockMatches_ = continuesClock(Target, Outcome.ClockMs_);
     TargetRun.ConfirmedClock_ =
         std::max(TargetRun.ConfirmedClock_, Outcome.ClockMs_);
     confirmStart(Target, TargetRun);
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -37,6 +37,9 @@
   /// Time of the latest answer that confirmed a start. It does not tell which
   /// incarnation of the worker gave it.
   Millis StartAnsweredAt_ = 0;
+  /// The clock in that answer continues the one in the worker's lists, so that
+  /// another incarnation is very unlikely to have given it.
+  bool StartClockMatches_ = false;
   bool OrderInFlight_ = false;
   int Priority_ = 0;
   std::string Checkpoint_;
