Refer to workers by number, so that no reference outlives a worker

A task kept the pointer to its worker when it was done, and forgetUnlistedWorkers() destroys workers without runs.

Tasks, permissions and reservations refer to a worker by its number; Engine::workerAt() finds it, or null. Numbers are not used again. The list of usable workers, which holds pointers, is emptied at the end of a pass.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -235,6 +235,7 @@
 
   // engine_workers.cc
   Worker *findWorker(const std::string &Id);
+  Worker *workerAt(WorkerNumber Number) const;
   void markDue(Worker &Target);
   Millis examineWorker(Worker &Target);
   Millis advanceRun(Worker &Target, const std::string &Name, Run &TargetRun);
@@ -473,7 +474,10 @@
   std::unordered_map<std::string, std::unique_ptr<Worker>> Workers_;
   /// The earliest DueAt_ of all workers.
   Millis NextWorkerDue_ = 0;
-  std::uint32_t KnownWorkers_ = 0; ///< Number of workers known so far.
+  /// Workers by number, from NoWorker on; null for those that were forgotten.
+  /// Numbers are not used again, so that the table grows by a pointer with each
+  /// worker that is found.
+  std::vector<Worker *> WorkersByNumber_ = {nullptr};
   /// Workers that may still run tasks of a former owner.
   std::set<std::string> UnconfirmedWorkers_;
   /// When all leases of a former owner have certainly ended.
--- a/src/cell/engine_advice.cc
+++ b/src/cell/engine_advice.cc
@@ -380,9 +380,11 @@
   double Out = 0;
   // The room of all workers says little about that in a single rack.
   if (!Step.spec().SameRack_)
-    for (const auto &[Number, Each] : Step.Allowed_)
-      if (isUsable(*Each.Target_, Step))
-        Out += maxCopiesOn(*Each.Target_, Step, WithVictims);
+    for (const auto &[Number, Each] : Step.Allowed_) {
+      const Worker *Target = workerAt(Number);
+      if (Target != nullptr && isUsable(*Target, Step))
+        Out += maxCopiesOn(*Target, Step, WithVictims);
+    }
   for (const Token Id : Step.AdviceCalls_)
     Out += PendingAdvice_.at(Id).ExpectedRoom_;
   return Out;
@@ -394,9 +396,11 @@
   if (Step.spec().SameRack_)
     return false;
   std::size_t Capacity = 0;
-  for (const auto &[Number, Each] : Step.Allowed_)
-    if (isUsable(*Each.Target_, Step))
-      Capacity += copiesIn(Each.Target_->Capacity_, Step);
+  for (const auto &[Number, Each] : Step.Allowed_) {
+    const Worker *Target = workerAt(Number);
+    if (Target != nullptr && isUsable(*Target, Step))
+      Capacity += copiesIn(Target->Capacity_, Step);
+  }
   return Capacity >= EnoughCapacityFactor * Step.Tasks_.size();
 }
 
@@ -494,7 +498,7 @@
   for (const auto &[Id, Ticket] : Outcome.Tickets_)
     if (Worker *Target = findWorker(Id)) {
       Step.Refused_.erase(Target->Number_);
-      Step.Allowed_[Target->Number_] = {Target, Ticket, Now_ + Outcome.Valid_};
+      Step.Allowed_[Target->Number_] = {Ticket, Now_ + Outcome.Valid_};
     }
   // The tickets of a gang expire while it pauses, so that it asks on at once.
   if (!Step.spec().Gang_)
--- a/src/cell/engine_gang_plan.cc
+++ b/src/cell/engine_gang_plan.cc
@@ -79,7 +79,8 @@
   if (JobQueue->Advice_) {
     ComparedInPart_ += Step.Allowed_.size();
     for (const auto &[Number, Each] : Step.Allowed_)
-      Add(*Each.Target_, Now_ < Each.ValidUntil_);
+      if (Worker *Target = workerAt(Number))
+        Add(*Target, Now_ < Each.ValidUntil_);
     return Out;
   }
   ComparedInPart_ += UsableWorkers_.size();
--- a/src/cell/engine_gangs.cc
+++ b/src/cell/engine_gangs.cc
@@ -133,7 +133,7 @@
   Effects_.push_back(Decision{"gang_called_off", Step.Name_, std::string(Why),
                               Now_ - Gang.StartedAt_, Gang.Attempt_});
   for (std::uint32_t Index = 0; Index < Step.Tasks_.size(); ++Index) {
-    Worker *Target = Step.Tasks_[Index].AssignedWorker_;
+    Worker *Target = workerAt(Step.Tasks_[Index].AssignedWorker_);
     if (Target == nullptr)
       continue;
     const std::string Name = taskName(Step, Index);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -381,7 +381,7 @@
   if (TargetTask.Phase_ != Task::Phase::Active)
     return;
   TargetTask.Phase_ = Task::Phase::Waiting;
-  TargetTask.AssignedWorker_ = nullptr;
+  TargetTask.AssignedWorker_ = NoWorker;
   --Step.ActiveCount_;
   if (Step.Ready_)
     addWaiting(Step);
@@ -405,7 +405,7 @@
 void Cell::Engine::stopOtherRuns(StepRun &Step, std::uint32_t Index,
                                  std::uint64_t Attempt) {
   for (std::uint32_t At = 0; At < Step.Tasks_.size(); ++At) {
-    Worker *Target = Step.Tasks_[At].AssignedWorker_;
+    Worker *Target = workerAt(Step.Tasks_[At].AssignedWorker_);
     if (Target == nullptr || (At != Index && !Step.spec().Gang_))
       continue;
     const std::string Name = taskName(Step, At);
@@ -446,7 +446,7 @@
     endJobIfComplete(TargetJob);
     return;
   }
-  if (TargetTask.AssignedWorker_ == Sender)
+  if (Sender != nullptr && TargetTask.AssignedWorker_ == Sender->Number_)
     requeueTask(Step, Index);
   if (End.Kind_ != EndKind::Failed || IsService)
     return;
@@ -491,7 +491,7 @@
   EndingJobs_.push_back(&Ended);
   for (const auto &Step : Ended.Steps_) {
     for (std::uint32_t Index = 0; Index < Step->Tasks_.size(); ++Index) {
-      Worker *Target = Step->Tasks_[Index].AssignedWorker_;
+      Worker *Target = workerAt(Step->Tasks_[Index].AssignedWorker_);
       if (Target == nullptr || State == EndState::Complete)
         continue;
       const std::string Name = taskName(*Step, Index);
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -73,7 +73,7 @@
   Task &TargetTask = Step.Tasks_[Index];
   if (TargetTask.Phase_ == Task::Phase::Waiting) {
     TargetTask.Phase_ = Task::Phase::Active;
-    TargetTask.AssignedWorker_ = &Target;
+    TargetTask.AssignedWorker_ = Target.Number_;
     ++Step.ActiveCount_;
     Step.Job_->Started_ = true;
     countJob(*Step.Job_);
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -144,9 +144,11 @@
     return Out;
   }
   ComparedInPart_ += Step.Allowed_.size();
-  for (const auto &[Number, Each] : Step.Allowed_)
-    if (Now_ < Each.ValidUntil_ && isUsable(*Each.Target_, Step))
-      Out.push_back(Each.Target_);
+  for (const auto &[Number, Each] : Step.Allowed_) {
+    Worker *Target = workerAt(Number);
+    if (Target != nullptr && Now_ < Each.ValidUntil_ && isUsable(*Target, Step))
+      Out.push_back(Target);
+  }
   return Out;
 }
 
@@ -218,7 +220,7 @@
                              std::uint64_t Attempt) {
   Task &TargetTask = Step.Tasks_[Index];
   TargetTask.Phase_ = Task::Phase::Active;
-  TargetTask.AssignedWorker_ = &Target;
+  TargetTask.AssignedWorker_ = Target.Number_;
   ++Step.ActiveCount_;
   if (!Step.Job_->Started_)
     recordDuration("job_wait", *Step.Job_);
@@ -493,6 +495,8 @@
   PlacementNeeded_ = false;
   if (ExaminationsLeft_ > 0 && Examined > 0)
     examineFurther(First[Examined - 1]->Urgency_);
+  // The pointers are valid within the pass only.
+  UsableWorkers_.clear();
 }
 
 /// Examines further steps, from the end of the previous pass on, which is
--- a/src/cell/engine_reports.cc
+++ b/src/cell/engine_reports.cc
@@ -48,13 +48,14 @@
   Out.KnownWorkers_ = Step.Allowed_.size() + Step.Refused_.size();
   Out.PendingCalls_ = Step.AdviceCalls_.size();
   for (const auto &[Number, Each] : Step.Allowed_) {
-    if (!isUsable(*Each.Target_, Step))
+    const Worker *Target = workerAt(Number);
+    if (Target == nullptr || !isUsable(*Target, Step))
       continue;
     ++Out.AllowedWorkers_;
-    Out.Reserved_ += reservedCopies(*Each.Target_, Step);
-    const std::uint32_t Free = maxCopiesOn(*Each.Target_, Step, false);
+    Out.Reserved_ += reservedCopies(*Target, Step);
+    const std::uint32_t Free = maxCopiesOn(*Target, Step, false);
     Out.Room_ += Free;
-    Out.RoomWithVictims_ += maxCopiesOn(*Each.Target_, Step, true);
+    Out.RoomWithVictims_ += maxCopiesOn(*Target, Step, true);
     if (Now_ >= Each.ValidUntil_)
       continue;
     ++Out.Tickets_;
--- a/src/cell/engine_reservations.cc
+++ b/src/cell/engine_reservations.cc
@@ -24,8 +24,9 @@
   });
   Target.Reservations_.push_back({&Step, Copies, Until});
   auto &Workers = Step.ReservedOn_;
-  if (std::find(Workers.begin(), Workers.end(), &Target) == Workers.end())
-    Workers.push_back(&Target);
+  if (std::find(Workers.begin(), Workers.end(), Target.Number_) ==
+      Workers.end())
+    Workers.push_back(Target.Number_);
 }
 
 /// Takes one task that starts now out of the reservation for its step.
@@ -37,9 +38,11 @@
 
 /// Removes all reservations for the step.
 void Cell::Engine::releaseReservations(StepRun &Step) {
-  for (Worker *Target : std::exchange(Step.ReservedOn_, {}))
-    std::erase_if(Target->Reservations_,
-                  [&](const Reservation &Each) { return Each.Step_ == &Step; });
+  for (const WorkerNumber Number : std::exchange(Step.ReservedOn_, {}))
+    if (Worker *Target = workerAt(Number))
+      std::erase_if(Target->Reservations_, [&](const Reservation &Each) {
+        return Each.Step_ == &Step;
+      });
   Step.GangPlanUntil_ = 0;
 }
 
@@ -47,7 +50,7 @@
 void Cell::Engine::dropReservationsOn(Worker &Gone) {
   for (const auto &[Id, Each] : Jobs_)
     for (const auto &Step : Each->Steps_)
-      std::erase(Step->ReservedOn_, &Gone);
+      std::erase(Step->ReservedOn_, Gone.Number_);
 }
 
 /// Returns the number of tasks of the step for which room on the worker is
--- a/src/cell/engine_upkeep.cc
+++ b/src/cell/engine_upkeep.cc
@@ -122,12 +122,12 @@
 /// lists it at 100 percent.
 bool Cell::Engine::isServing(const StepRun &Step, std::uint32_t Index) const {
   const Task &TargetTask = Step.Tasks_[Index];
-  if (TargetTask.Phase_ != Task::Phase::Active ||
-      TargetTask.AssignedWorker_ == nullptr)
+  const Worker *Target = workerAt(TargetTask.AssignedWorker_);
+  if (TargetTask.Phase_ != Task::Phase::Active || Target == nullptr)
     return false;
-  const auto It = TargetTask.AssignedWorker_->Runs_.find(taskName(Step, Index));
-  return It != TargetTask.AssignedWorker_->Runs_.end() &&
-         It->second.Percent_ >= 100 && It->second.Phase_ == Run::Phase::Running;
+  const auto It = Target->Runs_.find(taskName(Step, Index));
+  return It != Target->Runs_.end() && It->second.Percent_ >= 100 &&
+         It->second.Phase_ == Run::Phase::Running;
 }
 
 /// Returns whether the scheduler may stop one more task of a service within its
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -50,6 +50,11 @@
   return It == Workers_.end() ? nullptr : It->second.get();
 }
 
+/// Returns the worker of that number; null if there is none any more.
+Worker *Cell::Engine::workerAt(WorkerNumber Number) const {
+  return WorkersByNumber_[Number];
+}
+
 /// Returns the estimated present time on the worker's clock.
 Millis Cell::Engine::workerClock(const Worker &Target) const {
   return Target.ClockMs_ + (Now_ - Target.ClockAt_);
@@ -88,7 +93,8 @@
     if (!Slot) {
       Slot = std::make_unique<Worker>();
       Slot->Id_ = Entry.Id_;
-      Slot->Number_ = ++KnownWorkers_;
+      Slot->Number_ = static_cast<WorkerNumber>(WorkersByNumber_.size());
+      WorkersByNumber_.push_back(Slot.get());
       Slot->Incarnation_ = Entry.Incarnation_;
       Slot->Fence_ = Epoch_ * FencesPerEpoch;
       Effects_.push_back(Decision{"worker_found", Entry.Id_, Entry.Domain_, 0});
@@ -248,7 +254,7 @@
                               Now_ - Gone.OrderedAt_, Gone.Attempt_});
   if (Gone.Step_ != nullptr) {
     Task &TargetTask = Gone.Step_->Tasks_[Gone.Index_];
-    if (TargetTask.AssignedWorker_ == &Target)
+    if (TargetTask.AssignedWorker_ == Target.Number_)
       requeueTask(*Gone.Step_, Gone.Index_);
   }
   dropRun(Target, Name);
@@ -514,9 +520,11 @@
 /// Removes workers that are no longer listed and run nothing.
 void Cell::Engine::forgetUnlistedWorkers(const std::vector<std::string> &Ids) {
   for (const std::string &Id : Ids) {
-    dropAdviceOn(*Workers_[Id]);
-    dropReservationsOn(*Workers_[Id]);
-    Workers_.erase(Id);
+    const auto It = Workers_.find(Id);
+    dropAdviceOn(*It->second);
+    dropReservationsOn(*It->second);
+    WorkersByNumber_[It->second->Number_] = nullptr;
+    Workers_.erase(It);
     Effects_.push_back(Decision{"worker_forgotten", Id, "unlisted", 0});
   }
 }
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -13,7 +13,12 @@
 
 struct Job;
 struct StepRun;
-struct Worker;
+
+/// Identifies a worker for as long as the owner lives; zero is none. References
+/// that outlive a call are numbers, because the owner forgets workers that have
+/// left. Engine::workerAt() returns the worker, or null once it is forgotten.
+using WorkerNumber = std::uint32_t;
+constexpr WorkerNumber NoWorker = 0;
 
 /// One attempt to run a task on a worker, from the start order until its end is
 /// listed or it can no longer run there.
@@ -50,16 +55,17 @@
 struct Task {
   enum class Phase { Waiting, Active, Done };
   Phase Phase_ = Phase::Waiting;
-  Worker *AssignedWorker_ = nullptr; ///< Set while the task is active.
-  std::uint32_t Starts_ = 0;         ///< Runs started by this owner.
+  /// Set while the task is active, and kept when it is done.
+  WorkerNumber AssignedWorker_ = NoWorker;
+  std::uint32_t Starts_ = 0; ///< Runs started by this owner.
   std::set<std::uint64_t> FailedAttempts_;
   std::string Checkpoint_;
   Millis NotBefore_ = 0; ///< Earliest time of the next start.
 };
 
-/// A worker that may run a step. This never changes; only the ticket expires.
+/// The permission to run a step on a worker. It never changes; only the ticket
+/// expires.
 struct Permission {
-  Worker *Target_ = nullptr;
   std::string Ticket_;
   Millis ValidUntil_ = 0;
 };
@@ -154,8 +160,8 @@
   Urgency Urgency_;
   /// Workers that may run the step and workers that may not, by
   /// Worker::Number_. Nothing is known of the others.
-  std::unordered_map<std::uint32_t, Permission> Allowed_;
-  std::unordered_set<std::uint32_t> Refused_;
+  std::unordered_map<WorkerNumber, Permission> Allowed_;
+  std::unordered_set<WorkerNumber> Refused_;
   std::vector<Token> AdviceCalls_; ///< Calls for advice without an answer.
   std::unordered_set<std::string> AskedWorkers_; ///< Named by these calls.
   Millis AdviceNotBefore_ = 0;    ///< Earliest time of the next call.
@@ -163,15 +169,15 @@
   /// Doubles while there is no worker worth asking about.
   Millis NoRoomBackoff_ = 0;
   std::uint32_t GangStarts_ = 0;
-  GangAttempt Gang_;                 ///< The latest attempt of a gang.
-  std::vector<Worker *> ReservedOn_; ///< Workers with a reservation for it.
+  GangAttempt Gang_;                     ///< The latest attempt of a gang.
+  std::vector<WorkerNumber> ReservedOn_; ///< Workers with a reservation for it.
   /// Until when room for all members of a gang stays reserved.
   Millis GangPlanUntil_ = 0;
   Millis GangBackoff_ = 0; ///< Doubles with each attempt that did not assemble.
 
   const StepSpec &spec() const { return *Spec_; }
   bool hasAdvice() const { return !Allowed_.empty() || !Refused_.empty(); }
-  bool hasAdviceOn(std::uint32_t Worker) const {
+  bool hasAdviceOn(WorkerNumber Worker) const {
     return Allowed_.count(Worker) != 0 || Refused_.count(Worker) != 0;
   }
   bool isDone() const { return DoneCount_ == Tasks_.size(); }
@@ -255,7 +261,7 @@
 struct Worker {
   std::string Id_;
   /// Distinguishes the workers that this owner has known.
-  std::uint32_t Number_ = 0;
+  WorkerNumber Number_ = NoWorker;
   std::string Service_;
   std::string Address_;
   std::string Domain_;
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -114,6 +114,11 @@
     return Machines_.machine(At);
   }
 
+  /// Ends a worker with its runs and removes its entry.
+  void removeWorker(std::size_t At) { Machines_.shutDown(At); }
+  /// Starts a removed worker again under its id.
+  void returnWorker(std::size_t At) { Machines_.startUp(At); }
+
   /// Advances the virtual time by \p Span.
   void run(Millis Span) {
     for (const Millis End = now() + Span; now() < End;) {
--- a/test/cell/fake_machines.h
+++ b/test/cell/fake_machines.h
@@ -68,6 +68,23 @@
     Core_.WaveStates_[Each.Wave_] = Each.Complete_;
   }
 
+  /// Ends the worker of a machine with its runs and removes its entry.
+  void shutDown(std::size_t At) {
+    FakeWorker &Target = Fleet_.workers()[At];
+    for (const auto &[Name, Run] : Target.Runs_)
+      Checks_.recordLostRun(Name);
+    Target.Runs_.clear();
+    Target.Disconnected_ = true;
+    Fleet_.setListed(Target.Id_, false);
+  }
+  /// Starts the worker of a machine again under its id.
+  void startUp(std::size_t At) {
+    FakeWorker &Back = Fleet_.workers()[At];
+    Fleet_.setListed(Back.Id_, true);
+    Back.restart(Core_.now());
+    Back.Disconnected_ = false;
+  }
+
 private:
   /// Duration in milliseconds of a machine's upkeep.
   static constexpr Millis UpkeepTime = 2000;
@@ -89,24 +106,13 @@
       Core_.addViolation("too many machines down for upkeep");
     Target.State_ = MachineState::Upkeep;
     ++Target.Upkeeps_;
-    shutDown(Fleet_.workers()[At]);
+    shutDown(At);
     Core_.schedule(UpkeepTime, [this, At] { endUpkeep(At); });
     return UpkeepResult::Done;
   }
 
-  void shutDown(FakeWorker &Target) {
-    for (const auto &[Name, Run] : Target.Runs_)
-      Checks_.recordLostRun(Name);
-    Target.Runs_.clear();
-    Target.Disconnected_ = true;
-    Fleet_.setListed(Target.Id_, false);
-  }
-
   void endUpkeep(std::size_t At) {
-    FakeWorker &Back = Fleet_.workers()[At];
-    Fleet_.setListed(Back.Id_, true);
-    Back.restart(Core_.now());
-    Back.Disconnected_ = false;
+    startUp(At);
     Machines_[At].State_ = MachineState::Up;
   }
 
