Store what a job needs from its queue with the job

The row of a job has the terms of its queue as of its acceptance, in a new optional field. They apply where an owner does not know the queue; the objective is computed from them by each owner.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -211,6 +211,9 @@
 private:
   // engine_jobs.cc
   Job &makeJob(const std::string &Id, const JobRecord &Record);
+  std::shared_ptr<const Queue> acceptedQueue(const JobRecord &Record) const;
+  Millis objectiveSpan(const Job &TargetJob) const;
+  static JobRecord recordOf(const Job &TargetJob);
   void refreshReadySteps(Job &TargetJob);
   void endJobIfComplete(Job &TargetJob);
   void recordDuration(std::string_view What, const Job &TargetJob);
@@ -223,8 +226,9 @@
   Millis retryTime(Millis Timeout) const;
   void forgetJob(Job &Ended);
   JobState stateOf(const Job &TargetJob) const;
-  const Queue *findQueue(const std::string &Name) const;
+  std::shared_ptr<const Queue> findQueue(const std::string &Name) const;
   const Queue *queueOf(const Job &TargetJob) const;
+  void updateQueueConfig(Job &TargetJob) const;
   int priorityOf(const StepRun &Step) const;
   StepRun *findStep(const TaskName &Name);
   StepRun *findStep(const Job &TargetJob, std::uint32_t Occurrence,
@@ -455,7 +459,7 @@
   Token NextToken_ = 1;
   std::shared_ptr<const DesiredState> State_;
   /// Includes queues that have since been removed.
-  std::unordered_map<std::string, Queue> Queues_;
+  std::unordered_map<std::string, std::shared_ptr<const Queue>> Queues_;
   int HighestPriority_ = 0;
   std::set<std::string> WithdrawnDomains_;
 
--- a/src/cell/engine_commit.cc
+++ b/src/cell/engine_commit.cc
@@ -207,8 +207,7 @@
       break;
     if (Each->EndState_)
       continue;
-    std::string Value = encode(JobRecord{*Each->Spec_, Each->Queue_,
-                                         Each->Team_, Each->AcceptedWall_});
+    std::string Value = encode(recordOf(*Each));
     if (!Out.hasRoom(1, Reserved, Value.size()))
       break;
     Each->Sent_ = true;
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -34,6 +34,8 @@
 std::size_t maxRowSize(const std::string &Id, const JobRecord &Record) {
   std::size_t Out = StepNumberBytes + Id.size() + Record.Queue_.size() +
                     Record.Team_.size() + Record.Spec_.Payload_.size();
+  if (Record.Terms_)
+    Out += StepNumberBytes + Record.Terms_->Service_.size();
   for (const StepSpec &Each : Record.Spec_.Steps_)
     Out += StepNumberBytes + Each.After_.size() * StepReferenceBytes +
            Each.RequiredLabel_.size() + Each.PreferredRack_.size() +
@@ -80,14 +82,21 @@
   return At < TargetJob.Steps_.size() ? TargetJob.Steps_[At].get() : nullptr;
 }
 
-/// Returns the configuration of a queue, which stays at its address, or null.
-const Queue *Cell::Engine::findQueue(const std::string &Name) const {
+/// Returns the latest configuration of a queue, or null.
+std::shared_ptr<const Queue>
+Cell::Engine::findQueue(const std::string &Name) const {
   const auto It = Queues_.find(Name);
-  return It == Queues_.end() ? nullptr : &It->second;
+  return It == Queues_.end() ? nullptr : It->second;
 }
 
 const Queue *Cell::Engine::queueOf(const Job &TargetJob) const {
-  return TargetJob.QueueConfig_;
+  return TargetJob.QueueConfig_.get();
+}
+
+void Cell::Engine::updateQueueConfig(Job &TargetJob) const {
+  TargetJob.QueueConfig_ = findQueue(TargetJob.Queue_);
+  if (!TargetJob.QueueConfig_)
+    TargetJob.QueueConfig_ = TargetJob.AcceptedQueue_;
 }
 
 int Cell::Engine::priorityOf(const StepRun &Step) const {
@@ -100,9 +109,9 @@
     return;
   State_ = std::move(State);
   for (const Queue &Each : State_->Queues_)
-    Queues_[Each.Name_] = Each;
+    Queues_[Each.Name_] = std::make_shared<const Queue>(Each);
   for (const auto &[Id, Each] : Jobs_)
-    Each->QueueConfig_ = findQueue(Each->Queue_);
+    updateQueueConfig(*Each);
   bool First = true;
   for (const Queue &Each : State_->Queues_) {
     HighestPriority_ =
@@ -134,22 +143,53 @@
   return From < Count ? Longest[From] : Whole;
 }
 
+/// Returns the queue as of the job's acceptance, or null. Jobs share it with
+/// the present configuration where that has the same terms.
+std::shared_ptr<const Queue>
+Cell::Engine::acceptedQueue(const JobRecord &Record) const {
+  if (!Record.Terms_)
+    return nullptr;
+  auto Known = findQueue(Record.Queue_);
+  if (Known && termsOf(*Known) == *Record.Terms_)
+    return Known;
+  return std::make_shared<const Queue>(
+      queueFrom(Record.Queue_, *Record.Terms_));
+}
+
+/// Returns the time from the acceptance of a job to its objective. The terms of
+/// its acceptance come first, so that each owner computes the same one.
+Millis Cell::Engine::objectiveSpan(const Job &TargetJob) const {
+  const Queue *JobQueue = TargetJob.AcceptedQueue_
+                              ? TargetJob.AcceptedQueue_.get()
+                              : queueOf(TargetJob);
+  const auto Chain =
+      static_cast<double>(longestChain(*TargetJob.Spec_, JobQueue, ~0U, true));
+  if (JobQueue == nullptr)
+    return static_cast<Millis>(Chain);
+  return static_cast<Millis>(JobQueue->SlackFactor_ * Chain) +
+         JobQueue->Objective_;
+}
+
+/// Returns what the row of an accepted job contains.
+JobRecord Cell::Engine::recordOf(const Job &TargetJob) {
+  JobRecord Out{*TargetJob.Spec_, TargetJob.Queue_, TargetJob.Team_,
+                TargetJob.AcceptedWall_};
+  if (TargetJob.AcceptedQueue_)
+    Out.Terms_ = termsOf(*TargetJob.AcceptedQueue_);
+  return Out;
+}
+
 Job &Cell::Engine::makeJob(const std::string &Id, const JobRecord &Record) {
   auto OwnedJob = std::make_unique<Job>();
   Job &NewJob = *OwnedJob;
   NewJob.Id_ = Id;
   NewJob.Spec_ = std::make_shared<const JobSpec>(Record.Spec_);
   NewJob.Queue_ = Record.Queue_;
-  NewJob.QueueConfig_ = findQueue(Record.Queue_);
+  NewJob.AcceptedQueue_ = acceptedQueue(Record);
+  updateQueueConfig(NewJob);
   NewJob.Team_ = Record.Team_;
   NewJob.AcceptedWall_ = Record.AcceptedAt_;
-  const Queue *JobQueue = queueOf(NewJob);
-  const double Slack = JobQueue == nullptr ? 1 : JobQueue->SlackFactor_;
-  NewJob.ObjectiveSpan_ = static_cast<Millis>(
-      Slack *
-      static_cast<double>(longestChain(Record.Spec_, JobQueue, ~0U, true)));
-  if (JobQueue != nullptr)
-    NewJob.ObjectiveSpan_ += JobQueue->Objective_;
+  NewJob.ObjectiveSpan_ = objectiveSpan(NewJob);
   NewJob.Objective_ =
       Now_ - (Wall_ - Record.AcceptedAt_) + NewJob.ObjectiveSpan_;
   NewJob.StepOffsets_ = {0};
@@ -283,6 +323,8 @@
   if (resubmit(Caller, Request, Timeout))
     return;
   JobRecord Record{Spec, Request.Queue_, Request.Team_, Wall_};
+  if (const auto JobQueue = findQueue(Request.Queue_))
+    Record.Terms_ = termsOf(*JobQueue);
   if (!isStorable(Request.JobId_, Record)) {
     Effects_.push_back(Decision{"job_refused", Request.JobId_,
                                 "larger than a row of the store", 0});
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -212,8 +212,10 @@
   std::string Id_;
   std::shared_ptr<const JobSpec> Spec_;
   std::string Queue_;
-  /// The queue's configuration; null if the operators have not set one.
-  const Queue *QueueConfig_ = nullptr;
+  /// The queue as of the job's acceptance; null if that is not stored.
+  std::shared_ptr<const Queue> AcceptedQueue_;
+  /// The queue in the latest version that has it, else AcceptedQueue_.
+  std::shared_ptr<const Queue> QueueConfig_;
   std::string Team_;
   Millis AcceptedWall_ = 0; ///< In milliseconds since 1970.
   Millis Objective_ = 0; ///< Time by which an unscheduled job should be done.
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -58,6 +58,29 @@
   return Out;
 }
 
+void toMessage(const QueueTerms &Terms, pb::QueueTerms &Out) {
+  Out.set_service(Terms.Service_);
+  Out.set_priority(Terms.Priority_);
+  Out.set_attempts(Terms.Attempts_);
+  Out.set_slack_factor(Terms.SlackFactor_);
+  Out.set_objective_ms(Terms.Objective_);
+  if (!Terms.Advice_)
+    return;
+  Out.mutable_advice()->set_base_ms(Terms.Advice_->Base_);
+  Out.mutable_advice()->set_per_worker_ms(Terms.Advice_->PerWorker_);
+  Out.mutable_advice()->set_validity_ms(Terms.Advice_->Validity_);
+}
+
+QueueTerms fromMessage(const pb::QueueTerms &Terms) {
+  QueueTerms Out{Terms.service(),      Terms.priority(),     Terms.attempts(),
+                 Terms.slack_factor(), Terms.objective_ms(), std::nullopt};
+  if (Terms.has_advice())
+    Out.Advice_ =
+        AdviceCost{Terms.advice().base_ms(), Terms.advice().per_worker_ms(),
+                   Terms.advice().validity_ms()};
+  return Out;
+}
+
 std::string packBits(const std::vector<bool> &Bits) {
   std::string Out((Bits.size() + 7) / 8, '\0');
   for (std::size_t At = 0; At < Bits.size(); ++At)
@@ -77,6 +100,23 @@
 
 } // namespace
 
+QueueTerms termsOf(const Queue &Config) {
+  return {Config.Service_,     Config.Priority_,  Config.Attempts_,
+          Config.SlackFactor_, Config.Objective_, Config.Advice_};
+}
+
+Queue queueFrom(const std::string &Name, const QueueTerms &Terms) {
+  Queue Out;
+  Out.Name_ = Name;
+  Out.Service_ = Terms.Service_;
+  Out.Priority_ = Terms.Priority_;
+  Out.Attempts_ = Terms.Attempts_;
+  Out.SlackFactor_ = Terms.SlackFactor_;
+  Out.Objective_ = Terms.Objective_;
+  Out.Advice_ = Terms.Advice_;
+  return Out;
+}
+
 std::string encode(const OwnerRow &Row) {
   pb::Owner Out;
   Out.set_epoch(Row.Epoch_);
@@ -105,6 +145,8 @@
   Out.set_queue(Record.Queue_);
   Out.set_team(Record.Team_);
   Out.set_accepted_ms(Record.AcceptedAt_);
+  if (Record.Terms_)
+    toMessage(*Record.Terms_, *Out.mutable_terms());
 }
 
 JobRecord fromMessage(const pb::Job &Message) {
@@ -118,6 +160,8 @@
   Out.Queue_ = Message.queue();
   Out.Team_ = Message.team();
   Out.AcceptedAt_ = Message.accepted_ms();
+  if (Message.has_terms())
+    Out.Terms_ = fromMessage(Message.terms());
   return Out;
 }
 
--- a/src/cell/records.h
+++ b/src/cell/records.h
@@ -29,12 +29,30 @@
   friend bool operator==(const OwnerRow &, const OwnerRow &) = default;
 };
 
+/// What a job needs from its queue, as it was when the job was accepted. It
+/// applies where an owner does not know the queue, because the operators
+/// removed it before the takeover.
+struct QueueTerms {
+  std::string Service_;
+  int Priority_ = 0;
+  std::uint32_t Attempts_ = 1;
+  double SlackFactor_ = 1;
+  Millis Objective_ = 0;
+  std::optional<AdviceCost> Advice_;
+  friend bool operator==(const QueueTerms &, const QueueTerms &) = default;
+};
+QueueTerms termsOf(const Queue &Config);
+/// Returns a queue of that name with these terms, which callers cannot address.
+Queue queueFrom(const std::string &Name, const QueueTerms &Terms);
+
 /// A job as it was accepted.
 struct JobRecord {
   JobSpec Spec_;
   std::string Queue_;
   std::string Team_;
   Millis AcceptedAt_ = 0; ///< In milliseconds since 1970.
+  /// Nothing in a row of an earlier version, or if the queue was not known.
+  std::optional<QueueTerms> Terms_ = std::nullopt;
   friend bool operator==(const JobRecord &, const JobRecord &) = default;
 };
 
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -99,6 +99,8 @@
   void setPriority(const std::string &Queue, int Priority) {
     Desired_.setPriority(Queue, Priority);
   }
+  /// Removes a queue for the next owner.
+  void removeQueue(const std::string &Queue) { Desired_.removeQueue(Queue); }
   /// Sets the number of failed runs that fail a job for the next owner.
   void setAttempts(std::uint32_t Attempts) { Desired_.setAttempts(Attempts); }
   /// Returns the times at which calls for advice were sent and answered.
--- a/test/cell/fake_desired_state.h
+++ b/test/cell/fake_desired_state.h
@@ -39,6 +39,13 @@
       Each.Attempts_ = Attempts;
     State_ = State;
   }
+  void removeQueue(const std::string &Queue) {
+    auto State = std::make_shared<DesiredState>(*State_);
+    ++State->Version_;
+    std::erase_if(State->Queues_,
+                  [&](const auto &Each) { return Each.Name_ == Queue; });
+    State_ = State;
+  }
   void setPriority(const std::string &Queue, int Priority) {
     auto State = std::make_shared<DesiredState>(*State_);
     for (auto &Each : State->Queues_)
