Take a machine for removed only when two lists in a row lack it

What was left: pages of one list are read at different times and may miss a machine; a page with an odd next_token counted as the last; a machine in an unknown state was left out; a new wave was compared with an old list; and an active machine that the list lacked got an entry in state up.

A machine that one list lacks counts as down, and as removed after a second one. Lists are forgotten while no wave is active, and have a connection of their own. MachineCalls.SkipsInvalidMachineEntries expected that a machine in an unknown state is left out, which is the fault; its successor expects it as down, and that a list with an odd next_token is refused.

CellUpkeep.DoesNotTakeAMachineForRemovedThatOneListLacks failed before (two of four machines without upkeep, wave complete).

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -327,6 +327,7 @@
   void startMachines(WaveRun &TargetWave);
   void drainMachine(WaveRun &TargetWave, const MachineUpkeep &Upkeep,
                     Worker &Target);
+  bool isRemoved(const std::string &Machine) const;
   Millis drainTimeLimit(const WaveRun &TargetWave) const;
   bool mayStopServiceTask(const StepRun &Step) const;
   bool isServing(const StepRun &Step, std::uint32_t Index) const;
@@ -524,9 +525,12 @@
   std::unordered_map<std::string, std::uint64_t> WaitingJobs_;
 
   std::map<std::uint64_t, WaveRun> Waves_;
+  /// The machines of the latest list, and those that it alone lacks: these are
+  /// in MissingMachines_ too and count as down.
   std::map<std::string, MachineEntry> Machines_;
+  std::set<std::string> MissingMachines_;
   std::map<std::uint64_t, std::set<std::string>> RestoredWaves_;
-  bool MachinesKnown_ = false;
+  std::size_t MachineLists_ = 0; ///< Received since a wave has been active.
   bool MachineListInFlight_ = false;
   Millis MachineListSentAt_ = 0;
   /// When the current list of machines was requested.
--- a/src/cell/engine_upkeep.cc
+++ b/src/cell/engine_upkeep.cc
@@ -15,6 +15,10 @@
 constexpr Millis MachineListInterval = 500;
 /// Time after which an unanswered request for the list counts as lost.
 constexpr Millis MachineListTimeout = 10000;
+/// Lists in a row that lack a machine before it counts as removed. The pages of
+/// one list are read at different times, so that a machine may fall between
+/// them when others come or go.
+constexpr std::size_t ListsWithoutRemoved = 2;
 /// Delay before an order without an answer is retried.
 constexpr Millis UpkeepRetryDelay = 250;
 /// Delay before the order for a busy machine is retried.
@@ -80,10 +84,22 @@
   if (!Machines)
     return;
   MachinesAsOf_ = MachineListSentAt_;
-  MachinesKnown_ = true;
-  Machines_.clear();
+  ++MachineLists_;
+  const auto Former = std::exchange(Machines_, {});
+  const auto FormerMissing = std::exchange(MissingMachines_, {});
   for (const MachineEntry &Each : *Machines)
     Machines_[Each.Id_] = Each;
+  for (const auto &[Id, Entry] : Former) {
+    if (Machines_.count(Id) != 0 || FormerMissing.count(Id) != 0)
+      continue;
+    Machines_[Id] = {Id, Entry.Worker_, MachineState::Down};
+    MissingMachines_.insert(Id);
+  }
+}
+
+/// Returns whether the platform no longer has the machine.
+bool Cell::Engine::isRemoved(const std::string &Machine) const {
+  return MachineLists_ >= ListsWithoutRemoved && Machines_.count(Machine) == 0;
 }
 
 void Cell::Engine::handle(const UpkeepOutcome &Outcome) {
@@ -212,8 +228,12 @@
       continue;
     const auto Entry = Machines_.find(Machine);
     if (Entry == Machines_.end()) {
-      // The machine was removed from the platform.
-      TargetWave.Done_.insert(Machine);
+      if (isRemoved(Machine)) {
+        TargetWave.Done_.insert(Machine);
+        Effects_.push_back(Decision{"upkeep_not_due", Machine,
+                                    "removed from the platform",
+                                    Now_ - MachinesAsOf_});
+      }
       continue;
     }
     if (Entry->second.State_ == MachineState::Upkeep)
@@ -243,19 +263,22 @@
   std::vector<std::string> Back;
   for (auto &[Machine, Upkeep] : TargetWave.ActiveMachines_) {
     const auto Entry = Machines_.find(Machine);
-    const bool Returned =
-        Upkeep.Phase_ == MachineUpkeep::Phase::Down &&
-        MachinesAsOf_ > Upkeep.Since_ &&
-        (Entry == Machines_.end() || Entry->second.State_ == MachineState::Up);
-    if (Returned || Entry == Machines_.end())
+    const bool Returned = Upkeep.Phase_ == MachineUpkeep::Phase::Down &&
+                          MachinesAsOf_ > Upkeep.Since_ &&
+                          Entry != Machines_.end() &&
+                          Entry->second.State_ == MachineState::Up;
+    if (Returned || isRemoved(Machine))
       Back.push_back(Machine);
-    else if (Upkeep.Phase_ != MachineUpkeep::Phase::Down)
+    else if (Upkeep.Phase_ != MachineUpkeep::Phase::Down &&
+             Entry != Machines_.end())
       advanceMachine(TargetWave, Machine, Upkeep);
   }
   for (const std::string &Machine : Back) {
     TargetWave.ActiveMachines_.erase(Machine);
     TargetWave.Done_.insert(Machine);
-    Effects_.push_back(Decision{"upkeep_done", Machine, "up again", 0});
+    Effects_.push_back(Decision{
+        "upkeep_done", Machine,
+        isRemoved(Machine) ? "removed from the platform" : "up again", 0});
   }
   startMachines(TargetWave);
   if (!TargetWave.StartReported_) {
@@ -281,7 +304,8 @@
   std::set<std::string> Leaving;
   for (const auto &[Number, Each] : Waves_)
     for (const auto &[Machine, Upkeep] : Each.ActiveMachines_)
-      Leaving.insert(Machines_[Machine].Worker_);
+      if (const auto Entry = Machines_.find(Machine); Entry != Machines_.end())
+        Leaving.insert(Entry->second.Worker_);
   for (auto &[Id, Each] : Workers_)
     Each->DrainingForUpkeep_ = Leaving.count(Id) != 0;
 }
@@ -295,6 +319,12 @@
   // Orders of two owners for one machine must be separated in time.
   const bool TooEarly =
       Now_ < OwnerSince_ + Limits_.OrderLease_ + OrderLeaseSlack;
+  if (!Wanted) {
+    // A later wave must not be compared with lists from before it.
+    MachineLists_ = 0;
+    Machines_.clear();
+    MissingMachines_.clear();
+  }
   if (!Wanted || !Authorized_ || TooEarly)
     return;
   if (MachineListInFlight_ && Now_ - MachineListSentAt_ > MachineListTimeout)
@@ -305,7 +335,7 @@
     MachineListSentAt_ = Now_;
     Effects_.push_back(ListMachines{});
   }
-  if (!MachinesKnown_)
+  if (MachineLists_ == 0)
     return;
   for (auto &[Number, Each] : Waves_)
     if (!Each.CompleteReported_)
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -25,6 +25,7 @@
 /// as workers that have gone.
 constexpr Millis WorkerEntryRecoveryTime = 2600;
 constexpr std::size_t MachineServiceConnections = 2;
+constexpr std::size_t MachineListConnections = 1;
 /// Renewals rejected for a higher fence after which this owner steps down: the
 /// workers obey a later owner.
 constexpr int MaxFencedRenewals = 3;
@@ -81,7 +82,10 @@
     MachineService_ = std::make_unique<HttpConnectionPool>(
         Context.Loop_, Context.Settings_.MachinesAddress_,
         MachineServiceConnections);
-    MachineLister_ = std::make_unique<MachineLister>(*MachineService_);
+    MachineLists_ = std::make_unique<HttpConnectionPool>(
+        Context.Loop_, Context.Settings_.MachinesAddress_,
+        MachineListConnections);
+    MachineLister_ = std::make_unique<MachineLister>(*MachineLists_);
   }
   Cell_ = std::make_unique<cell::Cell>(Row.Host_, Row.Epoch_,
                                        Context.Settings_.Bounds_);
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -148,6 +148,8 @@
   std::map<std::string, std::string> UnusableWorkerEntries_;
   std::unique_ptr<HttpConnectionPool>
       MachineService_; ///< Null if no machine service is set.
+  /// A pool of its own for lists, so that orders do not wait behind them.
+  std::unique_ptr<HttpConnectionPool> MachineLists_;
   std::unique_ptr<MachineLister>
       MachineLister_; ///< Null if no machine service is set.
   /// The state of a wave to be written for operators.
--- a/test/cell/cell_upkeep_test.cc
+++ b/test/cell/cell_upkeep_test.cc
@@ -67,5 +67,34 @@
   EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
 }
 
+// Guards against a wave that is reported as complete without the upkeep of
+// machines which a single list lacks: its pages are read at different times, so
+// that it may lack machines that exist.
+TEST(CellUpkeep, DoesNotTakeAMachineForRemovedThatOneListLacks) {
+  CellSimulation Sim(7, 6);
+  Sim.omitMachines([](std::size_t List, std::size_t Machine) {
+    return (List + Machine) % 2 == 0;
+  });
+  Sim.takeOver();
+  Sim.requestWave(4, 2, 40000);
+  Sim.run(40000);
+  EXPECT_TRUE(Sim.WaveStates_[1]);
+  for (std::size_t At = 0; At < 4; ++At)
+    EXPECT_EQ(Sim.machine(At).Upkeeps_, 1) << At;
+  EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
+}
+
+// Guards against a wave that never ends because of a machine that was removed.
+TEST(CellUpkeep, CompletesAWaveWithARemovedMachine) {
+  CellSimulation Sim(7, 4);
+  Sim.omitMachines([](std::size_t List, std::size_t Machine) {
+    return List > 2 && Machine == 2;
+  });
+  Sim.takeOver();
+  Sim.requestWave(3, 1, 40000);
+  Sim.run(40000);
+  EXPECT_TRUE(Sim.WaveStates_[1]);
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -116,6 +116,12 @@
     return Machines_.machine(At);
   }
 
+  /// Lets lists of machines lack those for which \p Omit returns true, by the
+  /// number of the list and of the machine.
+  void omitMachines(std::function<bool(std::size_t, std::size_t)> Omit) {
+    Machines_.OmitFromList_ = std::move(Omit);
+  }
+
   /// Ends a worker with its runs and removes its entry.
   void removeWorker(std::size_t At) { Machines_.shutDown(At); }
   /// Starts a removed worker again under its id.
--- a/test/cell/fake_machines.h
+++ b/test/cell/fake_machines.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGAUGE_TEST_CELL_FAKE_MACHINES_H
 #define OLEANDERGAUGE_TEST_CELL_FAKE_MACHINES_H
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -40,13 +41,18 @@
   /// Sends the owner the list of machines.
   void list() {
     std::vector<MachineEntry> Out;
+    ++Lists_;
     for (std::size_t At = 0; At < Machines_.size(); ++At)
-      Out.push_back({"m" + std::to_string(At), Fleet_.workers()[At].Id_,
-                     Machines_[At].State_});
+      if (!OmitFromList_ || !OmitFromList_(Lists_, At))
+        Out.push_back({"m" + std::to_string(At), Fleet_.workers()[At].Id_,
+                       Machines_[At].State_});
     Core_.scheduleForOwner(
         3, [this, Out] { Core_.cell().setMachines(Core_.now(), Out); });
   }
 
+  /// Returns whether the list of that number, from one on, lacks a machine.
+  std::function<bool(std::size_t, std::size_t)> OmitFromList_;
+
   void order(const OrderUpkeep &Each) {
     const bool Lost = Core_.drawChance(Core_.Faults_.LostAnswer_);
     Core_.schedule(3, [this, Each, Lost, Generation = Core_.ownerGeneration()] {
@@ -121,6 +127,7 @@
   TaskChecks &Checks_;
   std::vector<FakeMachine> Machines_;
   std::vector<Wave> Waves_;
+  std::size_t Lists_ = 0;
 };
 
 } // namespace oleandergauge::cell::test
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -342,7 +342,9 @@
   EXPECT_TRUE(Rows.Waves_.empty());
 }
 
-TEST(MachineCalls, SkipsInvalidMachineEntries) {
+// Guards against a list that is taken for whole although pages or machines are
+// left out: a machine that it lacks counts as removed from the platform.
+TEST(MachineCalls, LeavesOutOnlyEntriesWithoutAMachine) {
   const auto Page = decodeMachineList(
       {200, R"({"machines":[{"machine":"m-1","state":"up","id":"i-1"},
                {"machine":"m-2","state":"odd","id":"i-2"},{"state":"up"},7,
@@ -351,9 +353,11 @@
   EXPECT_EQ(Page->NextPage_, "t");
   const std::vector<cell::MachineEntry> Wanted = {
       {"m-1", "i-1", cell::MachineState::Up},
+      {"m-2", "i-2", cell::MachineState::Down},
       {"m-3", "", cell::MachineState::Upkeep}};
   EXPECT_EQ(Page->Machines_, Wanted);
   EXPECT_FALSE(decodeMachineList({503, "{}"}));
+  EXPECT_FALSE(decodeMachineList({200, R"({"machines":[],"next_token":4})"}));
   EXPECT_FALSE(decodeMachineList({200, "[]"}));
 }
 
