Count runs that a next owner has not seen for the limits of their teams

After a takeover with workers cut off, a team could use more than its limit (QUOTA): runs on workers that had not answered counted for no team, while new jobs start at once.

While recorded workers have not answered, tasks of inherited jobs that are neither done nor seen count for their team, at most as much as there is room on these workers. The estimate is renewed when a worker answers, else every 50 ms.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -346,6 +346,8 @@
   bool mayPreempt(const StepRun &Step, const Run &Victim) const;
   std::uint32_t makeRoom(Worker &Target, StepRun &Step, std::uint32_t Copies,
                          Millis Until);
+  void estimateUnseenUsage();
+  std::optional<Resources> unconfirmedRoom() const;
   bool isUnderTeamLimit(const StepRun &Step, std::uint32_t Copies) const;
   bool isPreemptible(const Run &Victim) const;
   int minPreemptiblePriority(const StepRun &Step) const;
@@ -472,6 +474,11 @@
   /// Key of the row of ended jobs in the transaction in flight.
   std::string CommitEndedKey_;
   std::map<std::string, Resources> TeamUsage_;
+  /// Most that runs of a former owner may use which no list has shown yet, by
+  /// team. Empty once all workers have answered.
+  std::map<std::string, Resources> UnseenUsage_;
+  Millis UnseenUsageAt_ = 0;           ///< Time of the estimate.
+  std::size_t UnseenUsageWorkers_ = 0; ///< Unconfirmed workers at that time.
   /// Token buckets for the submission rates of teams, with the time of the
   /// latest refill.
   std::map<std::string, std::pair<double, Millis>> TeamTokens_;
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -28,6 +28,28 @@
 constexpr Millis ReservationTime = 700;
 /// Run numbers available in each epoch; the next owner continues above them.
 constexpr std::uint64_t AttemptsPerEpoch = 1U << 16;
+/// Age at which the estimate of unseen usage is renewed. It examines all steps,
+/// which is too much for each pass.
+constexpr Millis UnseenUsageInterval = 50;
+
+/// Adds the resources of several tasks, as far as teams have limits on them.
+void addCopies(Resources &Sum, const Resources &Need, std::uint32_t Copies) {
+  Sum.CpuMilli_ += Need.CpuMilli_ * Copies;
+  Sum.MemoryMib_ += Need.MemoryMib_ * Copies;
+  Sum.Accelerators_ += Need.Accelerators_ * static_cast<std::int32_t>(Copies);
+}
+
+/// Returns the smaller of each of these components, and none below zero.
+Resources smallerOf(const Resources &A, const Resources &B) {
+  const auto Smaller = [](auto First, auto Second) {
+    return std::max<decltype(First)>(0, std::min(First, Second));
+  };
+  Resources Out;
+  Out.CpuMilli_ = Smaller(A.CpuMilli_, B.CpuMilli_);
+  Out.MemoryMib_ = Smaller(A.MemoryMib_, B.MemoryMib_);
+  Out.Accelerators_ = Smaller(A.Accelerators_, B.Accelerators_);
+  return Out;
+}
 
 } // namespace
 
@@ -185,6 +207,44 @@
   return std::min(Copies, Most - std::min(Most, Here));
 }
 
+/// Returns the room on the workers that have not answered this owner, or
+/// nothing if the size of one of them is not known.
+std::optional<Resources> Cell::Engine::unconfirmedRoom() const {
+  Resources Out;
+  for (const std::string &Id : UnconfirmedWorkers_) {
+    const auto It = Workers_.find(Id);
+    if (It == Workers_.end())
+      return std::nullopt;
+    Out = Out + (It->second->Capacity_ - It->second->Used_);
+  }
+  return Out;
+}
+
+/// Estimates what runs that no list has shown yet may use of the teams' limits.
+/// Any task of an inherited job that is neither done nor seen may run on a
+/// worker that has not answered this owner.
+void Cell::Engine::estimateUnseenUsage() {
+  const std::size_t Unconfirmed = UnconfirmedWorkers_.size();
+  if (Unconfirmed == UnseenUsageWorkers_ &&
+      (Unconfirmed == 0 || Now_ < UnseenUsageAt_ + UnseenUsageInterval))
+    return;
+  UnseenUsageWorkers_ = Unconfirmed;
+  UnseenUsageAt_ = Now_;
+  UnseenUsage_.clear();
+  if (Unconfirmed == 0)
+    return;
+  for (const auto &[Id, Each] : Jobs_) {
+    if (!Each->Inherited_)
+      continue;
+    Resources &Usage = UnseenUsage_[Each->Team_];
+    for (const auto &Step : Each->Steps_)
+      addCopies(Usage, Step->spec().Need_, Step->waiting());
+  }
+  if (const std::optional<Resources> Room = unconfirmedRoom())
+    for (auto &[Team, Usage] : UnseenUsage_)
+      Usage = smallerOf(Usage, *Room);
+}
+
 /// Returns whether the team's limit admits this many further tasks.
 bool Cell::Engine::isUnderTeamLimit(const StepRun &Step,
                                     std::uint32_t Copies) const {
@@ -192,7 +252,10 @@
   if (JobTeam == nullptr)
     return true;
   const auto Use = TeamUsage_.find(JobTeam->Name_);
-  const Resources InUse = Use == TeamUsage_.end() ? Resources{} : Use->second;
+  Resources InUse = Use == TeamUsage_.end() ? Resources{} : Use->second;
+  const auto Unseen = UnseenUsage_.find(JobTeam->Name_);
+  if (Unseen != UnseenUsage_.end())
+    InUse = InUse + Unseen->second;
   const Resources &Need = Step.spec().Need_;
   const Resources &Limits = JobTeam->Limit_;
   auto Within = [&](std::int64_t Used, std::int64_t Each, std::int64_t Limit) {
@@ -486,6 +549,7 @@
   PassStartedAt_ = Now_;
   PassEnded_ = false;
   collectUsableWorkers();
+  estimateUnseenUsage();
   reportUsage();
   const std::vector<StepRun *> First = takeWaiting(nullptr);
   const std::size_t Waiting = WaitingSteps_.size();
