--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -232,6 +232,9 @@
 private:
   // engine_jobs.cc
   Job &makeJob(const std::string &Id, const JobRecord &Record);
+  std::shared_ptr<const Queue> acceptedQueue(const JobRecord &Record) const;
+  Millis objectiveSpan(const Job &TargetJob) const;
+  static JobRecord recordOf(const Job &TargetJob);
   void refreshReadySteps(Job &TargetJob);
   void endJobIfComplete(Job &TargetJob);
   void recordDuration(std::string_view What, const Job &TargetJob);
@@ -245,8 +248,9 @@
   Millis retryTime(Millis Timeout) const;
   void forgetJob(Job &Ended);
   JobState stateOf(const Job &TargetJob) const;
-  const Queue *findQueue(const std::string &Name) const;
+  std::shared_ptr<const Queue> findQueue(const std::string &Name) const;
   const Queue *queueOf(const Job &TargetJob) const;
+  void updateQueueConfig(Job &TargetJob) const;
   int priorityOf(const StepRun &Step) const;
   StepRun *findStep(const TaskName &Name);
   StepRun *findStep(const Job &TargetJob, std::uint32_t Occurrence,
@@ -275,6 +279,7 @@
 
   // engine_workers.cc
   Worker *findWorker(const std::string &Id);
+  Worker *workerAt(WorkerNumber Number) const;
   void markDue(Worker &Target);
   Millis examineWorker(Worker &Target);
   Millis advanceRun(Worker &Target, const std::string &Name, Run &TargetRun);
@@ -395,6 +400,7 @@
   void startMachines(WaveRun &TargetWave);
   void drainMachine(WaveRun &TargetWave, const MachineUpkeep &Upkeep,
                     Worker &Target);
+  bool isRemoved(const std::string &Machine) const;
   Millis drainTimeLimit(const WaveRun &TargetWave) const;
   bool mayStopServiceTask(const StepRun &Step) const;
   bool isServing(const StepRun &Step, std::uint32_t Index) const;
@@ -413,6 +419,8 @@
   bool mayPreempt(const StepRun &Step, const Run &Victim) const;
   std::uint32_t makeRoom(Worker &Target, StepRun &Step, std::uint32_t Copies,
                          Millis Until);
+  void estimateUnseenUsage();
+  std::optional<Resources> unconfirmedRoom() const;
   bool isUnderTeamLimit(const StepRun &Step, std::uint32_t Copies) const;
   bool isPreemptible(const Run &Victim) const;
   int minPreemptiblePriority(const StepRun &Step) const;
@@ -528,7 +536,7 @@
   Token NextToken_ = 1;
   std::shared_ptr<const DesiredState> State_;
   /// Includes queues that have since been removed.
-  std::unordered_map<std::string, Queue> Queues_;
+  std::unordered_map<std::string, std::shared_ptr<const Queue>> Queues_;
   int HighestPriority_ = 0;
   std::set<std::string> WithdrawnDomains_;
 
@@ -540,6 +548,11 @@
   /// Key of the row of ended jobs in the transaction in flight.
   std::string CommitEndedKey_;
   std::map<std::string, Resources> TeamUsage_;
+  /// Most that runs of a former owner may use which no list has shown yet, by
+  /// team. Empty once all workers have answered.
+  std::map<std::string, Resources> UnseenUsage_;
+  Millis UnseenUsageAt_ = 0;           ///< Time of the estimate.
+  std::size_t UnseenUsageWorkers_ = 0; ///< Unconfirmed workers at that time.
   /// Token buckets for the submission rates of teams, with the time of the
   /// latest refill.
   std::map<std::string, std::pair<double, Millis>> TeamTokens_;
@@ -550,7 +563,10 @@
   std::unordered_map<std::string, std::uint32_t> RestartCounts_;
   /// The earliest DueAt_ of all workers.
   Millis NextWorkerDue_ = 0;
-  std::uint32_t KnownWorkers_ = 0; ///< Number of workers known so far.
+  /// Workers by number, from NoWorker on; null for those that were forgotten.
+  /// Numbers are not used again, so that the table grows by a pointer with each
+  /// worker that is found.
+  std::vector<Worker *> WorkersByNumber_ = {nullptr};
   /// Workers that may still run tasks of a former owner.
   std::set<std::string> UnconfirmedWorkers_;
   /// When all leases of a former owner have certainly ended.
@@ -608,9 +624,12 @@
   std::unordered_map<std::string, std::uint32_t> HeldForPlace_;
 
   std::map<std::uint64_t, WaveRun> Waves_;
+  /// The machines of the latest list, and those that it alone lacks: these are
+  /// in MissingMachines_ too and count as down.
   std::map<std::string, MachineEntry> Machines_;
+  std::set<std::string> MissingMachines_;
   std::map<std::uint64_t, std::set<std::string>> RestoredWaves_;
-  bool MachinesKnown_ = false;
+  std::size_t MachineLists_ = 0; ///< Received since a wave has been active.
   bool MachineListInFlight_ = false;
   Millis MachineListSentAt_ = 0;
   /// When the current list of machines was requested.
--- a/src/cell/engine_admission.cc
+++ b/src/cell/engine_admission.cc
@@ -123,7 +123,7 @@
   }
   const std::map<std::string_view, double> Free = freeShares();
   for (auto &[Name, Load] : QueueLoads_) {
-    const Queue *JobQueue = findQueue(Name);
+    const std::shared_ptr<const Queue> JobQueue = findQueue(Name);
     bool HasCapacity = JobQueue == nullptr || Load.onTime() + Load.late() <= 0;
     if (!HasCapacity) {
       const auto Share = Free.find(JobQueue->Service_);
@@ -154,7 +154,7 @@
   Work StartedShort = 0;
   Work StartedLong = 0;
   for (const auto &[Name, Load] : QueueLoads_) {
-    const Queue *Other = findQueue(Name);
+    const std::shared_ptr<const Queue> Other = findQueue(Name);
     if (Other == nullptr || Other->Service_ != JobQueue.Service_ ||
         Other->Priority_ > JobQueue.Priority_)
       continue;
@@ -200,13 +200,13 @@
 AdmissionDecision Cell::Engine::decideSubmission(const Resolution &Request,
                                                  const JobSpec &Spec,
                                                  bool OverTeamShare) {
-  const Queue *JobQueue = findQueue(Request.Queue_);
+  const std::shared_ptr<const Queue> JobQueue = findQueue(Request.Queue_);
   if (!AdmissionEnabled_ || JobQueue == nullptr || isAlwaysAdmitted(Spec))
     return {};
   AdmissionInput Input;
   Input.OverTeamShare_ = OverTeamShare;
-  Input.ObjectiveSpan_ = objectiveSpan(Spec, JobQueue);
-  Input.Duration_ = longestChain(Spec, JobQueue, ~0U, false);
+  Input.ObjectiveSpan_ = objectiveSpan(Spec, JobQueue.get());
+  Input.Duration_ = longestChain(Spec, JobQueue.get(), ~0U, false);
   const auto Load = QueueLoads_.find(Request.Queue_);
   if (Load != QueueLoads_.end() && Load->second.windowsForRate() > 0)
     addLoadAhead(Input, *JobQueue, Load->second,
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -34,6 +34,8 @@
 std::size_t maxRowSize(const std::string &Id, const JobRecord &Record) {
   std::size_t Out = StepNumberBytes + Id.size() + Record.Queue_.size() +
                     Record.Team_.size() + Record.Spec_.Payload_.size();
+  if (Record.Terms_)
+    Out += StepNumberBytes + Record.Terms_->Service_.size();
   for (const StepSpec &Each : Record.Spec_.Steps_)
     Out += StepNumberBytes + Each.After_.size() * StepReferenceBytes +
            Each.RequiredLabel_.size() + Each.PreferredRack_.size() +
@@ -80,14 +82,21 @@
   return At < TargetJob.Steps_.size() ? TargetJob.Steps_[At].get() : nullptr;
 }
 
-/// Returns the configuration of a queue, which stays at its address, or null.
-const Queue *Cell::Engine::findQueue(const std::string &Name) const {
+/// Returns the latest configuration of a queue, or null.
+std::shared_ptr<const Queue>
+Cell::Engine::findQueue(const std::string &Name) const {
   const auto It = Queues_.find(Name);
-  return It == Queues_.end() ? nullptr : &It->second;
+  return It == Queues_.end() ? nullptr : It->second;
 }
 
 const Queue *Cell::Engine::queueOf(const Job &TargetJob) const {
-  return TargetJob.QueueConfig_;
+  return TargetJob.QueueConfig_.get();
+}
+
+void Cell::Engine::updateQueueConfig(Job &TargetJob) const {
+  TargetJob.QueueConfig_ = findQueue(TargetJob.Queue_);
+  if (!TargetJob.QueueConfig_)
+    TargetJob.QueueConfig_ = TargetJob.AcceptedQueue_;
 }
 
 int Cell::Engine::priorityOf(const StepRun &Step) const {
@@ -100,9 +109,9 @@
     return;
   State_ = std::move(State);
   for (const Queue &Each : State_->Queues_)
-    Queues_[Each.Name_] = Each;
+    Queues_[Each.Name_] = std::make_shared<const Queue>(Each);
   for (const auto &[Id, Each] : Jobs_)
-    Each->QueueConfig_ = findQueue(Each->Queue_);
+    updateQueueConfig(*Each);
   bool First = true;
   for (const Queue &Each : State_->Queues_) {
     HighestPriority_ =
@@ -144,17 +153,48 @@
   return JobQueue == nullptr ? Out : Out + JobQueue->Objective_;
 }
 
+/// Returns the queue as of the job's acceptance, or null. Jobs share it with
+/// the present configuration where that has the same terms.
+std::shared_ptr<const Queue>
+Cell::Engine::acceptedQueue(const JobRecord &Record) const {
+  if (!Record.Terms_)
+    return nullptr;
+  auto Known = findQueue(Record.Queue_);
+  if (Known && termsOf(*Known) == *Record.Terms_)
+    return Known;
+  return std::make_shared<const Queue>(
+      queueFrom(Record.Queue_, *Record.Terms_));
+}
+
+/// Returns the time from the acceptance of a job to its objective. The terms of
+/// its acceptance come first, so that each owner computes the same one.
+Millis Cell::Engine::objectiveSpan(const Job &TargetJob) const {
+  const Queue *JobQueue = TargetJob.AcceptedQueue_
+                              ? TargetJob.AcceptedQueue_.get()
+                              : queueOf(TargetJob);
+  return objectiveSpan(*TargetJob.Spec_, JobQueue);
+}
+
+/// Returns what the row of an accepted job contains.
+JobRecord Cell::Engine::recordOf(const Job &TargetJob) {
+  JobRecord Out{*TargetJob.Spec_, TargetJob.Queue_, TargetJob.Team_,
+                TargetJob.AcceptedWall_};
+  if (TargetJob.AcceptedQueue_)
+    Out.Terms_ = termsOf(*TargetJob.AcceptedQueue_);
+  return Out;
+}
+
 Job &Cell::Engine::makeJob(const std::string &Id, const JobRecord &Record) {
   auto OwnedJob = std::make_unique<Job>();
   Job &NewJob = *OwnedJob;
   NewJob.Id_ = Id;
   NewJob.Spec_ = std::make_shared<const JobSpec>(Record.Spec_);
   NewJob.Queue_ = Record.Queue_;
-  NewJob.QueueConfig_ = findQueue(Record.Queue_);
+  NewJob.AcceptedQueue_ = acceptedQueue(Record);
+  updateQueueConfig(NewJob);
   NewJob.Team_ = Record.Team_;
   NewJob.AcceptedWall_ = Record.AcceptedAt_;
-  const Queue *JobQueue = queueOf(NewJob);
-  NewJob.ObjectiveSpan_ = objectiveSpan(Record.Spec_, JobQueue);
+  NewJob.ObjectiveSpan_ = objectiveSpan(NewJob);
   NewJob.Objective_ =
       Now_ - (Wall_ - Record.AcceptedAt_) + NewJob.ObjectiveSpan_;
   NewJob.StepOffsets_ = {0};
@@ -305,6 +345,8 @@
   if (resubmit(Caller, Request, Timeout))
     return;
   JobRecord Record{Spec, Request.Queue_, Request.Team_, Wall_};
+  if (const auto JobQueue = findQueue(Request.Queue_))
+    Record.Terms_ = termsOf(*JobQueue);
   if (!isStorable(Request.JobId_, Record)) {
     Effects_.push_back(Decision{"job_refused", Request.JobId_,
                                 "larger than a row of the store", 0});
@@ -409,7 +451,7 @@
   if (TargetTask.Phase_ != Task::Phase::Active)
     return;
   TargetTask.Phase_ = Task::Phase::Waiting;
-  TargetTask.AssignedWorker_ = nullptr;
+  TargetTask.AssignedWorker_ = NoWorker;
   --Step.ActiveCount_;
   if (Step.Ready_)
     addWaiting(Step);
@@ -434,7 +476,7 @@
 void Cell::Engine::stopOtherRuns(StepRun &Step, std::uint32_t Index,
                                  std::uint64_t Attempt) {
   for (std::uint32_t At = 0; At < Step.Tasks_.size(); ++At) {
-    Worker *Target = Step.Tasks_[At].AssignedWorker_;
+    Worker *Target = workerAt(Step.Tasks_[At].AssignedWorker_);
     if (Target == nullptr || (At != Index && !Step.spec().Gang_))
       continue;
     const std::string Name = taskName(Step, At);
@@ -475,7 +517,7 @@
     endJobIfComplete(TargetJob);
     return;
   }
-  if (TargetTask.AssignedWorker_ == Sender)
+  if (Sender != nullptr && TargetTask.AssignedWorker_ == Sender->Number_)
     requeueTask(Step, Index);
   if (End.Kind_ != EndKind::Failed || IsService)
     return;
@@ -520,7 +562,7 @@
   EndingJobs_.push_back(&Ended);
   for (const auto &Step : Ended.Steps_) {
     for (std::uint32_t Index = 0; Index < Step->Tasks_.size(); ++Index) {
-      Worker *Target = Step->Tasks_[Index].AssignedWorker_;
+      Worker *Target = workerAt(Step->Tasks_[Index].AssignedWorker_);
       if (Target == nullptr || State == EndState::Complete)
         continue;
       const std::string Name = taskName(*Step, Index);
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -82,7 +82,7 @@
   Task &TargetTask = Step.Tasks_[Index];
   if (TargetTask.Phase_ == Task::Phase::Waiting) {
     TargetTask.Phase_ = Task::Phase::Active;
-    TargetTask.AssignedWorker_ = &Target;
+    TargetTask.AssignedWorker_ = Target.Number_;
     ++Step.ActiveCount_;
     countWaitingWork(Step);
   }
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -99,6 +99,8 @@
   void setPriority(const std::string &Queue, int Priority) {
     Desired_.setPriority(Queue, Priority);
   }
+  /// Removes a queue for the next owner.
+  void removeQueue(const std::string &Queue) { Desired_.removeQueue(Queue); }
   /// Sets the number of failed runs that fail a job for the next owner.
   void setAttempts(std::uint32_t Attempts) { Desired_.setAttempts(Attempts); }
   /// Returns the times at which calls for advice were sent and answered.
@@ -114,6 +116,17 @@
     return Machines_.machine(At);
   }
 
+  /// Lets lists of machines lack those for which \p Omit returns true, by the
+  /// number of the list and of the machine.
+  void omitMachines(std::function<bool(std::size_t, std::size_t)> Omit) {
+    Machines_.OmitFromList_ = std::move(Omit);
+  }
+
+  /// Ends a worker with its runs and removes its entry.
+  void removeWorker(std::size_t At) { Machines_.shutDown(At); }
+  /// Starts a removed worker again under its id.
+  void returnWorker(std::size_t At) { Machines_.startUp(At); }
+
   /// Advances the virtual time by \p Span.
   void run(Millis Span) {
     for (const Millis End = now() + Span; now() < End;) {
--- a/test/cell/fake_machines.h
+++ b/test/cell/fake_machines.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGAUGE_TEST_CELL_FAKE_MACHINES_H
 #define OLEANDERGAUGE_TEST_CELL_FAKE_MACHINES_H
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -40,13 +41,18 @@
   /// Sends the owner the list of machines.
   void list() {
     std::vector<MachineEntry> Out;
+    ++Lists_;
     for (std::size_t At = 0; At < Machines_.size(); ++At)
-      Out.push_back({"m" + std::to_string(At), Fleet_.workers()[At].Id_,
-                     Machines_[At].State_});
+      if (!OmitFromList_ || !OmitFromList_(Lists_, At))
+        Out.push_back({"m" + std::to_string(At), Fleet_.workers()[At].Id_,
+                       Machines_[At].State_});
     Core_.scheduleForOwner(
         3, [this, Out] { Core_.cell().setMachines(Core_.now(), Out); });
   }
 
+  /// Returns whether the list of that number, from one on, lacks a machine.
+  std::function<bool(std::size_t, std::size_t)> OmitFromList_;
+
   void order(const OrderUpkeep &Each) {
     const bool Lost = Core_.drawChance(Core_.Faults_.LostAnswer_);
     Core_.schedule(3, [this, Each, Lost, Generation = Core_.ownerGeneration()] {
@@ -68,6 +74,23 @@
     Core_.WaveStates_[Each.Wave_] = Each.Complete_;
   }
 
+  /// Ends the worker of a machine with its runs and removes its entry.
+  void shutDown(std::size_t At) {
+    FakeWorker &Target = Fleet_.workers()[At];
+    for (const auto &[Name, Run] : Target.Runs_)
+      Checks_.recordLostRun(Name);
+    Target.Runs_.clear();
+    Target.Disconnected_ = true;
+    Fleet_.setListed(Target.Id_, false);
+  }
+  /// Starts the worker of a machine again under its id.
+  void startUp(std::size_t At) {
+    FakeWorker &Back = Fleet_.workers()[At];
+    Fleet_.setListed(Back.Id_, true);
+    Back.restart(Core_.now());
+    Back.Disconnected_ = false;
+  }
+
 private:
   /// Duration in milliseconds of a machine's upkeep.
   static constexpr Millis UpkeepTime = 2000;
@@ -89,24 +112,13 @@
       Core_.addViolation("too many machines down for upkeep");
     Target.State_ = MachineState::Upkeep;
     ++Target.Upkeeps_;
-    shutDown(Fleet_.workers()[At]);
+    shutDown(At);
     Core_.schedule(UpkeepTime, [this, At] { endUpkeep(At); });
     return UpkeepResult::Done;
   }
 
-  void shutDown(FakeWorker &Target) {
-    for (const auto &[Name, Run] : Target.Runs_)
-      Checks_.recordLostRun(Name);
-    Target.Runs_.clear();
-    Target.Disconnected_ = true;
-    Fleet_.setListed(Target.Id_, false);
-  }
-
   void endUpkeep(std::size_t At) {
-    FakeWorker &Back = Fleet_.workers()[At];
-    Fleet_.setListed(Back.Id_, true);
-    Back.restart(Core_.now());
-    Back.Disconnected_ = false;
+    startUp(At);
     Machines_[At].State_ = MachineState::Up;
   }
 
@@ -115,6 +127,7 @@
   TaskChecks &Checks_;
   std::vector<FakeMachine> Machines_;
   std::vector<Wave> Waves_;
+  std::size_t Lists_ = 0;
 };
 
 } // namespace oleandergauge::cell::test
