Name the clock in pending pace orders

Fillers kept the wrong pace: the outcome of a pace order was handled as that of a start order, and the paces were sent again and again. Cell's test PacesFillersByTheServicesTail failed. PendingOrder has got a member for the worker's clock before IsStart_, which the pace orders did not set, so that their values moved by one member.

--- a/src/cell/engine_pace.cc
+++ b/src/cell/engine_pace.cc
@@ -69,7 +69,8 @@
       continue;
     const Token Id = NextToken_++;
     PendingOrder &Order = PendingOrders_[Id];
-    Order = {Target.Id_, Name, Each.Attempt_, Target.Fence_, false, Each.Pace_};
+    Order = {Target.Id_,      Name,  Each.Attempt_, Target.Fence_,
+             Target.ClockMs_, false, Each.Pace_};
     Each.PaceOrder_ = Id;
     Effects_.push_back(Decision{"task_paced", Name,
                                 std::to_string(Each.Pace_) + " percent",
