Teach the run history from the ends that workers list

A run counts if this owner started it, the worker confirmed the start at the first order, and it was done, neither resumed nor stopped. Its time is measured from the confirmation to the list with its end. It is dropped if the start and the end together are uncertain by more than 15% of it: the end by the time without a renewal at the worker and by the delay of its answer. Ends of a worker that was unreachable teach nothing. Gangs, fillers, services and runs away from their preferred rack are left out.

The line worker_speeds states every 10 s how many speeds are known and how far apart they are.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -4,6 +4,7 @@
 #include <unordered_set>
 
 #include "cell/model.h"
+#include "cell/run_history.h"
 
 namespace oleandergauge::cell {
 
@@ -262,11 +263,18 @@
   // engine_lists.cc
   void processList(Worker &Sender, const WorkerList &List);
   void processRunning(Worker &Sender, const RunningEntry &Entry, Millis Clock);
-  void processEnd(Worker &Sender, const EndEntry &End);
+  void processEnd(Worker &Sender, const EndEntry &End, Millis EndDelay);
   void loseUnlistedRuns(Worker &Sender, const WorkerList &List);
   void adoptRun(Worker &Target, const RunningEntry &Entry, StepRun &Step,
                 std::uint32_t Index);
 
+  // engine_history.cc
+  Millis maxEndDelay(const Worker &Sender, const WorkerList &List) const;
+  void learnFromEnd(const Worker &Sender, const Run &Ended, EndKind Kind,
+                    Millis EndDelay);
+  void refreshSpeeds();
+  void reportSpeeds();
+
   // engine_gangs.cc
   void startGang(StepRun &Step, const std::vector<GangAssignment> &Assignments);
   void confirmStart(Worker &Target, Run &TargetRun);
@@ -509,6 +517,9 @@
   /// Selections of workers to ask about, in the present part of a pass.
   std::size_t AdviceSelections_ = 0;
   Millis NextJobAdvance_ = 0;
+  RunHistory History_;
+  Millis NextSpeedRefresh_ = 0; ///< When Worker::Speed_ is set again.
+  Millis NextSpeedReport_ = 0;  ///< Time of the next worker_speeds line.
   /// Scheduled jobs by the time since 1970 at which their next occurrence is
   /// due.
   std::multimap<Millis, std::string> DueOccurrences_;
--- a/src/cell/engine_gangs.cc
+++ b/src/cell/engine_gangs.cc
@@ -50,6 +50,7 @@
   if (TargetRun.Phase_ != Run::Phase::Ordered)
     return;
   setPhase(Target, TargetRun, Run::Phase::Running);
+  TargetRun.StartConfirmedAt_ = Now_;
   if (TargetRun.Step_ != nullptr && TargetRun.Step_->spec().Gang_ &&
       TargetRun.Step_->Gang_.isActive(TargetRun.Attempt_))
     confirmMember(*TargetRun.Step_);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -440,6 +440,8 @@
       ++Step.DoneCount_;
       markDirty(Step, Index, Index + 1);
     }
+    if (Step.isDone())
+      History_.closeStep(Step.Name_);
     TargetJob.Started_ = true;
     countJob(TargetJob);
     refreshReadySteps(TargetJob);
@@ -511,6 +513,7 @@
   for (const Token Id : Step.AdviceCalls_)
     PendingAdvice_[Id].Step_ = nullptr;
   Step.AdviceCalls_.clear();
+  History_.closeStep(Step.Name_);
   if (Step.spec().Gang_)
     std::erase(AssemblingGangs_, &Step);
 }
@@ -594,6 +597,7 @@
 
 void Cell::Engine::advanceAll() {
   advanceJobs();
+  refreshSpeeds();
   placeReadySteps();
   advanceWaves();
   abortOverdueGangs();
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -32,12 +32,13 @@
         Sender.UnreachableSince_ == 0 ? 0 : Now_ - Sender.UnreachableSince_});
     PlacementNeeded_ = true;
   }
+  const Millis EndDelay = maxEndDelay(Sender, List);
   Sender.Reachable_ = true;
   Sender.UnreachableSince_ = 0;
   Sender.ClockMs_ = List.ClockMs_;
   Sender.ClockAt_ = Now_;
   for (const EndEntry &End : List.Ended_)
-    processEnd(Sender, End);
+    processEnd(Sender, End, EndDelay);
   for (const RunningEntry &Entry : List.Running_)
     processRunning(Sender, Entry, List.ClockMs_);
   Sender.EndsHidden_ = !List.AllEnds_;
@@ -143,8 +144,10 @@
   Found.Percent_ = Entry.Percent_;
 }
 
-/// Processes an end that the worker lists, unless it was processed before.
-void Cell::Engine::processEnd(Worker &Sender, const EndEntry &End) {
+/// Processes an end that the worker lists, unless it was processed before. \p
+/// EndDelay is the longest time for which a listed run can have been over.
+void Cell::Engine::processEnd(Worker &Sender, const EndEntry &End,
+                              Millis EndDelay) {
   if (End.Number_ <= Sender.LastSeenEnd_)
     return;
   Sender.LastSeenEnd_ = End.Number_;
@@ -162,6 +165,8 @@
         Decision{"task_ended", End.Task_, Kinds[static_cast<int>(End.Kind_)],
                  Own ? Now_ - Known->second.OrderedAt_ : 0, End.Attempt_});
     recordHealth(Sender, End.Kind_, *Step->Job_);
+    if (Own)
+      learnFromEnd(Sender, Known->second, End.Kind_, EndDelay);
     ++Step->Job_->LiveRuns_; // Keeps the job alive while its run is dropped.
     handleTaskEnd(*Step, Name->Index_, End, &Sender);
     --Step->Job_->LiveRuns_;
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -234,6 +234,7 @@
     NewRun.Need_.CpuMilli_ = 0;
   NewRun.OrderedAt_ = Now_;
   NewRun.Checkpoint_ = TargetTask.Checkpoint_;
+  NewRun.Resumed_ = !TargetTask.Checkpoint_.empty();
   const auto Known = Step.Allowed_.find(Target.Number_);
   if (Known != Step.Allowed_.end())
     NewRun.Ticket_ = Known->second.Ticket_;
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -140,6 +140,7 @@
           runsTaskWithTailGoal(Target) ? RenewalWaitWithTailGoal : RenewalWait;
   }
   Target.RenewalInFlight_ = true;
+  Target.RenewalSentAt_ = Now_;
   Effects_.push_back(std::move(Out));
 }
 
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -27,6 +27,10 @@
   Millis OrderedAt_ = 0;
   Millis LastOrderAt_ = 0;
   Millis LastStartAt_ = 0; ///< Time of the latest start order.
+  /// When the worker first confirmed the start; zero before that, and for a run
+  /// that a former owner started.
+  Millis StartConfirmedAt_ = 0;
+  bool Resumed_ = false; ///< Started from a checkpoint.
   /// The worker's clock when it confirmed the start or the stop.
   Millis ConfirmedClock_ = 0;
   bool StopConfirmed_ = false;
@@ -283,6 +287,7 @@
   /// Time by which all leases that were sent have certainly ended.
   Millis LeaseEnd_ = 0;
   bool RenewalInFlight_ = false;
+  Millis RenewalSentAt_ = 0; ///< Time of the latest renewal.
   Millis NextRenewal_ = 0;
   /// When advanceWorkers() next has to examine the worker.
   Millis DueAt_ = 0;
@@ -313,6 +318,8 @@
   /// runs by priority.
   Resources StoppingNeed_;
   std::map<int, Resources> PreemptibleNeed_;
+  /// Learned speed relative to the median worker; 1 if it is not known.
+  double Speed_ = 1;
 
   bool hasLabel(const std::string &Label) const;
 };
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -202,6 +202,8 @@
   void applyEffect(const Decision &Each) {
     if (Each.Event_ == "task_stopping")
       ++Stops_[Each.Reason_];
+    if (Each.Event_ == "worker_speeds")
+      SpeedReport_ = Each.Subject_ + " " + Each.Reason_;
   }
 
   FakeStore Store_;
--- a/test/cell/fake_worker.h
+++ b/test/cell/fake_worker.h
@@ -2,6 +2,7 @@
 #define OLEANDERGAUGE_TEST_CELL_FAKE_WORKER_H
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <optional>
@@ -34,6 +35,7 @@
   std::string Address_;
   std::string Domain_ = "d1";
   Resources Capacity_{4000, 8000, 0, 0, 0};
+  double Speed_ = 1; ///< Work done per unit of time.
   Millis Incarnation_ = 1000;
   Millis StartedAt_ = 0;
   bool Disconnected_ = false; ///< Answers no calls.
@@ -86,8 +88,11 @@
       LapsedAt_ = Now;
     for (auto &[Name, Each] : Runs_) {
       const bool Waits = Each.Gang_ && !Each.Assembled_;
-      (Waits ? Each.WaitedForMembers_ : Each.RemainingWork_) +=
-          Waits ? Elapsed : -Elapsed;
+      if (Waits)
+        Each.WaitedForMembers_ += Elapsed;
+      else
+        Each.RemainingWork_ -=
+            std::llround(static_cast<double>(Elapsed) * Speed_);
       if (Each.RemainingStopTime_)
         *Each.RemainingStopTime_ -= Elapsed;
       if (Each.RemainingStopTime_ && *Each.RemainingStopTime_ <= 0)
--- a/test/cell/simulation_core.h
+++ b/test/cell/simulation_core.h
@@ -57,6 +57,7 @@
   std::map<std::uint64_t, bool> WaveStates_;
   std::map<std::string, int> Paces_; ///< The latest pace order by task.
   std::map<std::string, int> Stops_; ///< Number of stopped runs by reason.
+  std::string SpeedReport_; ///< The latest line on learned worker speeds.
   /// Rows in the store, by table and key.
   std::map<std::pair<std::string, std::string>, std::string> Rows_;
 };
