--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -147,9 +147,9 @@
 void Cell::Engine::sendStart(Worker &Target, const std::string &Name,
                              Run &TargetRun) {
   const Token Id = NextToken_++;
-  PendingOrders_[Id] = {Target.Id_,    Name,            TargetRun.Attempt_,
-                        Target.Fence_, Target.ClockMs_, true,
-                        -1};
+  PendingOrders_[Id] = {
+      Target.Id_, Name, TargetRun.Attempt_, Target.Fence_, Target.ClockMs_,
+      true,       -1};
   TargetRun.OrderInFlight_ = true;
   TargetRun.LastOrderAt_ = Now_;
   TargetRun.LastStartAt_ = Now_;
@@ -170,9 +170,9 @@
 void Cell::Engine::sendStop(Worker &Target, const std::string &Name,
                             Run &TargetRun) {
   const Token Id = NextToken_++;
-  PendingOrders_[Id] = {Target.Id_,    Name,            TargetRun.Attempt_,
-                        Target.Fence_, Target.ClockMs_, false,
-                        -1};
+  PendingOrders_[Id] = {
+      Target.Id_, Name, TargetRun.Attempt_, Target.Fence_, Target.ClockMs_,
+      false,      -1};
   TargetRun.OrderInFlight_ = true;
   TargetRun.LastOrderAt_ = Now_;
   Effects_.push_back(SendStop{Id,
