Choose workers by speed for work with a near objective

Urgent tasks ran on slow workers while fast ones had room, since placement takes the fullest worker. An on-time task now goes to the slowest workers on which it is expected to end in time, or to the fastest ones if none is sufficient but some nearly are; so tasks with much time leave the fast workers to others. The expected duration is the estimate times the learned ratio of the queue. Racks still come first, and workers whose speeds differ by less than a fifth keep today's order. Nothing changes while all speeds are similar or unknown, or while the durations of the queue are unknown, and for late work, services, fillers and gangs. The choice is a pure function in worker_choice.

Simulation, workers at 0.6, 1 and 1.6, estimates 2.5 times too short, the slow workers the fullest: 0 of 20 urgent jobs end in time before speeds are known, 20 of 20 afterwards, 0 of 20 with the next owner, which learns anew.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -5,6 +5,7 @@
 
 #include "cell/model.h"
 #include "cell/run_history.h"
+#include "cell/worker_choice.h"
 
 namespace oleandergauge::cell {
 
@@ -272,6 +273,7 @@
   Millis maxEndDelay(const Worker &Sender, const WorkerList &List) const;
   void learnFromEnd(const Worker &Sender, const Run &Ended, EndKind Kind,
                     Millis EndDelay);
+  std::optional<double> requiredSpeedOf(const StepRun &Step) const;
   void refreshSpeeds();
   void reportSpeeds();
 
@@ -358,6 +360,9 @@
   void subtractNeedSum(Worker &Target, const Run &TargetRun);
   std::vector<Worker *> eligibleWorkers(const StepRun &Step);
   void placeStep(StepRun &Step);
+  bool isUnpreferred(const Worker &Target, const StepRun &Step) const;
+  Worker *bestWorker(const StepRun &Step, const std::vector<Worker *> &Open,
+                     std::optional<double> Required);
   void placeTasks(StepRun &Step);
   void startTask(StepRun &Step, std::uint32_t Index, Worker &Target,
                  std::uint64_t Attempt);
@@ -511,6 +516,10 @@
   std::size_t ComparedInPart_ = 0; ///< Workers, in the present part of a pass.
   /// Workers that accept tasks in the present placement pass.
   std::vector<Worker *> UsableWorkers_;
+  /// Workers with room for the task that is being placed, and what is compared
+  /// of them.
+  std::vector<Worker *> CandidateWorkers_;
+  std::vector<WorkerCandidate> Candidates_;
   std::int64_t UsableCpu_ = 0; ///< Milli-cores of these workers.
   /// Milli-cores that gangs without enough room keep, in the present pass.
   std::int64_t CollectedCpu_ = 0;
@@ -518,6 +527,7 @@
   std::size_t AdviceSelections_ = 0;
   Millis NextJobAdvance_ = 0;
   RunHistory History_;
+  bool SpeedsDiffer_ = false;   ///< Some workers are known to be faster.
   Millis NextSpeedRefresh_ = 0; ///< When Worker::Speed_ is set again.
   Millis NextSpeedReport_ = 0;  ///< Time of the next worker_speeds line.
   /// Scheduled jobs by the time since 1970 at which their next occurrence is
--- a/src/cell/engine_history.cc
+++ b/src/cell/engine_history.cc
@@ -70,14 +70,38 @@
                       Kind, RunTime, Spec.Estimate_, Now_});
 }
 
+/// Returns the speed of a worker on which a task of the step is expected to end
+/// in time. Returns nothing where speeds do not matter: they are equal or
+/// unknown, the step is late already, or it runs until it is stopped or at the
+/// pace that others leave. The same holds while the queue's durations are not
+/// known, since estimates that are too short would send urgent work to slow
+/// workers.
+std::optional<double> Cell::Engine::requiredSpeedOf(const StepRun &Step) const {
+  const StepSpec &Spec = Step.spec();
+  if (!SpeedsDiffer_ || Spec.Fill_ ||
+      Step.Urgency_.Class_ != Urgency::Class::OnTime ||
+      !History_.knowsDurationRatio(Step.Job_->Queue_))
+    return std::nullopt;
+  const Millis Chain = Step.Objective_ - Step.LatestStart_;
+  return requiredSpeed({Spec.Estimate_,
+                        History_.durationRatio(Step.Job_->Queue_),
+                        Step.Objective_ - Now_, Chain - Spec.Estimate_});
+}
+
 /// Sets the speeds that placement uses.
 void Cell::Engine::refreshSpeeds() {
   if (Now_ < NextSpeedRefresh_)
     return;
   NextSpeedRefresh_ = Now_ + SpeedRefreshInterval;
   History_.normalize();
-  for (const auto &[Id, Each] : Workers_)
+  double Slowest = 1;
+  double Fastest = 1;
+  for (const auto &[Id, Each] : Workers_) {
     Each->Speed_ = History_.speedOf(Id);
+    Slowest = std::min(Slowest, Each->Speed_);
+    Fastest = std::max(Fastest, Each->Speed_);
+  }
+  SpeedsDiffer_ = Fastest >= Slowest * MinSpeedRatio;
   reportSpeeds();
 }
 
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -308,11 +308,41 @@
                      });
 }
 
+/// Returns whether it is better not to run the step on the worker, although it
+/// may run there.
+bool Cell::Engine::isUnpreferred(const Worker &Target,
+                                 const StepRun &Step) const {
+  const StepSpec &Spec = Step.spec();
+  return (!Spec.PreferredRack_.empty() &&
+          Target.Rack_ != Spec.PreferredRack_) ||
+         (Spec.Fill_ && runsTaskWithTailGoal(Target));
+}
+
+/// Returns the best of the workers that have room for a task of the step, or
+/// null.
+Worker *Cell::Engine::bestWorker(const StepRun &Step,
+                                 const std::vector<Worker *> &Open,
+                                 std::optional<double> Required) {
+  Candidates_.clear();
+  CandidateWorkers_.clear();
+  for (Worker *Each : Open) {
+    if (maxCopiesOn(*Each, Step, false) == 0)
+      continue;
+    Candidates_.push_back({isUnpreferred(*Each, Step),
+                           Each->Capacity_.CpuMilli_ - Each->Used_.CpuMilli_,
+                           Each->Speed_});
+    CandidateWorkers_.push_back(Each);
+  }
+  return Candidates_.empty()
+             ? nullptr
+             : CandidateWorkers_[chooseWorker(Candidates_, Required)];
+}
+
 /// Starts waiting tasks on the best eligible workers. If some remain, preempts
 /// runs for them or requests advice on more workers.
 void Cell::Engine::placeTasks(StepRun &Step) {
   const std::vector<Worker *> Open = eligibleWorkers(Step);
-  const StepSpec &Spec = Step.spec();
+  const std::optional<double> Required = requiredSpeedOf(Step);
   std::uint32_t Left = Step.waiting();
   for (std::uint32_t Index = 0; Index < Step.Tasks_.size() && Left > 0;
        ++Index) {
@@ -322,21 +352,7 @@
       continue;
     if (!isUnderTeamLimit(Step, 1))
       return;
-    Worker *Best = nullptr;
-    std::pair<bool, std::int64_t> BestScore;
-    for (Worker *Each : Open) {
-      if (maxCopiesOn(*Each, Step, false) == 0)
-        continue;
-      const bool Unpreferred = (!Spec.PreferredRack_.empty() &&
-                                Each->Rack_ != Spec.PreferredRack_) ||
-                               (Spec.Fill_ && runsTaskWithTailGoal(*Each));
-      const std::pair Score{Unpreferred,
-                            Each->Capacity_.CpuMilli_ - Each->Used_.CpuMilli_};
-      if (Best == nullptr || Score < BestScore) {
-        Best = Each;
-        BestScore = Score;
-      }
-    }
+    Worker *Best = bestWorker(Step, Open, Required);
     if (Best == nullptr)
       break;
     startTask(Step, Index, *Best, nextAttempt(TargetTask, TargetTask.Starts_));
--- a/src/cell/run_history.cc
+++ b/src/cell/run_history.cc
@@ -19,7 +19,7 @@
 /// Range of plausible run times in milliseconds. Shorter runs are dominated by
 /// the delay until their ends are listed.
 constexpr Millis MinRunTime = 100;
-constexpr Millis MaxRunTime = 6 * 3600 * 1000;
+constexpr Millis MaxRunTime = Millis{6} * 3600 * 1000;
 /// Factor between estimate and run time beyond which a clock has jumped.
 constexpr Millis MaxEstimateError = 100;
 
@@ -107,6 +107,7 @@
 /// much from the median counts as if it differed by the limit.
 double RunHistory::commonLogTime(const std::vector<Sample> &Batch) const {
   std::vector<double> Times;
+  Times.reserve(Batch.size());
   for (const Sample &Each : Batch)
     Times.push_back(Each.LogTime_ + valueOf(Each.Worker_).Value_);
   const double Median = medianOf(Times);
@@ -165,11 +166,13 @@
   return Found.isKnown(SpeedWindow) ? std::exp(Found.Value_) : 1;
 }
 
-double RunHistory::durationRatio(const std::string &Queue) const {
+bool RunHistory::knowsDurationRatio(const std::string &Queue) const {
   const auto It = Ratios_.find(Queue);
-  if (It == Ratios_.end() || !It->second.isKnown(RatioWindow))
-    return 1;
-  return std::exp(It->second.Value_);
+  return It != Ratios_.end() && It->second.isKnown(RatioWindow);
+}
+
+double RunHistory::durationRatio(const std::string &Queue) const {
+  return knowsDurationRatio(Queue) ? std::exp(Ratios_.at(Queue).Value_) : 1;
 }
 
 SpeedSummary RunHistory::summary() const {
--- a/src/cell/run_history.h
+++ b/src/cell/run_history.h
@@ -66,6 +66,7 @@
   /// Returns how much longer than estimated tasks of the queue typically take
   /// on a worker of speed 1, or 1 if that is not known.
   double durationRatio(const std::string &Queue) const;
+  bool knowsDurationRatio(const std::string &Queue) const;
   SpeedSummary summary() const;
 
   std::size_t openSteps() const { return Batches_.size(); }
--- a/test/cell/run_history_test.cc
+++ b/test/cell/run_history_test.cc
@@ -61,6 +61,7 @@
 TEST_F(RunHistoryTest, LearnsNoDifferenceWhereTheShortestTasksEndFirst) {
   for (int Step = 0; Step < 60; ++Step) {
     std::vector<double> Times;
+    Times.reserve(6);
     for (int Task = 0; Task < 6; ++Task)
       Times.push_back(1000 * between(0.7, 1.3));
     std::sort(Times.begin(), Times.end());
--- a/test/cell/worker_speeds_test.cc
+++ b/test/cell/worker_speeds_test.cc
@@ -15,7 +15,7 @@
   return Out;
 }
 
-/// A cell whose tasks take 1 s on a worker of speed 1, 2.5 times their
+/// A cell whose tasks take 1 s on a worker of speed 1, 2.5 times their usual
 /// estimate.
 class WorkerSpeedsTest : public ::testing::Test {
 protected:
@@ -36,6 +36,7 @@
     for (int At = 0; At < Count; ++At) {
       JobSpec Spread = simpleJob(WorkerCount, 900);
       Spread.Steps_[0].MaxPerWorker_ = 1;
+      Spread.Steps_[0].Estimate_ = SpreadEstimate_;
       Sim_.submit(numberedId(NextId_++), Spread);
       Sim_.run(StepInterval);
     }
@@ -69,6 +70,13 @@
     return Out;
   }
 
+  double speedOf(const std::string &Id) {
+    for (std::size_t At = 0; At < WorkerCount; ++At)
+      if (Sim_.worker(At).Id_ == Id)
+        return Sim_.worker(At).Speed_;
+    return 0;
+  }
+
   /// Returns how many of 20 urgent jobs end within their objective.
   int countUrgentInTime() {
     int Out = 0;
@@ -89,6 +97,7 @@
 
   CellSimulation Sim_{1, WorkerCount};
   int NextId_ = 1;
+  Millis SpreadEstimate_ = 400;
 };
 
 TEST_F(WorkerSpeedsTest, ReportsWhatItHasLearned) {
@@ -115,5 +124,74 @@
   EXPECT_LE(Fastest, 1.05);
 }
 
+// Guards against urgent work on slow workers while fast ones have room. An
+// owner that knows no speeds takes the fullest workers, which are slow.
+TEST_F(WorkerSpeedsTest, EndsMoreUrgentWorkInTimeOnceSpeedsAreKnown) {
+  setMixedSpeeds();
+  for (std::size_t At = 0; At < WorkerCount; At += 3)
+    Sim_.worker(At).Capacity_.CpuMilli_ = 3900;
+  Sim_.takeOver();
+  EXPECT_EQ(countUrgentInTime(), 0);
+  runSpreadSteps(20);
+  EXPECT_EQ(countUrgentInTime(), 20);
+  Sim_.killOwner();
+  Sim_.takeOver();
+  Sim_.run(300);
+  EXPECT_EQ(countUrgentInTime(), 0) << "The next owner learns anew.";
+}
+
+// Guards against speeds that are lost when workers restart under their ids.
+TEST_F(WorkerSpeedsTest, KeepsTheSpeedsOfRestartedWorkers) {
+  setMixedSpeeds();
+  for (std::size_t At = 0; At < WorkerCount; At += 3)
+    Sim_.worker(At).Capacity_.CpuMilli_ = 3900;
+  Sim_.takeOver();
+  countUrgentInTime(); // Teaches how long the tasks of the queue take.
+  runSpreadSteps(20);
+  for (std::size_t At = 0; At < WorkerCount; ++At)
+    Sim_.worker(At).restart(Sim_.now());
+  Sim_.run(3000); // The owner sees each restart in an answer to a renewal.
+  EXPECT_EQ(countUrgentInTime(), 20);
+}
+
+// Guards against urgent work that is sent to the slowest workers because its
+// estimates are too short and nothing shows that yet.
+TEST_F(WorkerSpeedsTest, KeepsTheOrderWhileDurationsAreUnknown) {
+  setMixedSpeeds();
+  for (std::size_t At = 2; At < WorkerCount; At += 3)
+    Sim_.worker(At).Capacity_.CpuMilli_ = 3900;
+  Sim_.takeOver();
+  runSpreadSteps(20);
+  EXPECT_EQ(countUrgentInTime(), 20);
+}
+
+// Guards against work with much time that keeps the fast workers from others.
+TEST_F(WorkerSpeedsTest, RunsWorkWithMuchTimeOnSlowWorkers) {
+  setMixedSpeeds();
+  for (std::size_t At = 2; At < WorkerCount; At += 3)
+    Sim_.worker(At).Capacity_.CpuMilli_ = 3900;
+  JobSpec Patient = simpleJob(1, 3500);
+  Patient.Steps_[0].Estimate_ = 1500;
+  SpreadEstimate_ = 1000;
+  Sim_.takeOver();
+  Sim_.run(300);
+  EXPECT_EQ(speedOf(workerOf(Patient, "slow")), 1.6);
+  runSpreadSteps(20);
+  EXPECT_EQ(speedOf(workerOf(Patient, "slow")), 0.6);
+}
+
+// Guards against another order of workers where all are equally fast.
+TEST_F(WorkerSpeedsTest, KeepsTheOrderWhereSpeedsAreEqual) {
+  Sim_.takeOver();
+  Sim_.run(300);
+  const std::string First = workerOf(simpleJob(1, 3500), "fast");
+  runSpreadSteps(20);
+  reportedSpeeds(WorkerCount);
+  EXPECT_EQ(workerOf(simpleJob(1, 3500), "fast"), First);
+  Sim_.worker(8).Capacity_.CpuMilli_ = 3900;
+  Sim_.run(1000);
+  EXPECT_EQ(workerOf(simpleJob(1, 3500), "fast"), "w8");
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
