--- a/src/cell/engine_history.cc
+++ b/src/cell/engine_history.cc
@@ -107,8 +107,10 @@
 
 /// Logs how many speeds are known and how far apart they are.
 void Cell::Engine::reportSpeeds() {
+  if (Now_ < NextSpeedReport_)
+    return;
   const SpeedSummary Known = History_.summary();
-  if (Now_ < NextSpeedReport_ || Known.Known_ == 0)
+  if (Known.Known_ == 0)
     return;
   NextSpeedReport_ = Now_ + SpeedReportInterval;
   Effects_.push_back(Decision{
