--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -5,6 +5,8 @@
 
 #include "cell/model.h"
 #include "cell/place_wait.h"
+#include "cell/run_history.h"
+#include "cell/worker_choice.h"
 
 namespace oleandergauge::cell {
 
@@ -317,11 +319,19 @@
   // engine_lists.cc
   void processList(Worker &Sender, const WorkerList &List);
   void processRunning(Worker &Sender, const RunningEntry &Entry, Millis Clock);
-  void processEnd(Worker &Sender, const EndEntry &End);
+  void processEnd(Worker &Sender, const EndEntry &End, Millis EndDelay);
   void loseUnlistedRuns(Worker &Sender, const WorkerList &List);
   void adoptRun(Worker &Target, const RunningEntry &Entry, StepRun &Step,
                 std::uint32_t Index);
 
+  // engine_history.cc
+  Millis maxEndDelay(const Worker &Sender, const WorkerList &List) const;
+  void learnFromEnd(const Worker &Sender, const Run &Ended, EndKind Kind,
+                    Millis EndDelay);
+  std::optional<double> requiredSpeedOf(const StepRun &Step) const;
+  void refreshSpeeds();
+  void reportSpeeds();
+
   // engine_gangs.cc
   void startGang(StepRun &Step, const std::vector<GangAssignment> &Assignments);
   void confirmStart(Worker &Target, Run &TargetRun);
@@ -431,6 +441,9 @@
   void subtractNeedSum(Worker &Target, const Run &TargetRun);
   std::vector<Worker *> eligibleWorkers(const StepRun &Step);
   void placeStep(StepRun &Step);
+  bool isUnpreferred(const Worker &Target, const StepRun &Step) const;
+  Worker *bestWorker(const StepRun &Step, const std::vector<Worker *> &Open,
+                     std::optional<double> Required);
   void placeTasks(StepRun &Step);
   void startTask(StepRun &Step, std::uint32_t Index, Worker &Target,
                  std::uint64_t Attempt);
@@ -596,6 +609,10 @@
   std::size_t ComparedInPart_ = 0; ///< Workers, in the present part of a pass.
   /// Workers that accept tasks in the present placement pass.
   std::vector<Worker *> UsableWorkers_;
+  /// Workers with room for the task that is being placed, and what is compared
+  /// of them.
+  std::vector<Worker *> CandidateWorkers_;
+  std::vector<WorkerCandidate> Candidates_;
   std::int64_t UsableCpu_ = 0; ///< Milli-cores of these workers.
   /// Milli-cores that gangs without enough room keep, in the present pass.
   std::int64_t CollectedCpu_ = 0;
@@ -604,6 +621,10 @@
   /// A step of some value could not make a call in the present pass.
   bool CallsLackHosts_ = false;
   Millis NextJobAdvance_ = 0;
+  RunHistory History_;
+  bool SpeedsDiffer_ = false;   ///< Some workers are known to be faster.
+  Millis NextSpeedRefresh_ = 0; ///< When Worker::Speed_ is set again.
+  Millis NextSpeedReport_ = 0;  ///< Time of the next worker_speeds line.
   /// Scheduled jobs by the time since 1970 at which their next occurrence is
   /// due.
   std::multimap<Millis, std::string> DueOccurrences_;
--- a/src/cell/engine_gangs.cc
+++ b/src/cell/engine_gangs.cc
@@ -51,6 +51,7 @@
   if (TargetRun.Phase_ != Run::Phase::Ordered)
     return;
   setPhase(Target, TargetRun, Run::Phase::Running);
+  TargetRun.StartConfirmedAt_ = Now_;
   if (TargetRun.Step_ == nullptr)
     return;
   markStarted(*TargetRun.Step_->Job_);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -512,6 +512,8 @@
       ++Step.DoneCount_;
       markDirty(Step, Index, Index + 1);
     }
+    if (Step.isDone())
+      History_.closeStep(Step.Name_);
     countJob(TargetJob);
     refreshReadySteps(TargetJob);
     endJobIfComplete(TargetJob);
@@ -582,6 +584,7 @@
   for (const Token Id : Step.AdviceCalls_)
     PendingAdvice_[Id].Step_ = nullptr;
   Step.AdviceCalls_.clear();
+  History_.closeStep(Step.Name_);
   if (Step.spec().Gang_)
     std::erase(AssemblingGangs_, &Step);
 }
@@ -665,6 +668,7 @@
 
 void Cell::Engine::advanceAll() {
   advanceJobs();
+  refreshSpeeds();
   placeReadySteps();
   advanceWaves();
   abortOverdueGangs();
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -33,6 +33,10 @@
   Millis OrderedAt_ = 0;
   Millis LastOrderAt_ = 0;
   Millis LastStartAt_ = 0; ///< Time of the latest start order.
+  /// When the worker first confirmed the start; zero before that, and for a run
+  /// that a former owner started.
+  Millis StartConfirmedAt_ = 0;
+  bool Resumed_ = false; ///< Started from a checkpoint.
   /// The worker's clock when it confirmed the start or the stop.
   Millis ConfirmedClock_ = 0;
   bool StopConfirmed_ = false;
@@ -314,8 +318,8 @@
   Millis ListRequestedAt_ = 0;
   /// Time by which all leases that were sent have certainly ended.
   Millis LeaseEnd_ = 0;
-  Token Renewal_ = 0; ///< The renewal in flight; zero if there is none.
-  Millis RenewalSentAt_ = 0;
+  Token Renewal_ = 0;        ///< The renewal in flight; zero if there is none.
+  Millis RenewalSentAt_ = 0; ///< Time of the latest renewal.
   Millis NextRenewal_ = 0;
   /// When advanceWorkers() next has to examine the worker.
   Millis DueAt_ = 0;
@@ -346,6 +350,8 @@
   /// runs by priority.
   Resources StoppingNeed_;
   std::map<int, Resources> PreemptibleNeed_;
+  /// Learned speed relative to the median worker; 1 if it is not known.
+  double Speed_ = 1;
 
   bool hasLabel(const std::string &Label) const;
   /// Names the rack among those of all services.
