Bound the size of heartbeats and the number of competing takeovers

At 300 entry hosts the cell served nothing: 'owner of the cell' came 21 times in 20 s, each followed by 'no longer owner: the store cannot be reached from here' after 0.6 s, 6,074 links ended as silent, and one owner ran out of memory (160 MB). Each hello made the owner send a heartbeat to all hosts, and each heartbeat listed the addresses of all hosts: with n hosts a takeover cost n^3 addresses, 400 MB at 300 hosts, and every 200 ms another n^2. The answers of the store stood behind that on the owner's link, so that it handed over, and the next owner did the same.

A hello is now answered by one heartbeat, and a heartbeat lists the addresses only if they have changed, at most every 2 s for each host. A host also reads the owner row again right before it takes over: 315 hosts wrote to it within the first second, on a part of the store that takes 150 transactions a second.

--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -55,6 +55,8 @@
   /// Returns whether this host should try to write itself into the row now.
   bool mayTakeOver(Millis Now) const;
   const StoredOwner &lastObserved() const { return LastObserved_; }
+  /// Returns the time of the latest read; negative if there was none.
+  Millis lastReadAt() const { return LastReadAt_; }
   /// Restarts the measurement of the owner's silence, as after a failed
   /// attempt.
   void restart(Millis Now);
--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -41,6 +41,10 @@
     bool Draining_ = false;
     /// Time since the host last reached the store, from its last heartbeat.
     Millis StoreContactAge_ = 0;
+    /// When the host may next be sent the addresses of all hosts, and the
+    /// version of the list that it was sent last.
+    Millis NextPeerList_ = 0;
+    std::uint64_t SentPeerList_ = 0;
   };
 
   // Operator's rows.
@@ -80,6 +84,9 @@
                              const cell::pb::Release &Release);
   void reportReadiness();
   void answerAdviceRequest(const cell::pb::AdviceRequest &Request);
+  Frame makeHeartbeat() const;
+  Frame makeHeartbeatToFollower() const;
+  void sendHeartbeatTo(HostLink &Follower, Frame Heartbeat);
   void sendHeartbeats();
   void removeLink(std::size_t At);
   void removeSilentLinks();
@@ -136,6 +143,8 @@
   cell::OwnerClock OwnerClock_; ///< Of the owner at the end of OwnerLink_.
   Millis OwnerSeenAt_ = 0; ///< Last frame from the owner, or own ready tick.
   std::vector<HostLink> IncomingLinks_;
+  /// Changes with the addresses of the hosts in IncomingLinks_.
+  std::uint64_t PeerListVersion_ = 1;
   /// Addresses of all hosts, as listed in the owner's heartbeats.
   std::set<std::string> PeerAddresses_;
   std::vector<std::shared_ptr<PeerLink>> AnnouncementLinks_;
--- a/src/node/host_links.cc
+++ b/src/node/host_links.cc
@@ -17,6 +17,9 @@
 /// is shorter than any takeover.
 constexpr Millis FollowerSilenceLimit = 500;
 
+/// Minimum time between two lists of all hosts that one host is sent.
+constexpr Millis PeerListInterval = 2000;
+
 /// Stands for a host that has not yet reported its last contact with the store.
 constexpr Millis UnknownStoreContactAge = 1000000;
 /// Ratio of CPU shares from which one host counts as much larger than another.
@@ -44,7 +47,8 @@
       }
     });
   });
-  IncomingLinks_.push_back({NewLink, "", 0, "", false, UnknownStoreContactAge});
+  IncomingLinks_.push_back(
+      {NewLink, "", 0, "", false, UnknownStoreContactAge, 0, 0});
 }
 
 /// Makes a connected host available to the owner, if this host is the owner.
@@ -70,8 +74,9 @@
         Each.CpuShare_ = Received.hello().strength();
         Each.Address_ = Received.hello().address();
         addFollowerToOwner(Each);
+        ++PeerListVersion_;
+        sendHeartbeatTo(Each, makeHeartbeatToFollower());
       }
-    sendHeartbeats();
     break;
   case Frame::kBeat:
     for (HostLink &Each : IncomingLinks_)
@@ -152,7 +157,7 @@
   Succession_.setPreferred(Beat.successor() == Settings_.Name_);
   if (Beat.strongest() > 0)
     Succession_.setOutranked(hasMuchMoreCpu(Beat.strongest()));
-  if (Beat.epoch() == OwnerEpoch_)
+  if (Beat.epoch() == OwnerEpoch_ && Beat.peers_size() > 0)
     PeerAddresses_ = {Beat.peers().begin(), Beat.peers().end()};
   if (OwnerReportsReady_)
     FrontEnd_.sendPending();
@@ -215,36 +220,66 @@
   return Out;
 }
 
-/// Sends a heartbeat on each link. The fields about ownership go only to hosts
-/// that have connected to this one.
-void EntryHost::sendHeartbeats() {
+/// Returns the part of a heartbeat that goes to every host.
+Frame EntryHost::makeHeartbeat() const {
   Frame Out;
   cell::pb::Beat &Beat = *Out.mutable_beat();
   Beat.set_store_age_ms(Store_.timeSinceContact());
   Beat.set_leaving(DrainingSince_ != 0);
   Beat.set_clock_ms(bootTime());
-  if (OwnerLink_)
-    OwnerLink_->send(Out);
+  return Out;
+}
+
+/// Returns a heartbeat with the fields about ownership, for hosts that have
+/// connected to this one.
+Frame EntryHost::makeHeartbeatToFollower() const {
+  Frame Out = makeHeartbeat();
+  cell::pb::Beat &Beat = *Out.mutable_beat();
+  const HostLink *Next = selectSuccessor();
   Beat.set_owner_ready(Owner_ && Owner_->isReady());
-  if (const HostLink *Next = selectSuccessor())
+  if (Next != nullptr)
     Beat.set_successor(Next->Host_);
-  if (Owner_) {
-    Beat.set_epoch(Owner_->epoch());
-    const HostLink *Strongest = selectSuccessor();
-    Beat.set_strongest(std::max(
-        Settings_.CpuShare_, Strongest == nullptr ? 0 : Strongest->CpuShare_));
+  if (!Owner_)
+    return Out;
+  Beat.set_epoch(Owner_->epoch());
+  Beat.set_strongest(
+      std::max(Settings_.CpuShare_, Next == nullptr ? 0 : Next->CpuShare_));
+  return Out;
+}
+
+/// Sends a heartbeat to a host. Its size must not grow with the number of
+/// hosts, or all heartbeats together grow with its square: the addresses of all
+/// hosts are added only if they have changed, and not more often than
+/// PeerListInterval.
+void EntryHost::sendHeartbeatTo(HostLink &Follower, Frame Heartbeat) {
+  const Millis Now = bootTime();
+  if (Owner_ && Follower.SentPeerList_ != PeerListVersion_ &&
+      Now >= Follower.NextPeerList_) {
     for (const HostLink &Each : IncomingLinks_)
       if (!Each.Address_.empty())
-        Beat.add_peers(Each.Address_);
+        Heartbeat.mutable_beat()->add_peers(Each.Address_);
+    Follower.SentPeerList_ = PeerListVersion_;
+    Follower.NextPeerList_ = Now + PeerListInterval;
   }
-  for (const HostLink &Each : IncomingLinks_)
-    Each.Link_->send(Out);
+  Follower.Link_->send(Heartbeat);
+}
+
+/// Sends a heartbeat on each link.
+void EntryHost::sendHeartbeats() {
+  if (OwnerLink_)
+    OwnerLink_->send(makeHeartbeat());
+  if (IncomingLinks_.empty())
+    return;
+  const Frame Heartbeat = makeHeartbeatToFollower();
+  for (HostLink &Each : IncomingLinks_)
+    sendHeartbeatTo(Each, Heartbeat);
 }
 
 void EntryHost::removeLink(std::size_t At) {
   const HostLink Removed = IncomingLinks_[At];
   IncomingLinks_.erase(IncomingLinks_.begin() +
                        static_cast<std::ptrdiff_t>(At));
+  ++PeerListVersion_;
   if (Owner_ && !Removed.Host_.empty())
     Owner_->removeHost(Removed.Host_);
 }
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -23,6 +23,8 @@
 /// larger hosts to connect before it hands over. It covers several of their
 /// reads of the owner row.
 constexpr Millis LargerHostLinkWait = 1000;
+/// A host takes over only if it has just read the owner row.
+constexpr Millis MaxObservationAge = 10;
 /// Delay before retrying to mark the owner row as released.
 constexpr Millis ReleaseRetryDelay = 100;
 /// Delay before retrying to read the operator's rows.
@@ -130,8 +132,14 @@
 /// Starts a takeover if cell::Succession permits it and the operator's desired
 /// state is known. A draining host does not take over.
 void EntryHost::takeOverIfDue() {
-  if (!Owner_ && !TakeoverInFlight_ && DrainingSince_ == 0 &&
-      OperatorRows_.DesiredState_ && Succession_.mayTakeOver(bootTime()))
+  if (Owner_ || TakeoverInFlight_ || DrainingSince_ != 0 ||
+      !OperatorRows_.DesiredState_ || !Succession_.mayTakeOver(bootTime()))
+    return;
+  // Another host may have taken over since the latest read. Of many hosts, most
+  // notice that by a read, and only few compete for the owner row.
+  if (bootTime() - Succession_.lastReadAt() > MaxObservationAge)
+    readOwnerRow();
+  else
     writeTakeover(Succession_.lastObserved());
 }
 
