Clarify names and comments after a reading by a newcomer

Also two faults that the reading showed: the forecast of work over its team's share ignored later work within the share and entered the histogram forecast_error, and two comments stood above the wrong declaration.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -262,7 +262,7 @@
                       std::uint32_t From, bool WithAdvice) const;
 
   Millis objectiveSpan(const JobSpec &Spec, const Queue *JobQueue) const;
-  double *teamTokens(const std::string &TeamName);
+  double *refillTeamTokens(const std::string &TeamName);
 
   // engine_admission.cc
   AdmissionDecision decideSubmission(const Resolution &Request,
@@ -296,13 +296,13 @@
   /// Removes a run that is over without an end that counts. Its task waits for
   /// another run.
   void loseRun(Worker &Target, const std::string &Name, std::string_view Why);
-  bool isPresentIncarnation(const PendingOrder &Order, Millis ClockMs) const;
+  bool mayBeSameIncarnation(const PendingOrder &Order, Millis ClockMs) const;
   bool continuesClock(const Worker &Target, Millis ClockMs) const;
   bool mayRunInLaterIncarnation(const Worker &Target,
                                 const Run &TargetRun) const;
   void changeIncarnation(Worker &Target, Millis Incarnation);
   void keepForNextList(Worker &Target, Run &TargetRun);
-  void requestListNow(Worker &Target);
+  void suspendUntilNextList(Worker &Target);
   void assumeLongestLease(Worker &Target);
   void loseWorker(Worker &Gone, std::string_view Why);
   void expireLease(Worker &Target);
--- a/src/cell/engine_history.cc
+++ b/src/cell/engine_history.cc
@@ -17,6 +17,7 @@
 /// Largest error of a measured run time, as a share of it, with which the run
 /// counts.
 constexpr double MaxTimeErrorShare = 0.15;
+/// Exceeds the largest error of every run, and sums of it do not overflow.
 constexpr Millis UnknownDelay = std::numeric_limits<Millis>::max() / 4;
 
 std::string decimalOf(double Value) {
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -323,9 +323,9 @@
          encode(EndedBatch{{Id, Ended}}).size() <= maxRowBytes();
 }
 
-/// Returns the submissions that a team may make at present within its share, or
-/// null for an unknown team.
-double *Cell::Engine::teamTokens(const std::string &TeamName) {
+/// Refills the team's token bucket and returns its level, from which a caller
+/// takes one for a submission; null for an unknown team.
+double *Cell::Engine::refillTeamTokens(const std::string &TeamName) {
   const Team *JobTeam = State_ ? findTeam(*State_, TeamName) : nullptr;
   if (JobTeam == nullptr)
     return nullptr;
@@ -353,7 +353,7 @@
     Effects_.push_back(Reply{Caller, Answer::TooLarge});
     return;
   }
-  double *Tokens = teamTokens(Request.Team_);
+  double *Tokens = refillTeamTokens(Request.Team_);
   const bool OverTeamShare = Tokens != nullptr && *Tokens < 1;
   const AdmissionDecision Decided =
       decideSubmission(Request, Spec, OverTeamShare);
@@ -364,7 +364,9 @@
   Job &NewJob = makeJob(Request.JobId_, Record);
   NewJob.Callers_.push_back(Caller);
   NewJob.OverTeamShare_ = OverTeamShare;
-  NewJob.ForecastWait_ = Decided.ExpectedWait_;
+  // Work over the team's share also waits for later work within it.
+  if (!NewJob.OverTeamShare_)
+    NewJob.ForecastWait_ = Decided.ExpectedWait_;
   setAnswerTime(NewJob, Timeout);
   if (Spec.Occurrences_ == 0)
     openOccurrence(NewJob, 0);
@@ -514,7 +516,6 @@
     }
     if (Step.isDone())
       History_.closeStep(Step.Name_);
-    countJob(TargetJob);
     refreshReadySteps(TargetJob);
     endJobIfComplete(TargetJob);
     return;
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -13,7 +13,8 @@
 constexpr Millis RenewalInterval = 25;
 /// Time until the next renewal while reported ends wait to be stored.
 constexpr Millis RenewalIntervalWhileStoring = 250;
-/// Difference between the wall clocks of a worker and of this host.
+/// Largest assumed difference between the wall clocks of a worker and of this
+/// host.
 constexpr Millis MaxClockSkew = 1000;
 
 } // namespace
--- a/src/cell/engine_place_wait.cc
+++ b/src/cell/engine_place_wait.cc
@@ -59,13 +59,13 @@
   const PlaceWait First = describePlaceWait(Step, Expected);
   if (choosePlace(First) == PlaceChoice::GoElsewhere)
     return 0;
-  Millis Held = Capacity - Ahead;
+  std::int64_t Held = Capacity - Ahead;
   if (Expected)
     Held = (lossElsewhere(First) - 1) /
                std::max<Millis>(1, *Expected / (Ahead + 1)) -
            Ahead;
   const auto Out =
-      static_cast<std::uint32_t>(std::clamp<Millis>(Held, 1, Left));
+      static_cast<std::uint32_t>(std::clamp<std::int64_t>(Held, 1, Left));
   Ahead += Out;
   return Out;
 }
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -45,9 +45,9 @@
 /// Longest time from the sending of a renewal or an order until it is carried
 /// out, unless it is delayed by MaxOrderDelay.
 constexpr Millis MaxCallTime = 2000;
-/// Longest time between an order's arrival at a worker and its outcome, and the
-/// delay of a slow clock since the latest list.
-constexpr Millis MaxAnswerDelay = 200;
+/// Largest time by which the clock in an answer may lag the estimate: the delay
+/// of the answer, and the drift of a slow clock since the latest list.
+constexpr Millis MaxClockLag = 200;
 /// Error of a comparison of a worker's clock with the owner's.
 constexpr Millis ClockTolerance = 50;
 
@@ -303,10 +303,10 @@
   dropRun(Target, Name);
 }
 
-/// Returns whether the answer to an order can come from the incarnation that
-/// the order was meant for. Its clock never goes back and runs at most as fast
-/// as the owner's.
-bool Cell::Engine::isPresentIncarnation(const PendingOrder &Order,
+/// Returns false if the clock in the answer to an order proves that another
+/// incarnation gave it than the one the order was meant for. A clock never goes
+/// back and runs at most as fast as the owner's.
+bool Cell::Engine::mayBeSameIncarnation(const PendingOrder &Order,
                                         Millis ClockMs) const {
   if (ClockMs == 0 || Order.ListRequestedAt_ == 0)
     return true; // Nothing to compare with.
@@ -314,12 +314,12 @@
   return ClockMs >= Order.ClockMs_ && ClockMs <= Latest + ClockTolerance;
 }
 
-/// Returns whether the clock in an answer that has just arrived is the one that
-/// the worker's latest list lets expect.
+/// Returns whether the clock in an answer that has just arrived agrees with the
+/// estimate from the worker's latest list.
 bool Cell::Engine::continuesClock(const Worker &Target, Millis ClockMs) const {
   const Millis Expected = workerClock(Target);
   return Target.ClockAt_ != 0 && ClockMs <= Expected + ClockTolerance &&
-         ClockMs >= Expected - MaxAnswerDelay;
+         ClockMs >= Expected - MaxClockLag;
 }
 
 /// Returns whether a later incarnation of the worker than the present one may
@@ -350,9 +350,9 @@
   TargetRun.LastOrderAt_ = 0;
 }
 
-/// Requests a list without waiting for a renewal in flight, which may have gone
-/// to a former incarnation of the worker.
-void Cell::Engine::requestListNow(Worker &Target) {
+/// Stops using the worker until it has answered a new renewal. The one in
+/// flight may have gone to a former incarnation and no longer counts.
+void Cell::Engine::suspendUntilNextList(Worker &Target) {
   Target.FenceAccepted_ = false;
   Target.Renewal_ = 0;
   Target.NextRenewal_ = Now_;
@@ -379,7 +379,7 @@
   Target.LastCommitEnd_ = 0;
   Target.UnstoredEnds_.clear();
   Target.ClockAt_ = 0;
-  requestListNow(Target);
+  suspendUntilNextList(Target);
   std::vector<std::string> Lost;
   for (auto &[Name, Each] : Target.Runs_)
     if (mayRunInLaterIncarnation(Target, Each))
@@ -421,15 +421,16 @@
 
 /// Drops the runs of an unreachable worker once their leases have ended. A run
 /// that a later incarnation may have is kept for the longest lease, and one
-/// with an unanswered order until no copy of the order can arrive any more. The
-/// clock in an answer suffices here, since nothing else speaks for a restart.
+/// with an unanswered order until no copy of the order can arrive any more. A
+/// matching clock in the answer to the start is enough here, since no list or
+/// entry has shown a restart.
 void Cell::Engine::expireLease(Worker &Target) {
-  const Millis LatestDeadline = Target.LeaseEnd_ - LeaseTime - LeaseClockSlack;
+  const Millis LatestGrantAt = Target.LeaseEnd_ - LeaseTime - LeaseClockSlack;
   std::vector<std::string> Lost;
   for (const auto &[Name, Each] : Target.Runs_) {
     const bool Certain = Each.OpenStarts_ == 0 && Each.StartClockMatches_;
     if (!Certain && mayRunInLaterIncarnation(Target, Each) &&
-        Now_ <= LatestDeadline + MaxCallTime + longestLease(Limits_))
+        Now_ <= LatestGrantAt + MaxCallTime + longestLease(Limits_))
       continue;
     if (Each.OpenStarts_ == 0 || Now_ > Each.LastStartAt_ + MaxOrderDelay)
       Lost.push_back(Name);
@@ -482,14 +483,14 @@
       Found != Target->Runs_.end() && Found->second.Attempt_ == Order.Attempt_;
   if (Known)
     applyOrderOutcome(*Target, Order, Found->second, Outcome);
-  if (!isPresentIncarnation(Order, Outcome.ClockMs_) &&
+  if (!mayBeSameIncarnation(Order, Outcome.ClockMs_) &&
       Target->FenceAccepted_) {
     Effects_.push_back(
         Decision{"worker_restart_suspected", Target->Id_,
                  "clock=" + std::to_string(Outcome.ClockMs_) +
                      " expected=" + std::to_string(workerClock(*Target)),
                  Now_ - Target->ClockAt_, Order.Attempt_});
-    requestListNow(*Target);
+    suspendUntilNextList(*Target);
   }
 }
 
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -42,6 +42,7 @@
   bool StopConfirmed_ = false;
   std::uint32_t SentStarts_ = 0; ///< Start orders that were sent.
   /// Start orders without an answer so far, copies of which may still arrive.
+  /// An order whose call has timed out counts until a list shows the run.
   std::uint32_t OpenStarts_ = 0;
   /// Time of the latest answer that confirmed a start. It does not tell which
   /// incarnation of the worker gave it.
@@ -188,10 +189,10 @@
   /// Until when room for all members of a gang stays reserved.
   Millis GangPlanUntil_ = 0;
   Millis GangBackoff_ = 0; ///< Doubles with each attempt that did not assemble.
-  /// Since when the step could have started elsewhere and waits for room in its
-  /// preferred place; empty if it does not wait for the place.
+  /// When the preferred place was first found without room while there was room
+  /// elsewhere; kept until no task of the step waits.
   std::optional<Millis> PlaceWaitSince_;
-  /// A gang for one rack may start on several.
+  /// A gang for one rack may start on several, from now until it starts.
   bool MaySpanRacks_ = false;
   /// Some rack could hold the gang when empty, as found before RackSizesUntil_.
   bool FitsInRack_ = true;
@@ -303,7 +304,8 @@
   /// Number of restarts that this owner has seen.
   std::uint32_t RestartCount_ = 0;
   std::uint64_t Fence_ = 0;
-  /// The present incarnation has answered a request with this owner's fence.
+  /// The present incarnation has answered a request with this owner's fence,
+  /// and no restart has been suspected since.
   bool FenceAccepted_ = false;
   bool ListsEnds_ = false; ///< The latest list contains ends.
   /// The latest list did not name all ends that are not acknowledged.
--- a/src/cell/place_wait.cc
+++ b/src/cell/place_wait.cc
@@ -6,16 +6,17 @@
 namespace oleandergauge::cell {
 namespace {
 
-/// Longest time until a step that waits is examined again. A wait ends this
-/// long before a start elsewhere would be too late.
-constexpr Millis DecisionInterval = 60;
-/// Returned where a place gains no room at all.
+/// Margin before the latest start elsewhere. It covers the time between two
+/// examinations of a step, unless the owner is busy.
+constexpr Millis DecisionMargin = 60;
+/// Returned where a place gains no room at all. It exceeds every limit, and
+/// sums of it do not overflow.
 constexpr Millis LongestWait = std::numeric_limits<Millis>::max() / 4;
 
 /// Returns whether work that takes \p Duration ends within \p Left if it starts
 /// now, but not if it starts after the next decision.
 bool isLastMoment(Millis Duration, Millis Left) {
-  return Duration <= Left && Duration + DecisionInterval > Left;
+  return Duration <= Left && Duration + DecisionMargin > Left;
 }
 
 } // namespace
--- a/src/cell/place_wait.h
+++ b/src/cell/place_wait.h
@@ -37,11 +37,12 @@
 /// and never for longer than that loss, so that a wrong or missing expectation
 /// costs at most as much again as the better choice. Waiting ends before it
 /// alone would make a job late, or worthless, that is in time elsewhere.
-PlaceChoice choosePlace(const PlaceWait &Work);
+PlaceChoice choosePlace(const PlaceWait &Wait);
 
+/// Result of tasksIn() without a limit; small enough for sums of several.
+constexpr std::int64_t NoTaskLimit = std::int64_t{1} << 32;
 /// Returns how many tasks that need \p Need fit into \p Room; NoTaskLimit if
 /// they need nothing of what is counted.
-constexpr std::int64_t NoTaskLimit = std::int64_t{1} << 32;
 std::int64_t tasksIn(const Resources &Room, const Resources &Need);
 
 /// Estimates how long a place takes to offer room, from the room that became
--- a/src/cell/run_history.cc
+++ b/src/cell/run_history.cc
@@ -20,15 +20,16 @@
 /// the delay until their ends are listed.
 constexpr Millis MinRunTime = 100;
 constexpr Millis MaxRunTime = Millis{6} * 3600 * 1000;
-/// Factor between estimate and run time beyond which a clock has jumped.
-constexpr Millis MaxEstimateError = 100;
+/// Ratio of run time to estimate, or its inverse, beyond which a clock has
+/// jumped.
+constexpr Millis MaxEstimateRatio = 100;
 
 bool isPlausible(const FinishedRun &Run) {
   if (Run.RunTime_ < MinRunTime || Run.RunTime_ > MaxRunTime)
     return false;
   return Run.Estimate_ <= 0 ||
-         (Run.RunTime_ <= Run.Estimate_ * MaxEstimateError &&
-          Run.Estimate_ <= Run.RunTime_ * MaxEstimateError);
+         (Run.RunTime_ <= Run.Estimate_ * MaxEstimateRatio &&
+          Run.Estimate_ <= Run.RunTime_ * MaxEstimateRatio);
 }
 
 double logOf(Millis Time) { return std::log(static_cast<double>(Time)); }
--- a/src/node/host_ownership.cc
+++ b/src/node/host_ownership.cc
@@ -129,8 +129,8 @@
   readOwnerRow();
 }
 
-/// Starts a takeover if cell::Succession permits it and the operator's desired
-/// state is known. A draining host does not take over.
+/// Starts a takeover if cell::TakeoverPolicy permits it and the operator's
+/// desired state is known. A draining host does not take over.
 void EntryHost::takeOverIfDue() {
   if (Owner_ || TakeoverInFlight_ || DrainingSince_ != 0 ||
       !OperatorRows_.DesiredState_ || !Succession_.mayTakeOver(bootTime()))
--- a/test/cell/admission_test.cc
+++ b/test/cell/admission_test.cc
@@ -37,7 +37,6 @@
   int startedOnTime() const { return StartedOnTime_; }
   std::size_t waiting() const { return OnTime_.size() + Late_.size(); }
   void forgetWindows() { Load_.forgetWindows(); }
-  Millis LongestRetry_ = 0;
 
 private:
   void submit() {
@@ -52,7 +51,6 @@
                               Load_.meanWaitIn(Count)};
     const AdmissionDecision Decided =
         decideAdmission(Input, std::to_string(Refused_ + Accepted_));
-    LongestRetry_ = std::max(LongestRetry_, Decided.RetryAfter_);
     if (Decided.isRefused()) {
       ++Refused_;
       return;
@@ -97,7 +95,8 @@
   std::deque<Millis> Late_;
 };
 
-/// An input that is refused: 10 s of work ahead of a job of 600 ms.
+/// An input that is refused: 10 s of work ahead of a job of 100 ms
+/// whose objective is 600 ms away.
 AdmissionInput hopelessInput() {
   return {Span, Duration, 5000, 5000, StartRate{1, 500}, false, 0};
 }
--- a/test/cell/restarted_worker_test.cc
+++ b/test/cell/restarted_worker_test.cc
@@ -19,9 +19,8 @@
     Sim_.run(300);
   }
 
-  void expectNoViolation(Millis Offset) {
-    EXPECT_TRUE(Sim_.violations().empty())
-        << Offset << ": " << Sim_.violations().front();
+  void expectNoViolation() {
+    EXPECT_TRUE(Sim_.violations().empty()) << Sim_.violations().front();
   }
 
   Millis Work_ = LongWork;
@@ -167,7 +166,7 @@
   Sim_.worker(0).Disconnected_ = true;
   Sim_.run(700);
   EXPECT_EQ(Sim_.starts() - Before, 4U);
-  expectNoViolation(0);
+  expectNoViolation();
 }
 
 // Guards against jobs that are not counted among the waiting ones of their
@@ -200,7 +199,7 @@
   Sim_.submit(JobId, simpleJob(1, 1000), "fast");
   Sim_.run(8000);
   EXPECT_EQ(Sim_.stateOf(JobId), JobState::Complete);
-  expectNoViolation(0);
+  expectNoViolation();
 }
 
 } // namespace
