Decide in a module of its own when a follower is sent all addresses

The bound on the size of heartbeats could be checked only with hundreds of processes. PeerListSchedule now decides when the owner sends a follower the list, without I/O; the entry host uses it and behaves as before.

A follower gets no list without a change, and knows each change within PeerListInterval and one heartbeat.

--- a/src/node/entry_host.h
+++ b/src/node/entry_host.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "cell/ownership.h"
+#include "cell/peer_list.h"
 #include "cell/request_copies.h"
 #include "node/context.h"
 #include "node/front.h"
@@ -41,10 +42,7 @@
     bool Draining_ = false;
     /// Time since the host last reached the store, from its last heartbeat.
     Millis StoreContactAge_ = 0;
-    /// When the host may next be sent the addresses of all hosts, and the
-    /// version of the list that it was sent last.
-    Millis NextPeerList_ = 0;
-    std::uint64_t SentPeerList_ = 0;
+    cell::SentPeerList SentPeerList_;
   };
 
   // Operator's rows.
@@ -143,8 +141,8 @@
   cell::OwnerClock OwnerClock_; ///< Of the owner at the end of OwnerLink_.
   Millis OwnerSeenAt_ = 0; ///< Last frame from the owner, or own ready tick.
   std::vector<HostLink> IncomingLinks_;
-  /// Changes with the addresses of the hosts in IncomingLinks_.
-  std::uint64_t PeerListVersion_ = 1;
+  /// Of the addresses of the hosts in IncomingLinks_.
+  cell::PeerListSchedule PeerListSchedule_;
   /// Addresses of all hosts, as listed in the owner's heartbeats.
   std::set<std::string> PeerAddresses_;
   std::vector<std::shared_ptr<PeerLink>> AnnouncementLinks_;
--- a/src/node/host_links.cc
+++ b/src/node/host_links.cc
@@ -17,9 +17,6 @@
 /// is shorter than any takeover.
 constexpr Millis FollowerSilenceLimit = 500;
 
-/// Minimum time between two lists of all hosts that one host is sent.
-constexpr Millis PeerListInterval = 2000;
-
 /// Stands for a host that has not yet reported its last contact with the store.
 constexpr Millis UnknownStoreContactAge = 1000000;
 /// Ratio of CPU shares from which one host counts as much larger than another.
@@ -48,7 +45,7 @@
     });
   });
   IncomingLinks_.push_back(
-      {NewLink, "", 0, "", false, UnknownStoreContactAge, 0, 0});
+      {NewLink, "", 0, "", false, UnknownStoreContactAge, {}});
 }
 
 /// Makes a connected host available to the owner, if this host is the owner.
@@ -74,7 +71,7 @@
         Each.CpuShare_ = Received.hello().strength();
         Each.Address_ = Received.hello().address();
         addFollowerToOwner(Each);
-        ++PeerListVersion_;
+        PeerListSchedule_.recordChange();
         sendHeartbeatTo(Each, makeHeartbeatToFollower());
       }
     break;
@@ -247,19 +244,15 @@
   return Out;
 }
 
-/// Sends a heartbeat to a host. Its size must not grow with the number of
-/// hosts, or all heartbeats together grow with its square: the addresses of all
-/// hosts are added only if they have changed, and not more often than
-/// PeerListInterval.
+/// Sends a heartbeat to a host, with the addresses of all hosts if they are due
+/// (see cell::PeerListSchedule).
 void EntryHost::sendHeartbeatTo(HostLink &Follower, Frame Heartbeat) {
   const Millis Now = bootTime();
-  if (Owner_ && Follower.SentPeerList_ != PeerListVersion_ &&
-      Now >= Follower.NextPeerList_) {
+  if (Owner_ && PeerListSchedule_.isDue(Follower.SentPeerList_, Now)) {
     for (const HostLink &Each : IncomingLinks_)
       if (!Each.Address_.empty())
         Heartbeat.mutable_beat()->add_peers(Each.Address_);
-    Follower.SentPeerList_ = PeerListVersion_;
-    Follower.NextPeerList_ = Now + PeerListInterval;
+    Follower.SentPeerList_ = PeerListSchedule_.sentAt(Now);
   }
   Follower.Link_->send(Heartbeat);
 }
@@ -279,7 +272,7 @@
   const HostLink Removed = IncomingLinks_[At];
   IncomingLinks_.erase(IncomingLinks_.begin() +
                        static_cast<std::ptrdiff_t>(At));
-  ++PeerListVersion_;
+  PeerListSchedule_.recordChange();
   if (Owner_ && !Removed.Host_.empty())
     Owner_->removeHost(Removed.Host_);
 }
