Wait for the longest lease only of workers that restarted lately

Jobs of a former owner stood still for 5 s more after a takeover if any worker did not answer.

An order to a former incarnation reaches the new one within MaxStrayTime of its start, so that the lease ends at that time plus the longest lease.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -312,6 +312,7 @@
   static WorkerAddress addressOf(const Worker &Target);
   Millis workerClock(const Worker &Target) const;
   bool isRecovering() const;
+  Millis strayLeaseEnd(const Worker &Target) const;
   Millis recoveryEndOf(const Worker *Target) const;
   void endRecoveryWithoutContact();
   void recordHealth(Worker &Target, EndKind Kind, const Job &Cause);
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -13,9 +13,6 @@
 constexpr Millis RenewalInterval = 25;
 /// Time until the next renewal while reported ends wait to be stored.
 constexpr Millis RenewalIntervalWhileStoring = 250;
-/// Largest assumed difference between the wall clocks of a worker and of this
-/// host.
-constexpr Millis MaxClockSkew = 1000;
 
 } // namespace
 
@@ -53,8 +50,7 @@
   loseUnlistedRuns(Sender, List);
   adjustFillerPaces(Sender);
   if (!Sender.FenceAccepted_) {
-    if (Wall_ - Sender.Incarnation_ < longestLease(Limits_) + MaxClockSkew)
-      assumeLongestLease(Sender);
+    Sender.LeaseEnd_ = std::max(Sender.LeaseEnd_, strayLeaseEnd(Sender));
     Sender.FenceAccepted_ = true;
     PlacementNeeded_ = true;
   }
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -48,6 +48,11 @@
 /// Largest time by which the clock in an answer may lag the estimate: the delay
 /// of the answer, and the drift of a slow clock since the latest list.
 constexpr Millis MaxClockLag = 200;
+/// Longest time after a worker's start in which an order to its former
+/// incarnation is carried out: its owner hears of the restart with the next
+/// heartbeat and raises the fence, or a call under way arrives. It includes the
+/// difference between the wall clocks of a worker and of this host.
+constexpr Millis MaxStrayTime = 4500;
 /// Error of a comparison of a worker's clock with the owner's.
 constexpr Millis ClockTolerance = 50;
 
@@ -75,16 +80,21 @@
 /// Returns whether runs of a former owner may still exist unseen.
 bool Cell::Engine::isRecovering() const { return !UnconfirmedWorkers_.empty(); }
 
+/// Returns when a lease has certainly ended that an order to a former
+/// incarnation of the worker got the present one.
+Millis Cell::Engine::strayLeaseEnd(const Worker &Target) const {
+  const Millis StartedAt = Now_ - (Wall_ - Target.Incarnation_);
+  return StartedAt + MaxStrayTime + longestLease(Limits_);
+}
+
 /// Returns when the leases on a worker that a former owner granted have
-/// certainly ended. If the worker has restarted lately, orders that were meant
-/// for its former incarnation may have got it the longest lease.
+/// certainly ended.
 Millis Cell::Engine::recoveryEndOf(const Worker *Target) const {
-  const Millis Longest = longestLease(Limits_);
-  const bool Young = Target != nullptr && Target->Listed_ &&
-                     Wall_ - Target->Incarnation_ < 2 * Longest;
+  if (Target == nullptr || !Target->Listed_)
+    return RecoveryEnd_;
   const Millis Extra =
-      std::max<Millis>(0, Longest - LeaseTime - LeaseClockSlack);
-  return Young ? RecoveryEnd_ + Extra : RecoveryEnd_;
+      std::max<Millis>(0, longestLease(Limits_) - LeaseTime - LeaseClockSlack);
+  return std::clamp(strayLeaseEnd(*Target), RecoveryEnd_, RecoveryEnd_ + Extra);
 }
 
 /// Ends the wait for workers that have not answered since the takeover: the
