Count a worker that has left the list as the largest known one

Since a next owner counts runs that it has not seen yet for the limits of their teams, up to the room of the workers that have not answered. If one of these had left the list there was no such bound, and the waiting backlog of each team used up its whole limit until the leases had ended: after an early takeover urgent work of all teams stood still for seconds. The new test fails before.

--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -208,14 +208,25 @@
 }
 
 /// Returns the room on the workers that have not answered this owner, or
-/// nothing if the size of one of them is not known.
+/// nothing if no worker is known. One that has left the list counts as the
+/// largest of the others: otherwise a few such workers would let the backlog of
+/// each team use up its whole limit.
 std::optional<Resources> Cell::Engine::unconfirmedRoom() const {
+  Resources Largest;
+  for (const auto &[Id, Each] : Workers_)
+    Largest = {std::max(Largest.CpuMilli_, Each->Capacity_.CpuMilli_),
+               std::max(Largest.MemoryMib_, Each->Capacity_.MemoryMib_),
+               std::max(Largest.Accelerators_, Each->Capacity_.Accelerators_),
+               0, 0};
+  if (Workers_.empty())
+    return std::nullopt;
   Resources Out;
   for (const std::string &Id : UnconfirmedWorkers_) {
     const auto It = Workers_.find(Id);
     if (It == Workers_.end())
-      return std::nullopt;
-    Out = Out + (It->second->Capacity_ - It->second->Used_);
+      Out = Out + Largest;
+    else
+      Out = Out + (It->second->Capacity_ - It->second->Used_);
   }
   return Out;
 }
--- a/test/cell/cell_quota_test.cc
+++ b/test/cell/cell_quota_test.cc
@@ -82,5 +82,24 @@
   EXPECT_EQ(Sim_.starts(), 1U);
 }
 
+// Guards against a backlog that uses up the whole limit of its team because a
+// worker has left the list, so that the next owner does not know its size.
+TEST_F(CellQuotaTest, CountsNoMoreThanADepartedWorkerCanHold) {
+  for (std::size_t At = 0; At < Sim_.workerCount(); ++At)
+    Sim_.worker(At).Draining_ = true;
+  Sim_.run(500);
+  Sim_.submit(OldId, simpleJob(6, TaskCpu));
+  Sim_.run(500);
+  ASSERT_EQ(Sim_.starts(), 0U);
+  Sim_.worker(0).Disconnected_ = true;
+  Sim_.setListed("w0", false);
+  for (std::size_t At = 1; At < Sim_.workerCount(); ++At)
+    Sim_.worker(At).Draining_ = false;
+  replaceOwner();
+  Sim_.submit(NewId, simpleJob(1, TaskCpu));
+  Sim_.run(BeforeLeaseEnd);
+  EXPECT_EQ(Sim_.starts(), 1U);
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
