--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of review/6, review/8 and review/9. They are Python of the standard
+# Builds the stand-ins of review/6, review/8, review/9 and review/10. They are Python of the standard
 # library, the store and the advice service of test/standin among them, so that
 # there is nothing to compile: this checks that they can be read.
 set -eu
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -1,4 +1,4 @@
-"""Stand-ins and processes of the scripts in review/6, review/8 and review/9.
+"""Stand-ins and processes of the scripts in review/6, review/8, review/9 and review/10.
 
 Hosts are started with the command of the deploy file. The store and the advice
 service are the project's stand-ins. Workers and the machine service are new
