--- a/review/6/play.py
+++ b/review/6/play.py
@@ -46,8 +46,8 @@
     # Tasks that fill all workers but one, and end after the cut.
     assert owner.call("POST", "/jobs/" + FILLER, job(17, WORKERS - 1, 64000))[0] == 200
     wait_for(lambda: sum(len(w.runs) for w in workers) == WORKERS - 1, 5, "the large tasks run")
-    assert owner.call("POST", "/jobs/" + MANY, job(16, TASKS, 100))[0] == 200
     small = next(w for w in workers if not w.runs)
+    assert owner.call("POST", "/jobs/" + MANY, job(16, TASKS, 100))[0] == 200
     wait_for(lambda: len(small.runs) == TASKS, 10, "all small tasks run")
     time.sleep(0.5)
     since = script.record.now()
