--- a/review/14/run.py
+++ b/review/14/run.py
@@ -1,6 +1,5 @@
 """LOST: a job that needs nearly a whole worker waits on an idle cell after a
 queue without traffic was added."""
-import json
 import os
 import sys
 import time
