--- a/review/cell3.py
+++ b/review/cell3.py
@@ -282,9 +282,9 @@
     cells = []
     try:
         outcome = body(record, cells)
-    except NotRun as why:
-        record("could not run: %s" % why)
-        print("could not run: %s" % why)
+    except Exception as why:  # Also an error of the script: no verdict on the rule.
+        record("could not run: %r" % why)
+        print("could not run: %r" % why)
         outcome = NOT_RUN
     finally:
         for cell in cells:
