cell: show what the accepted jobs keep in memory

The line cell_memory and the gauges open_steps and open_tasks show the steps and tasks that are kept, once a second.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -255,6 +255,9 @@
   std::size_t EndedJobs_ = 0;
   std::size_t Running_ = 0;
   std::size_t WaitingSteps_ = 0;
+  /// Steps and tasks that are kept in memory, of the occurrences that are open.
+  std::size_t OpenSteps_ = 0;
+  std::size_t OpenTasks_ = 0;
   std::size_t Workers_ = 0;
   std::size_t ReachableWorkers_ = 0;
   double UsedShare_ = 0;       ///< Share of the processor capacity in use.
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -398,6 +398,7 @@
   GangWait describeWait(const StepRun &Step) const;
   void reportWait(StepRun &Step);
   void reportUsage();
+  void reportOpenWork();
 
   // engine_pace.cc
   void adjustFillerPaces(Worker &Target);
--- a/src/cell/engine_reports.cc
+++ b/src/cell/engine_reports.cc
@@ -111,6 +111,19 @@
           std::to_string(AdviceHosts_.size()) +
           " calls=" + std::to_string(PendingAdvice_.size()),
       0});
+  reportOpenWork();
+}
+
+/// Logs how much the accepted jobs hold in memory.
+void Cell::Engine::reportOpenWork() {
+  const CellStats Stats = stats();
+  Effects_.push_back(
+      Decision{"cell_memory", std::to_string(Stats.Jobs_) + " jobs",
+               "open_steps=" + std::to_string(Stats.OpenSteps_) +
+                   " open_tasks=" + std::to_string(Stats.OpenTasks_) +
+                   " runs=" + std::to_string(Stats.Running_) +
+                   " orders=" + std::to_string(Stats.OpenOrders_),
+               0});
 }
 
 CellStats Cell::Engine::stats() const {
@@ -118,6 +131,11 @@
   Out.Jobs_ = Jobs_.size();
   Out.EndedJobs_ = EndedRecords_.size();
   Out.WaitingSteps_ = WaitingSteps_.size();
+  for (const auto &[Id, Each] : Jobs_)
+    Out.OpenSteps_ += Each->Steps_.size();
+  for (const auto &[Id, Each] : Jobs_)
+    for (const auto &Step : Each->Steps_)
+      Out.OpenTasks_ += Step->Tasks_.size();
   std::int64_t Used = 0;
   std::int64_t All = 0;
   for (const auto &[Id, Each] : Workers_) {
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -365,6 +365,8 @@
   };
   Publish("jobs", Stats.Jobs_);
   Publish("waiting_steps", Stats.WaitingSteps_);
+  Publish("open_steps", Stats.OpenSteps_);
+  Publish("open_tasks", Stats.OpenTasks_);
   Publish("open_orders", Stats.OpenOrders_);
   Publish("repeated_starts", Stats.RepeatedStarts_);
   Publish("oldest_unstored_end_ms", Stats.OldestUnstoredEnd_);
