cell: bound the occurrences of a job that are open

Callers saw a cell that loses its owner every 5 s: a schedule whose first occurrence lies a year in the past was accepted, and each owner in turn exceeded its memory. openDueOccurrences() opened 1,000 overdue occurrences every 40 ms, whether or not earlier ones were done, and each keeps its steps and tasks until it is done.

At most 256 occurrences of a job are now open and not done; further ones open as these end. An occurrence that is not open takes no memory, so the sum is bounded.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -491,6 +491,7 @@
 
   // engine_schedule.cc
   std::uint32_t openedOccurrences(const Job &TargetJob) const;
+  std::size_t countUnfinishedOccurrences(const Job &TargetJob) const;
   void openNamedOccurrence(const TaskName &Name);
   void openDueOccurrences(Job &TargetJob);
   void openOccurrence(Job &TargetJob, std::uint32_t Occurrence);
--- a/src/cell/engine_schedule.cc
+++ b/src/cell/engine_schedule.cc
@@ -7,10 +7,10 @@
 
 /// Overhead of each step for commits, orders and messages.
 constexpr Millis StepOverhead = 60;
-/// Occurrences of a job that are opened at a time. A schedule that began long
-/// ago may have millions that are due, and opening them at once would stall the
-/// owner until it loses ownership.
-constexpr std::size_t MaxOccurrencesOpened = 1000;
+/// Occurrences of a job that are open and not done, at most. A schedule that
+/// began long ago may have millions that are due, and each takes memory from
+/// when it is opened until it is done.
+constexpr std::size_t MaxUnfinishedOccurrences = 256;
 
 } // namespace
 
@@ -36,13 +36,30 @@
     refreshReadySteps(*TargetJob);
 }
 
-/// Opens the occurrences of a scheduled job that are due, at most
-/// MaxOccurrencesOpened of them.
+/// Returns the number of occurrences that are open and not done.
+std::size_t
+Cell::Engine::countUnfinishedOccurrences(const Job &TargetJob) const {
+  std::size_t Out = 0;
+  std::optional<std::uint32_t> Latest;
+  for (const auto &Each : TargetJob.Steps_) {
+    if (Each->isDone() || Each->Occurrence_ == Latest)
+      continue;
+    Latest = Each->Occurrence_;
+    ++Out;
+  }
+  return Out;
+}
+
+/// Opens the occurrences of a scheduled job that are due, as long as no more
+/// than MaxUnfinishedOccurrences of them are not done.
 void Cell::Engine::openDueOccurrences(Job &TargetJob) {
   if (TargetJob.Spec_->Occurrences_ == 0 || TargetJob.EndState_)
     return;
+  const std::size_t Unfinished = countUnfinishedOccurrences(TargetJob);
+  if (Unfinished >= MaxUnfinishedOccurrences)
+    return;
   std::size_t Open = openedOccurrences(TargetJob);
-  const std::size_t Last = Open + MaxOccurrencesOpened;
+  const std::size_t Last = Open + MaxUnfinishedOccurrences - Unfinished;
   bool Opened = false;
   while (Open < TargetJob.Spec_->Occurrences_ && Open < Last &&
          Wall_ >= TargetJob.Spec_->FirstDue_ +
@@ -92,7 +109,7 @@
 }
 
 /// Opens the occurrences that are due. A job of which many are overdue opens
-/// the others at the next check.
+/// the others at later checks, when earlier ones are done.
 void Cell::Engine::advanceOccurrences() {
   const auto End = DueOccurrences_.upper_bound(Wall_);
   std::vector<std::string> Ids;
