cell: let the end of an earlier run leave a later one alone

Callers saw 140 tasks of a job run on two workers at the same time: their worker had been cut off until its lease ended, and its first list afterwards named 500 of 640 ends. The owner started all tasks there again, read the other ends from the next list, and let these tasks wait for a third run beside the second one, because handleTaskEnd() asked only which worker a task is assigned to.

The end of a run now lets its task wait again only if the worker is not known to have another run of it.

--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -488,8 +488,17 @@
   }
 }
 
+/// Returns whether the worker may have a run of the task other than \p Attempt.
+bool Cell::Engine::hasOtherAttempt(const Worker &Target,
+                                   const std::string &Task,
+                                   std::uint64_t Attempt) {
+  const auto It = Target.Runs_.find(Task);
+  return It != Target.Runs_.end() && It->second.Attempt_ != Attempt;
+}
+
 /// Applies the end of a run to its task: completes it, counts a failure, or
-/// requeues it.
+/// requeues it. An end may be listed after a later run has started on the same
+/// worker, whose answers name a limited number of ends.
 void Cell::Engine::handleTaskEnd(StepRun &Step, std::uint32_t Index,
                                  const EndEntry &End, Worker *Sender) {
   Task &TargetTask = Step.Tasks_[Index];
@@ -520,7 +529,8 @@
     endJobIfComplete(TargetJob);
     return;
   }
-  if (Sender != nullptr && TargetTask.AssignedWorker_ == Sender->Number_)
+  if (Sender != nullptr && TargetTask.AssignedWorker_ == Sender->Number_ &&
+      !hasOtherAttempt(*Sender, taskName(Step, Index), End.Attempt_))
     requeueTask(Step, Index);
   if (End.Kind_ != EndKind::Failed || IsService)
     return;
--- a/test/cell/cell_lists_test.cc
+++ b/test/cell/cell_lists_test.cc
@@ -9,6 +9,10 @@
 constexpr std::uint32_t Tasks = 240;
 constexpr Millis Work = 300;
 constexpr Millis Outage = 4500;
+constexpr Millis LongWork = 20000;
+/// Longer than the lease of a worker and the time until its owner gives its
+/// runs up.
+constexpr Millis LongOutage = 8000;
 
 /// Two large workers whose answers hold few ends, and one job of short tasks.
 CellSimulation crowdedCell() {
@@ -93,5 +97,40 @@
   EXPECT_LE(waitingEnds(Sim), Sim.EndsPerList_ + 2 * RunsPerWorker);
 }
 
+/// A cell whose only worker with room ran the given number of tasks until its
+/// lease ended, and whose owner has started all of them there again. The worker
+/// has more ends than an answer names.
+CellSimulation cellWithHiddenEndsOfEarlierRuns(std::uint32_t Count) {
+  CellSimulation Sim = crowdedCell();
+  Sim.TaskBehaviour_ = [](const std::string &) {
+    return std::pair(LongWork, false);
+  };
+  Sim.worker(1).Capacity_.CpuMilli_ = 0;
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(JobId, simpleJob(Count, 100), "fast");
+  Sim.run(300);
+  EXPECT_EQ(Sim.worker(0).Runs_.size(), Count);
+  Sim.worker(0).Disconnected_ = true;
+  Sim.run(LongOutage);
+  EXPECT_GT(Sim.worker(0).Ends_.size(), Sim.EndsPerList_);
+  Sim.worker(0).Disconnected_ = false;
+  return Sim;
+}
+
+// Guards against tasks that run twice: a worker was cut off until its lease
+// ended, and lists some ends of the earlier runs only after later ones have
+// started on it.
+TEST(CellLists, AnEndOfAnEarlierRunLeavesTheLaterRunAlone) {
+  constexpr std::uint32_t Count = 40;
+  CellSimulation Sim = cellWithHiddenEndsOfEarlierRuns(Count);
+  Sim.run(1000);
+  Sim.worker(1).Capacity_.CpuMilli_ = 4000;
+  Sim.run(25000);
+  EXPECT_EQ(Sim.stateOf(JobId), JobState::Complete);
+  EXPECT_EQ(Sim.starts(), 2 * Count);
+  EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
