owner: withdraw queued orders that are not wanted any more

Callers saw some 200 tasks of a job start later than 3 s after its cancel was acknowledged. All starts of a placement pass are queued at the two connections to their worker, an order without an answer holds a connection for 150 ms, and nothing asked again when a start left the queue.

Cell::maySend() is now asked for each queued order right before it is sent: the run is wanted and of the same attempt, the worker has not restarted, and a start also needs an owner that may still act. A withdrawn order has the outcome NotSent in place of NoAnswer, so that a start which never left owes no stop and its room is free at once. The simulated cell can limit the connections to each worker, and its fuzz does for two fifths of the seeds.

--- a/src/cell/cell.cc
+++ b/src/cell/cell.cc
@@ -133,6 +133,8 @@
   Engine_->advanceAll();
 }
 
+bool Cell::maySend(Token Order) const { return Engine_->maySend(Order); }
+
 bool Cell::awaitsRenewal(const SendRenewal &Renewal) const {
   return Engine_->awaitsRenewal(Renewal);
 }
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -186,6 +186,7 @@
   OtherIncarnation, ///< The addressed incarnation of the worker has ended.
   /// The ticket has expired; the order was certainly not carried out.
   BadTicket,
+  NotSent, ///< The order was withdrawn before it was sent.
   NoAnswer ///< The order may be carried out now or later.
 };
 
@@ -337,6 +338,10 @@
   void query(Millis Now, Token Caller, const Resolution &Request);
 
   void handle(Millis Now, const OrderOutcome &Outcome);
+  /// Returns whether an order that has waited to be sent is still wanted: the
+  /// worker has not restarted since, and a run to be started is not being
+  /// stopped. The outcome of one that is not sent is OrderResult::NotSent.
+  bool maySend(Token Order) const;
   void handle(Millis Now, const RenewalOutcome &Outcome);
   /// Returns whether the outcome of the renewal still counts. A worker may
   /// reject one that was sent before it restarted, in favour of a later one.
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -187,6 +187,7 @@
   void setWorkers(const std::vector<WorkerEntry> &Entries, bool Fresh);
   void handle(const OrderOutcome &Outcome);
   void handle(const RenewalOutcome &Outcome);
+  bool maySend(Token Order);
   bool awaitsRenewal(const SendRenewal &Renewal);
   void advanceWorkers();
 
@@ -311,6 +312,7 @@
   void applyOrderOutcome(Worker &Target, const PendingOrder &Order,
                          Run &TargetRun, const OrderOutcome &Outcome);
   void applyStopOutcome(Run &TargetRun, const OrderOutcome &Outcome);
+  void withdrawStart(Worker &Target, const std::string &Task, Run &TargetRun);
   static WorkerAddress addressOf(const Worker &Target);
   Millis workerClock(const Worker &Target) const;
   bool isRecovering() const;
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -504,6 +504,30 @@
   }
 }
 
+bool Cell::Engine::maySend(Token Order) {
+  const auto Pending = PendingOrders_.find(Order);
+  if (Pending == PendingOrders_.end())
+    return false;
+  const PendingOrder &Each = Pending->second;
+  const Worker *Target = findWorker(Each.Worker_.Id_);
+  if (Target == nullptr || Target->Fence_ != Each.Worker_.Fence_)
+    return false;
+  const auto Found = Target->Runs_.find(Each.Task_);
+  if (Found == Target->Runs_.end() || Found->second.Attempt_ != Each.Attempt_)
+    return false;
+  return !Each.IsStart_ || Found->second.Phase_ == Run::Phase::Ordered;
+}
+
+/// Takes back a start order that was not sent. The room of the run is free, and
+/// no stop is owed, unless an earlier copy of the order was sent.
+void Cell::Engine::withdrawStart(Worker &Target, const std::string &Task,
+                                 Run &TargetRun) {
+  if (TargetRun.OpenStarts_ > 0)
+    --TargetRun.OpenStarts_;
+  if (--TargetRun.SentStarts_ == 0)
+    loseRun(Target, Task, "start was not sent");
+}
+
 /// Applies the outcome of an order to its run.
 void Cell::Engine::applyOrderOutcome(Worker &Target, const PendingOrder &Order,
                                      Run &TargetRun,
@@ -519,6 +543,10 @@
     applyStopOutcome(TargetRun, Outcome);
     return;
   }
+  if (Outcome.Result_ == OrderResult::NotSent) {
+    withdrawStart(Target, Order.Task_, TargetRun);
+    return;
+  }
   if (Outcome.Result_ == OrderResult::NoAnswer) {
     Target.GangsNotBefore_ = Now_ + GangAvoidanceTime;
     return;
--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -236,7 +236,7 @@
     }
     Loop_.runAfter(0, [Then = std::move(Next.Handler_), Alive = Alive_] {
       if (*Alive)
-        Then({});
+        Then({0, "", false});
     });
   }
 }
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -35,7 +35,7 @@
   /// Sends a call or queues it. \p Then receives the answer, or status 0 if the
   /// connection breaks or \p Timeout passes after sending; the time in the
   /// queue does not count. A queued call for which \p MayStart then returns
-  /// false is not sent, and \p Then receives status 0.
+  /// false is withdrawn, and \p Then receives a reply that says so.
   void send(HttpCall Call, Millis Timeout, ReplyHandler Then,
             std::function<bool()> MayStart = nullptr);
   /// Returns the number of calls in flight.
--- a/src/node/http_types.h
+++ b/src/node/http_types.h
@@ -22,6 +22,8 @@
 struct HttpReply {
   int Status_ = 0;
   std::string Body_;
+  /// False if the call was withdrawn before it was sent.
+  bool Sent_ = true;
   friend bool operator==(const HttpReply &, const HttpReply &) = default;
 };
 
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -388,8 +388,7 @@
   publishBusyTimes();
   readWorkerEntries();
   Cell_->setStoreReachable(Context_.Store_.isReachable());
-  // An owner that is releasing ownership could not finish what it starts.
-  Cell_->setAuthorized(isAuthorized() && !isReleasing());
+  Cell_->setAuthorized(mayAct());
   Cell_->tick(bootTime(), wallTime());
   performEffects();
 }
@@ -477,8 +476,10 @@
   return Out;
 }
 
+/// Sends an order, or queues it behind others to the worker. A queued one is
+/// withdrawn if it is not wanted any more when its turn comes.
 void Owner::sendOrder(const cell::WorkerAddress &To, cell::Token Order,
-                      HttpCall Call) {
+                      HttpCall Call, std::function<bool()> MaySend) {
   connectionsTo(To).OrderPool_->send(
       std::move(Call), OrderTimeout,
       [this, Order, Alive = Alive_](const HttpReply &Reply) {
@@ -487,19 +488,25 @@
         const BusyTime::Scope Scope(Busy_, OwnerPart::OrderOutcomes);
         Cell_->handle(bootTime(), platform::decodeOrderAnswer(Order, Reply));
         performEffects();
-      });
+      },
+      std::move(MaySend));
 }
 
 void Owner::perform(const cell::SendStart &Effect) {
-  sendOrder(Effect.Worker_, Effect.Token_, platform::encodeStart(Effect));
+  sendOrder(Effect.Worker_, Effect.Token_, platform::encodeStart(Effect),
+            [this, Order = Effect.Token_] {
+              return mayAct() && Cell_->maySend(Order);
+            });
 }
 
 void Owner::perform(const cell::SendStop &Effect) {
-  sendOrder(Effect.Worker_, Effect.Token_, platform::encodeStop(Effect));
+  sendOrder(Effect.Worker_, Effect.Token_, platform::encodeStop(Effect),
+            [this, Order = Effect.Token_] { return Cell_->maySend(Order); });
 }
 
 void Owner::perform(const cell::SendPace &Effect) {
-  sendOrder(Effect.Worker_, Effect.Token_, platform::encodePace(Effect));
+  sendOrder(Effect.Worker_, Effect.Token_, platform::encodePace(Effect),
+            [this, Order = Effect.Token_] { return Cell_->maySend(Order); });
 }
 
 void Owner::perform(const cell::SendRenewal &Effect) {
@@ -574,6 +581,12 @@
                        FollowersAtProof_.begin(), FollowersAtProof_.end());
 }
 
+/// Whether this host may order something new. An owner that is releasing
+/// ownership could not finish what it starts.
+bool Owner::mayAct() const {
+  return isAuthorized() && !isReleasing() && !Stopped_;
+}
+
 void Owner::sendCommit() {
   CommitSentAt_ = bootTime();
   Context_.Store_.transact(
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -92,6 +92,7 @@
   void publishBusyTimes();
   void performEffects();
   bool isAuthorized() const;
+  bool mayAct() const;
   void sendCommit();
   void finishRelease();
   void handleCommitAnswer(const platform::TransactionAnswer &Answer);
@@ -99,7 +100,7 @@
   void stepDown(const std::string &Why);
   WorkerConnections &connectionsTo(const cell::WorkerAddress &To);
   void sendOrder(const cell::WorkerAddress &To, cell::Token Order,
-                 HttpCall Call);
+                 HttpCall Call, std::function<bool()> MaySend);
   void perform(const cell::Reply &Effect);
   void perform(const cell::SendStart &Effect);
   void perform(const cell::SendStop &Effect);
--- a/src/node/owner_upkeep.cc
+++ b/src/node/owner_upkeep.cc
@@ -35,7 +35,7 @@
                                           platform::decodeUpkeepAnswer(Reply)});
         performEffects();
       },
-      [this] { return isAuthorized() && !isReleasing() && !Stopped_; });
+      [this] { return mayAct(); });
 }
 
 void Owner::perform(const cell::ReportWave &Effect) {
--- a/test/cell/cell_fuzz_test.cc
+++ b/test/cell/cell_fuzz_test.cc
@@ -126,6 +126,8 @@
   Sim.Faults_ = {0.05, 0.05, 0.1, 0.02};
   if (Seed % 2 == 0)
     Sim.EndsPerList_ = FewEnds;
+  if (Seed % 5 < 2)
+    Sim.OrderConnections_ = 1;
   if (Seed % 3 == 0)
     Sim.Bounds_.RowBytes_ = SmallRow;
   const bool Racks = Seed % 4 == 1;
--- a/test/cell/fake_orders.h
+++ b/test/cell/fake_orders.h
@@ -2,6 +2,9 @@
 #define OLEANDERGAUGE_TEST_CELL_FAKE_ORDERS_H
 
 #include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
 #include <optional>
 #include <tuple>
 
@@ -23,15 +26,86 @@
              TaskChecks &Checks)
       : Core_(Core), Fleet_(Fleet), Advice_(Advice), Checks_(Checks) {}
 
-  /// Delivers an order and tells the owner its outcome.
+  /// Delivers an order, or queues it where the connections to the worker are
+  /// limited, and tells the owner its outcome.
   template <typename Order> void send(const Order &Each) {
-    auto Answer = [this, Generation = Core_.ownerGeneration()](
-                      const OrderOutcome &Outcome) {
-      if (Generation == Core_.ownerGeneration())
-        Core_.scheduleForOwner(0, [this, Outcome] {
-          Core_.cell().handle(Core_.now(), Outcome);
-          Core_.processEffects();
-        });
+    Connections &Target = connectionsTo(Each.Worker_.Id_);
+    if (Core_.OrderConnections_ == 0 ||
+        Target.Busy_ < Core_.OrderConnections_) {
+      ++Target.Busy_;
+      deliver(Each);
+      return;
+    }
+    Target.Waiting_.push_back([this, Each] {
+      if (!Core_.cell().maySend(Each.Token_)) {
+        tellOwner({Each.Token_, OrderResult::NotSent, 0});
+        return false;
+      }
+      deliver(Each);
+      return true;
+    });
+  }
+
+  void sendPace(const SendPace &Each) {
+    Core_.Paces_[Each.Task_] = Each.Percent_;
+    Core_.scheduleForOwner(2, [this, Each] {
+      Core_.cell().handle(
+          Core_.now(),
+          OrderOutcome{Each.Token_, OrderResult::Done,
+                       Fleet_.find(Each.Worker_.Id_)->clock(Core_.now())});
+    });
+  }
+
+private:
+  /// Time in milliseconds after which an unanswered order has an outcome.
+  static constexpr Millis AnswerTimeout = 350;
+  static constexpr Millis MaxStopTime = 200;
+
+  /// The present owner's connections to a worker.
+  struct Connections {
+    int OwnerGeneration_ = 0;
+    std::size_t Busy_ = 0;
+    /// Orders that wait for a connection. Each returns whether it was sent.
+    std::deque<std::function<bool()>> Waiting_;
+  };
+
+  Connections &connectionsTo(const std::string &Worker) {
+    Connections &Out = Connections_[Worker];
+    if (Out.OwnerGeneration_ != Core_.ownerGeneration())
+      Out = {Core_.ownerGeneration(), 0, {}};
+    return Out;
+  }
+
+  void tellOwner(const OrderOutcome &Outcome) {
+    Core_.scheduleForOwner(0, [this, Outcome] {
+      Core_.cell().handle(Core_.now(), Outcome);
+      Core_.processEffects();
+    });
+  }
+
+  /// Frees a connection after an order's outcome and sends the next orders.
+  void freeConnection(const std::string &Worker) {
+    Connections &Target = connectionsTo(Worker);
+    while (!Target.Waiting_.empty() && Target.Busy_ < Core_.OrderConnections_) {
+      const std::function<bool()> Send = std::move(Target.Waiting_.front());
+      Target.Waiting_.pop_front();
+      if (Send())
+        ++Target.Busy_;
+    }
+  }
+
+  template <typename Order> void deliver(const Order &Each) {
+    auto Answer = [this, Worker = Each.Worker_.Id_,
+                   Generation =
+                       Core_.ownerGeneration()](const OrderOutcome &Outcome) {
+      if (Generation != Core_.ownerGeneration())
+        return;
+      Core_.scheduleForOwner(0, [this, Worker, Outcome] {
+        --connectionsTo(Worker).Busy_;
+        Core_.cell().handle(Core_.now(), Outcome);
+        Core_.processEffects();
+        freeConnection(Worker);
+      });
     };
     const OrderOutcome None{Each.Token_, OrderResult::NoAnswer, 0};
     if (Fleet_.find(Each.Worker_.Id_)->Disconnected_) {
@@ -56,21 +130,6 @@
     }
   }
 
-  void sendPace(const SendPace &Each) {
-    Core_.Paces_[Each.Task_] = Each.Percent_;
-    Core_.scheduleForOwner(2, [this, Each] {
-      Core_.cell().handle(
-          Core_.now(),
-          OrderOutcome{Each.Token_, OrderResult::Done,
-                       Fleet_.find(Each.Worker_.Id_)->clock(Core_.now())});
-    });
-  }
-
-private:
-  /// Time in milliseconds after which an unanswered order has an outcome.
-  static constexpr Millis AnswerTimeout = 350;
-  static constexpr Millis MaxStopTime = 200;
-
   OrderOutcome execute(const SendStart &Order) {
     FakeWorker &Receiver = *Fleet_.find(Order.Worker_.Id_);
     OrderOutcome Out{Order.Token_, OrderResult::Rejected,
@@ -148,6 +207,7 @@
   FakeFleet &Fleet_;
   FakeAdvice &Advice_;
   TaskChecks &Checks_;
+  std::map<std::string, Connections> Connections_; ///< By worker id.
 };
 
 } // namespace oleandergauge::cell::test
--- a/test/cell/simulation_core.h
+++ b/test/cell/simulation_core.h
@@ -31,6 +31,9 @@
   Millis CommitTime_ = 8;         ///< Duration of a transaction.
   Millis ListInterval_ = 200;     ///< Time between two reads of the workers.
   std::size_t EndsPerList_ = 500; ///< Ends in one answer of a worker.
+  /// Connections for orders to each worker; further orders wait for one. Zero
+  /// sets no limit.
+  std::size_t OrderConnections_ = 0;
   /// The owner's process is suspended: time passes, but it handles nothing.
   bool OwnerPaused_ = false;
   /// Called at the start of each tick, before the owner's.
