cell: count the sums over runs anew when priorities change

Callers saw a job of a low priority wait for 27 s on an idle cell, after the operator had removed an unused queue with the highest priority. The room that is kept for the highest priority is less what such work uses, and that sum was added to by the priority of the start and subtracted from by the highest priority at the end. Runs that had become the most urgent ones in between made it negative, by most of each worker.

A new desired state now gives all runs the present priorities of their queues, and the sums over the runs of each worker are counted anew.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -443,6 +443,8 @@
   bool runsTaskWithTailGoal(const Worker &Target) const;
   void setPhase(Worker &Target, Run &TargetRun, Run::Phase Phase);
   Resources *needSumOf(Worker &Target, const Run &TargetRun);
+  bool isUrgent(const Run &TargetRun) const;
+  void refreshRunPriorities();
   void addNeedSum(Worker &Target, const Run &TargetRun);
   void subtractNeedSum(Worker &Target, const Run &TargetRun);
   std::vector<Worker *> eligibleWorkers(const StepRun &Step);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -118,6 +118,7 @@
         First ? Each.Priority_ : std::min(HighestPriority_, Each.Priority_);
     First = false;
   }
+  refreshRunPriorities();
   reorderWaiting();
   PlacementNeeded_ = true;
 }
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -123,14 +123,40 @@
   return nullptr;
 }
 
+/// Returns whether a run uses what is reserved for the highest priority. The
+/// queue of a run that was more urgent may have been removed.
+bool Cell::Engine::isUrgent(const Run &TargetRun) const {
+  return TargetRun.Step_ != nullptr && TargetRun.Priority_ <= HighestPriority_;
+}
+
 void Cell::Engine::addNeedSum(Worker &Target, const Run &TargetRun) {
   if (Resources *Sum = needSumOf(Target, TargetRun))
     *Sum = *Sum + TargetRun.Need_;
+  if (isUrgent(TargetRun))
+    Target.UrgentCpu_ += TargetRun.Need_.CpuMilli_;
 }
 
 void Cell::Engine::subtractNeedSum(Worker &Target, const Run &TargetRun) {
   if (Resources *Sum = needSumOf(Target, TargetRun))
     *Sum = *Sum - TargetRun.Need_;
+  if (isUrgent(TargetRun))
+    Target.UrgentCpu_ -= TargetRun.Need_.CpuMilli_;
+}
+
+/// Gives all runs the present priorities of their queues. The sums depend on
+/// these and on the highest priority, so they are computed anew.
+void Cell::Engine::refreshRunPriorities() {
+  for (const auto &[Id, Each] : Workers_) {
+    Worker &Target = *Each;
+    Target.UrgentCpu_ = 0;
+    Target.StoppingNeed_ = {};
+    Target.PreemptibleNeed_.clear();
+    for (auto &[Name, TargetRun] : Target.Runs_) {
+      if (TargetRun.Step_ != nullptr)
+        TargetRun.Priority_ = priorityOf(*TargetRun.Step_);
+      addNeedSum(Target, TargetRun);
+    }
+  }
 }
 
 /// Sets the phase of a run that the worker's sums contain.
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -261,8 +261,6 @@
     Usage = Usage + NewRun.TeamNeed_;
     ++NewRun.Step_->LiveRuns_;
     ++NewRun.Step_->Job_->LiveRuns_;
-    if (NewRun.Priority_ == HighestPriority_)
-      Target.UrgentCpu_ += NewRun.Need_.CpuMilli_;
   }
   addNeedSum(Target, NewRun);
   Target.Runs_[Name] = std::move(NewRun);
@@ -285,8 +283,6 @@
   abortGangOf(Gone, "member ended or was lost");
   if (Gone.Step_ == nullptr)
     return;
-  if (Gone.Priority_ == HighestPriority_)
-    Target.UrgentCpu_ -= Gone.Need_.CpuMilli_;
   Job &TargetJob = *Gone.Step_->Job_;
   Resources &Usage = TeamUsage_[TargetJob.Team_];
   Usage = Usage - Gone.TeamNeed_;
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -346,7 +346,8 @@
   /// not.
   Millis BelowGoalSince_ = 0;
   std::vector<Reservation> Reservations_; ///< At most one for each step.
-  /// Milli-cores in use by work of the highest priority.
+  /// Milli-cores in use by work of the highest priority, or of a higher one
+  /// whose queue was removed.
   std::int64_t UrgentCpu_ = 0;
   /// Sums over Runs_: resources of stopping runs, and resources of preemptible
   /// runs by priority.
--- /dev/null
+++ b/test/cell/cell_priority_test.cc
@@ -0,0 +1,39 @@
+#include <gtest/gtest.h>
+
+#include "cell_world.h"
+
+namespace oleandergauge::cell::test {
+namespace {
+
+const std::string JobId = "00000000000000aa";
+const std::string OtherId = "00000000000000bb";
+
+// Guards against a task of a lower priority that waits on an idle cell: runs
+// that began below the highest priority, and ended at it since the desired
+// state had changed, left the sum of urgent work negative, which kept room for
+// that work that nobody used.
+TEST(CellPriority, AChangedHighestPriorityKeepsNoRoomOnAnIdleCell) {
+  constexpr std::size_t Workers = 2;
+  constexpr std::size_t Tasks = 3 * Workers; // With the reserve, all that fit.
+  CellSimulation Sim(1, Workers);
+  Sim.TaskBehaviour_ = [](const std::string &) {
+    return std::pair(Millis{2000}, false);
+  };
+  Sim.takeOver();
+  Sim.run(300);
+  Sim.submit(JobId, simpleJob(Tasks, 1000), "slow");
+  Sim.run(500);
+  ASSERT_EQ(Sim.starts(), Tasks);
+  Sim.setPriority("fast", 2);
+  Sim.publishDesiredState();
+  Sim.run(4000);
+  ASSERT_EQ(Sim.stateOf(JobId), JobState::Complete);
+  JobSpec Long = simpleJob(1, 1000);
+  Long.Steps_.front().Estimate_ = 8000;
+  Sim.submit(OtherId, Long, "fast");
+  Sim.run(1000);
+  EXPECT_EQ(Sim.starts(), Tasks + 1);
+}
+
+} // namespace
+} // namespace oleandergauge::cell::test
--- a/test/cell/cell_world.h
+++ b/test/cell/cell_world.h
@@ -99,6 +99,11 @@
   void setPriority(const std::string &Queue, int Priority) {
     Desired_.setPriority(Queue, Priority);
   }
+  /// Tells the present owner the desired state with the changes so far.
+  void publishDesiredState() {
+    cell().setDesiredState(now(), Desired_.get());
+    processEffects();
+  }
   /// Removes a queue for the next owner.
   void removeQueue(const std::string &Queue) { Desired_.removeQueue(Queue); }
   /// Sets the number of failed runs that fail a job for the next owner.
--- a/test/cell/fake_desired_state.h
+++ b/test/cell/fake_desired_state.h
@@ -51,6 +51,7 @@
   }
   void setPriority(const std::string &Queue, int Priority) {
     auto State = std::make_shared<DesiredState>(*State_);
+    ++State->Version_;
     for (auto &Each : State->Queues_)
       if (Each.Name_ == Queue)
         Each.Priority_ = Priority;
