cell: bound the memory of accepted jobs by the memory of the owner

The bound of 256 open occurrences holds for a job, not for all jobs together; done occurrences behind one that does not end stayed in memory, and a worker's list or a stored row that names an occurrence far ahead opened all before it.

WorkMemory accounts for what the accepted jobs hold, for the cell and for each team, within a share of limits.memory_mb, and reserves memory for two occurrences of each schedule. A job beyond it is refused at its submission: 503 with Retry-After while others hold the memory, 400 if it can never fit. OccurrenceSet keeps done occurrences as ranges, so that open ones need no others beside them. Occurrences that can still be of value are opened before older ones.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -33,13 +33,14 @@
   OtherTeam,   ///< The job belongs to another team.
   TooLarge,    ///< The job does not fit into a row of the store and never runs.
   NotStorable, ///< The store does not take the job, which never runs.
+  TooManyTasks, ///< The owner has no memory for the job, which never runs.
   Busy ///< The job was not accepted and never ran; the caller may retry later.
 };
 
 /// Whether the cell refuses a job that it has looked up and does not know.
 constexpr bool isRefusal(Answer Given) {
   return Given == Answer::TooLarge || Given == Answer::NotStorable ||
-         Given == Answer::Busy;
+         Given == Answer::TooManyTasks || Given == Answer::Busy;
 }
 
 /// The state of a job as callers see it.
@@ -259,6 +260,11 @@
   /// Steps and tasks that are kept in memory, of the occurrences that are open.
   std::size_t OpenSteps_ = 0;
   std::size_t OpenTasks_ = 0;
+  /// Jobs with occurrences that are due but not open.
+  std::size_t OverdueJobs_ = 0;
+  /// Bytes that the accepted jobs may take, and are estimated to take.
+  std::uint64_t WorkMemoryLimit_ = 0;
+  std::uint64_t WorkMemoryHeld_ = 0;
   std::size_t Workers_ = 0;
   std::size_t ReachableWorkers_ = 0;
   double UsedShare_ = 0;       ///< Share of the processor capacity in use.
@@ -285,6 +291,8 @@
   /// while they are of value, and those over the share of their team.
   std::uint64_t RefusedHopeless_ = 0;
   std::uint64_t RefusedOverShare_ = 0;
+  /// Submissions refused for want of memory since the takeover.
+  std::uint64_t RefusedForMemory_ = 0;
   friend bool operator==(const CellStats &, const CellStats &) = default;
 };
 
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -158,6 +158,12 @@
   std::shared_ptr<JobChange> Change_;
 };
 
+/// Returns the part of the owner's memory that accepted jobs may take, in
+/// bytes.
+std::uint64_t workMemoryOf(const Bounds &Limits);
+/// Returns the number of runs on all workers for which the owner has memory.
+std::size_t maxLiveRunsOf(const Bounds &Limits);
+
 /// Implements Cell. The calls of Cell set the time and pass on to this class.
 class Cell::Engine {
 public:
@@ -234,11 +240,12 @@
 
 private:
   // engine_jobs.cc
+  void openRestoredJobs();
   Job &makeJob(const std::string &Id, const JobRecord &Record);
   std::shared_ptr<const Queue> acceptedQueue(const JobRecord &Record) const;
   Millis objectiveSpan(const Job &TargetJob) const;
   static JobRecord recordOf(const Job &TargetJob);
-  void refreshReadySteps(Job &TargetJob);
+  void refreshReadySteps(Job &TargetJob, std::uint32_t Occurrence);
   void endJobIfComplete(Job &TargetJob);
   void recordDuration(std::string_view What, const Job &TargetJob);
   void requeueTask(StepRun &Step, std::uint32_t Index);
@@ -261,8 +268,10 @@
   StepRun *findStep(const Job &TargetJob, std::uint32_t Occurrence,
                     std::uint32_t Step) const;
   Job *findJob(const std::string &Id);
+  std::vector<Millis> chainsFrom(const JobSpec &Spec, const Queue *JobQueue,
+                                 bool WithAdvice) const;
   Millis longestChain(const JobSpec &Spec, const Queue *JobQueue,
-                      std::uint32_t From, bool WithAdvice) const;
+                      bool WithAdvice) const;
 
   Millis objectiveSpan(const JobSpec &Spec, const Queue *JobQueue) const;
   double *refillTeamTokens(const std::string &TeamName);
@@ -496,17 +505,35 @@
   void dropTicketsOn(const Worker &Restarted);
 
   // engine_schedule.cc
-  std::uint32_t openedOccurrences(const Job &TargetJob) const;
-  std::size_t countUnfinishedOccurrences(const Job &TargetJob) const;
+  std::uint32_t dueOccurrences(const Job &TargetJob) const;
+  std::uint32_t firstRecentOccurrence(const Job &TargetJob,
+                                      std::uint32_t Due) const;
+  std::uint32_t skipOpened(const Job &TargetJob, std::uint32_t From) const;
+  bool isOpen(const Job &TargetJob, std::uint32_t Occurrence) const;
+  bool isDone(const Job &TargetJob, std::uint32_t Occurrence) const;
+  std::uint32_t countDoneOccurrences(const Job &TargetJob) const;
+  std::uint32_t countUnopenedOccurrences(const Job &TargetJob) const;
   void openNamedOccurrence(const TaskName &Name);
   void openDueOccurrences(Job &TargetJob);
+  void openFrom(Job &TargetJob, std::uint32_t &Next, std::uint32_t Due);
   void openOccurrence(Job &TargetJob, std::uint32_t Occurrence);
   void scheduleOccurrence(const Job &TargetJob);
   void advanceOccurrences();
+  void openOverdueOccurrences();
+  void releaseDoneOccurrences();
+  bool releaseDoneOccurrences(Job &TargetJob);
+
+  // engine_memory.cc
+  bool mayOpenOccurrence(const Job &TargetJob) const;
+  void countOpenOccurrence(Job &TargetJob, bool Opened);
+  void holdMemory(Job &TargetJob);
+  void releaseMemory(Job &TargetJob);
+  bool refuseForMemory(Token Caller, const Resolution &Request,
+                       const JobSpec &Spec);
+  bool mayStartFurtherRun() const { return LiveRuns_ < MaxLiveRuns_; }
 
   // engine_progress.cc
   void markDirty(StepRun &Step, std::uint32_t From, std::uint32_t To);
-  std::uint32_t countDoneOccurrences(const Job &TargetJob) const;
   JobProgress collectProgress(const Job &TargetJob, TaskNumber First,
                               std::uint32_t Done) const;
   bool shrinkProgressRow(Job &TargetJob, TaskNumber First,
@@ -516,10 +543,15 @@
   void failUnstorable(Job &TargetJob, std::string_view Why);
   void recordStoredProgress();
   void dropProgressRow(const std::string &Id, TaskNumber First);
-  void forgetDoneOccurrences(Job &TargetJob);
+  StepProgress progressOfStep(const Job &TargetJob, std::uint32_t Occurrence,
+                              std::uint32_t Step, std::uint32_t From,
+                              std::uint32_t To) const;
+  std::optional<std::uint32_t>
+  nextOccurrenceWithProgress(const Job &TargetJob, std::uint32_t From) const;
   void restoreProgress(const StoredCell &Stored);
   void restoreDoneOccurrences(Job &TargetJob, std::uint32_t Done);
-  void applyProgress(Job &TargetJob, const StepProgress &Row);
+  void restoreStepProgress(Job &TargetJob, StepProgress Row);
+  void applyProgress(StepRun &Step, const StepProgress &Row);
 
   // engine_rejection.cc
   void takeBackCommit();
@@ -637,6 +669,21 @@
   /// Scheduled jobs by the time since 1970 at which their next occurrence is
   /// due.
   std::multimap<Millis, std::string> DueOccurrences_;
+  /// Jobs with occurrences that are due but not open, by id. Those that were
+  /// examined longest ago come first.
+  std::deque<std::string> OverdueJobs_;
+  /// Scheduled jobs with occurrences that are done and still open, by id.
+  std::unordered_set<std::string> JobsToRelease_;
+  /// What the accepted jobs hold, with what is reserved for them.
+  WorkMemory Memory_;
+  /// Bytes of the accepted jobs and of the occurrences that are open.
+  std::uint64_t OpenBytes_ = 0;
+  std::size_t OpenOccurrences_ = 0;
+  std::size_t OpenSteps_ = 0;
+  std::size_t OpenTasks_ = 0;
+  std::size_t LiveRuns_ = 0; ///< Runs on all workers.
+  std::size_t MaxLiveRuns_;
+  std::uint64_t RefusedForMemory_ = 0;
   bool AdmissionEnabled_ = true;
   std::unordered_map<std::string, QueueLoad> QueueLoads_; ///< By queue.
   Millis LastLoadCheck_ = 0;
--- a/src/cell/engine_admission.cc
+++ b/src/cell/engine_admission.cc
@@ -206,7 +206,7 @@
   AdmissionInput Input;
   Input.OverTeamShare_ = OverTeamShare;
   Input.ObjectiveSpan_ = objectiveSpan(Spec, JobQueue.get());
-  Input.Duration_ = longestChain(Spec, JobQueue.get(), ~0U, false);
+  Input.Duration_ = longestChain(Spec, JobQueue.get(), false);
   const auto Load = QueueLoads_.find(Request.Queue_);
   if (Load != QueueLoads_.end() && Load->second.windowsForRate() > 0)
     addLoadAhead(Input, *JobQueue, Load->second,
--- a/src/cell/engine_gang_plan.cc
+++ b/src/cell/engine_gang_plan.cc
@@ -124,7 +124,7 @@
   if (Step.waiting() < Size)
     return; // Members of the previous attempt are still ending.
   reportWait(Step);
-  if (!isUnderTeamLimit(Step, Size))
+  if (!isUnderTeamLimit(Step, Size) || !mayStartFurtherRun())
     return;
   for (const Task &Each : Step.Tasks_)
     if (Now_ < Each.NotBefore_)
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -2,6 +2,7 @@
 // queries.
 
 #include <algorithm>
+#include <tuple>
 
 #include "cell/engine.h"
 
@@ -52,7 +53,8 @@
 } // namespace
 
 Cell::Engine::Engine(std::string Self, Epoch OwnEpoch, Bounds Limits)
-    : Self_(std::move(Self)), Epoch_(OwnEpoch), Limits_(Limits) {}
+    : Self_(std::move(Self)), Epoch_(OwnEpoch), Limits_(Limits),
+      Memory_(workMemoryOf(Limits)), MaxLiveRuns_(maxLiveRunsOf(Limits)) {}
 
 Job *Cell::Engine::findJob(const std::string &Id) {
   const auto It = Jobs_.find(Id);
@@ -74,12 +76,8 @@
 /// Returns null if the occurrence is not open or there is no such step.
 StepRun *Cell::Engine::findStep(const Job &TargetJob, std::uint32_t Occurrence,
                                 std::uint32_t Step) const {
-  const std::size_t StepCount = TargetJob.Spec_->Steps_.size();
-  if (Occurrence < TargetJob.FirstOccurrence_ || Step >= StepCount)
-    return nullptr;
-  const std::size_t At =
-      (Occurrence - TargetJob.FirstOccurrence_) * StepCount + Step;
-  return At < TargetJob.Steps_.size() ? TargetJob.Steps_[At].get() : nullptr;
+  const auto Steps = TargetJob.stepsOf(Occurrence);
+  return Step < Steps.size() ? Steps[Step].get() : nullptr;
 }
 
 /// Returns the latest configuration of a queue, or null.
@@ -123,25 +121,31 @@
   PlacementNeeded_ = true;
 }
 
-/// Returns the longest chain of estimates that begins with step \p From, or the
-/// longest of the whole job if \p From is past the last step.
-Millis Cell::Engine::longestChain(const JobSpec &Spec, const Queue *JobQueue,
-                                  std::uint32_t From, bool WithAdvice) const {
+/// Returns the longest chain of estimates that begins with each step.
+std::vector<Millis> Cell::Engine::chainsFrom(const JobSpec &Spec,
+                                             const Queue *JobQueue,
+                                             bool WithAdvice) const {
   double Advice = 0;
   if (WithAdvice && JobQueue != nullptr && JobQueue->Advice_)
     Advice = JobQueue->Advice_->Base_ +
              TypicalWorkersAsked * JobQueue->Advice_->PerWorker_;
   const std::size_t Count = Spec.Steps_.size();
-  // Measured from the start of each step.
   std::vector<Millis> Longest(Count, 0);
-  Millis Whole = 0;
   for (std::size_t At = Count; At-- > 0;) {
     Longest[At] += Spec.Steps_[At].Estimate_ + static_cast<Millis>(Advice);
-    Whole = std::max(Whole, Longest[At]);
     for (std::uint32_t Earlier : Spec.Steps_[At].After_)
       Longest[Earlier] = std::max(Longest[Earlier], Longest[At]);
   }
-  return From < Count ? Longest[From] : Whole;
+  return Longest;
+}
+
+/// Returns the longest chain of estimates of the whole job.
+Millis Cell::Engine::longestChain(const JobSpec &Spec, const Queue *JobQueue,
+                                  bool WithAdvice) const {
+  Millis Out = 0;
+  for (const Millis Each : chainsFrom(Spec, JobQueue, WithAdvice))
+    Out = std::max(Out, Each);
+  return Out;
 }
 
 /// Returns the time from the submission of a job, or from its due time, to its
@@ -150,7 +154,7 @@
                                    const Queue *JobQueue) const {
   const double Slack = JobQueue == nullptr ? 1 : JobQueue->SlackFactor_;
   const auto Out = static_cast<Millis>(
-      Slack * static_cast<double>(longestChain(Spec, JobQueue, ~0U, true)));
+      Slack * static_cast<double>(longestChain(Spec, JobQueue, true)));
   return JobQueue == nullptr ? Out : Out + JobQueue->Objective_;
 }
 
@@ -202,22 +206,23 @@
   for (const StepSpec &Each : NewJob.Spec_->Steps_)
     NewJob.StepOffsets_.push_back(NewJob.StepOffsets_.back() + Each.Count_);
   Jobs_[Id] = std::move(OwnedJob);
+  holdMemory(NewJob);
   scheduleOccurrence(NewJob);
   return NewJob;
 }
 
-/// Marks the steps ready whose earlier steps are done.
-void Cell::Engine::refreshReadySteps(Job &TargetJob) {
+/// Marks the steps of an occurrence ready whose earlier steps are done.
+void Cell::Engine::refreshReadySteps(Job &TargetJob, std::uint32_t Occurrence) {
   if (TargetJob.EndState_)
     return;
-  for (const auto &Each : TargetJob.Steps_) {
-    if (Each->Ready_)
-      continue;
-    bool Ready = true;
-    for (std::uint32_t Earlier : Each->spec().After_)
-      if (!findStep(TargetJob, Each->Occurrence_, Earlier)->isDone())
-        Ready = false;
-    if (!Ready)
+  const auto Steps = TargetJob.stepsOf(Occurrence);
+  for (const auto &Each : Steps) {
+    const std::vector<std::uint32_t> &After = Each->spec().After_;
+    const bool Blocked =
+        std::any_of(After.begin(), After.end(), [&](std::uint32_t Earlier) {
+          return !Steps[Earlier]->isDone();
+        });
+    if (Each->Ready_ || Blocked)
       continue;
     Each->Ready_ = true;
     Each->ReadySince_ = Now_;
@@ -238,8 +243,6 @@
     NewJob.Sent_ = true;
     NewJob.Inherited_ = true;
     countJob(NewJob);
-    if (Record->Spec_.Occurrences_ == 0)
-      openOccurrence(NewJob, 0);
   }
   restoreProgress(Stored);
   for (const auto &[Id, Bytes] : Stored.Ended_) {
@@ -257,12 +260,7 @@
     }
     EndedByTime_.emplace(Newest, std::move(Row));
   }
-  for (const auto &[Id, Each] : Jobs_) {
-    // Workers may already run occurrences that are due.
-    openDueOccurrences(*Each);
-    refreshReadySteps(*Each);
-    endJobIfComplete(*Each);
-  }
+  openRestoredJobs();
   restoreWaves(Stored);
   RecordedWorkers_ = Stored.Workers_;
   WorkerRows_ = Stored.WorkerRows_;
@@ -271,6 +269,23 @@
   RecoveryEnd_ = Now_ + LeaseTime + LeaseClockSlack + FormerOwnerRenewalTime;
 }
 
+/// Opens what is due of the restored jobs, which workers may already run. The
+/// jobs that were accepted first go first: a former owner with more memory may
+/// have accepted more than can be open here.
+void Cell::Engine::openRestoredJobs() {
+  std::vector<Job *> InOrder;
+  for (const auto &[Id, Each] : Jobs_)
+    InOrder.push_back(Each.get());
+  std::sort(InOrder.begin(), InOrder.end(), [](const Job *A, const Job *B) {
+    return std::tie(A->AcceptedWall_, A->Id_) <
+           std::tie(B->AcceptedWall_, B->Id_);
+  });
+  for (Job *Each : InOrder) {
+    openDueOccurrences(*Each);
+    endJobIfComplete(*Each);
+  }
+}
+
 /// Handles a submission whose job is known or is certain to be refused, for
 /// which the specification is not needed. Returns false for any other one.
 bool Cell::Engine::resubmit(Token Caller, const Resolution &Request,
@@ -354,6 +369,8 @@
     Effects_.push_back(Reply{Caller, Answer::TooLarge});
     return;
   }
+  if (refuseForMemory(Caller, Request, Spec))
+    return;
   double *Tokens = refillTeamTokens(Request.Team_);
   const bool OverTeamShare = Tokens != nullptr && *Tokens < 1;
   const AdmissionDecision Decided =
@@ -369,9 +386,7 @@
   if (!NewJob.OverTeamShare_)
     NewJob.ForecastWait_ = Decided.ExpectedWait_;
   setAnswerTime(NewJob, Timeout);
-  if (Spec.Occurrences_ == 0)
-    openOccurrence(NewJob, 0);
-  refreshReadySteps(NewJob);
+  openDueOccurrences(NewJob);
   NewJobs_.push_back(&NewJob);
 }
 
@@ -524,9 +539,12 @@
       ++Step.DoneCount_;
       markDirty(Step, Index, Index + 1);
     }
-    if (Step.isDone())
+    if (Step.isDone()) {
       History_.closeStep(Step.Name_);
-    refreshReadySteps(TargetJob);
+      if (TargetJob.Spec_->Occurrences_ > 0)
+        JobsToRelease_.insert(TargetJob.Id_);
+    }
+    refreshReadySteps(TargetJob, Step.Occurrence_);
     endJobIfComplete(TargetJob);
     return;
   }
@@ -559,13 +577,8 @@
 void Cell::Engine::endJobIfComplete(Job &TargetJob) {
   if (TargetJob.EndState_)
     return;
-  if (openedOccurrences(TargetJob) <
-      std::max<std::uint32_t>(1, TargetJob.Spec_->Occurrences_))
-    return;
-  for (const auto &Each : TargetJob.Steps_)
-    if (!Each->isDone())
-      return;
-  endJob(TargetJob, EndState::Complete);
+  if (countDoneOccurrences(TargetJob) >= TargetJob.occurrences())
+    endJob(TargetJob, EndState::Complete);
 }
 
 void Cell::Engine::endJob(Job &Ended, EndState State) {
@@ -656,6 +669,7 @@
 /// Removes a job whose end is stored and that has no runs left.
 void Cell::Engine::forgetJob(Job &Ended) {
   const std::string Id = Ended.Id_;
+  releaseMemory(Ended);
   Jobs_.erase(Id);
 }
 
@@ -666,7 +680,9 @@
   refuseLateJobs();
   PlacementNeeded_ = true; // Tickets and backoffs expire without an event.
   expireAdvice();
+  releaseDoneOccurrences();
   advanceOccurrences();
+  openOverdueOccurrences();
   while (!EndedByTime_.empty() &&
          EndedByTime_.begin()->first + Limits_.StatusRetention_ * 3 / 2 <
              Wall_) {
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -165,6 +165,9 @@
   if (Name)
     openNamedOccurrence(*Name);
   StepRun *Step = Name ? findStep(*Name) : nullptr;
+  // The end of a run in an occurrence that is released relies on what its job
+  // has still to store.
+  const Job *Cause = Name ? findJob(Name->Job_) : nullptr;
   const auto Known = Sender.Runs_.find(End.Task_);
   const bool Own =
       Known != Sender.Runs_.end() && Known->second.Attempt_ == End.Attempt_;
@@ -181,7 +184,7 @@
     handleTaskEnd(*Step, Name->Index_, End, &Sender);
     --Step->Job_->LiveRuns_;
   }
-  recordEnd(Sender, End.Number_, Step == nullptr ? nullptr : Step->Job_);
+  recordEnd(Sender, End.Number_, Cause);
   if (Own)
     dropRun(Sender, End.Task_);
 }
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -31,6 +31,9 @@
 /// Age at which the estimate of unseen usage is renewed. It examines all steps,
 /// which is too much for each pass.
 constexpr Millis UnseenUsageInterval = 50;
+/// Most occurrences of a job that are not open and count as possibly running.
+/// With a step's number of tasks, it stays in the range of the sums.
+constexpr std::uint32_t MaxUnopenedCounted = 10000;
 
 /// Adds the resources of several tasks, as far as teams have limits on them.
 void addCopies(Resources &Sum, const Resources &Need, std::uint32_t Copies) {
@@ -276,6 +279,10 @@
     Resources &Usage = UnseenUsage_[Each->Team_];
     for (const auto &Step : Each->Steps_)
       addCopies(Usage, Step->spec().Need_, Step->waiting());
+    const std::uint32_t Unopened =
+        std::min(countUnopenedOccurrences(*Each), MaxUnopenedCounted);
+    for (const StepSpec &Spec : Each->Spec_->Steps_)
+      addCopies(Usage, Spec.Need_, Unopened * Spec.Count_);
   }
   if (const std::optional<Resources> Room = unconfirmedRoom())
     for (auto &[Team, Usage] : UnseenUsage_)
@@ -452,7 +459,7 @@
     if (TargetTask.Phase_ != Task::Phase::Waiting ||
         Now_ < TargetTask.NotBefore_)
       continue;
-    if (!isUnderTeamLimit(Step, 1))
+    if (!isUnderTeamLimit(Step, 1) || !mayStartFurtherRun())
       return;
     Worker *Best = bestWorker(Step, Open, Required);
     if (Best == nullptr)
--- a/src/cell/engine_progress.cc
+++ b/src/cell/engine_progress.cc
@@ -11,10 +11,11 @@
 /// is small, so that a transaction holds the changed ones among many.
 constexpr std::size_t DividedRowBytes = 8192;
 
-/// Returns the number of the step's first task.
-TaskNumber firstTaskOf(const StepRun &Step) {
-  return Step.Occurrence_ * Step.Job_->tasksPerOccurrence() +
-         Step.Job_->StepOffsets_[Step.Step_];
+/// Returns the number of the first task of a step.
+TaskNumber firstTaskOf(const Job &TargetJob, std::uint32_t Occurrence,
+                       std::uint32_t Step) {
+  return Occurrence * TargetJob.tasksPerOccurrence() +
+         TargetJob.StepOffsets_[Step];
 }
 
 /// Returns the progress of the tasks of a step from \p From up to, but not
@@ -76,6 +77,26 @@
   return NumberOf(Only, First + (Last - First) / 2);
 }
 
+/// Returns whether rows of one occurrence state all of its tasks as done. One
+/// member of a gang stands for all of them.
+bool isComplete(const JobSpec &Spec, const std::vector<StepProgress> &Rows) {
+  for (std::uint32_t Step = 0; Step < Spec.Steps_.size(); ++Step) {
+    std::vector<bool> Done(Spec.Steps_[Step].Count_);
+    bool Any = false;
+    for (const StepProgress &Each : Rows)
+      for (std::size_t At = 0; Each.Step_ == Step && At < Each.Done_.size();
+           ++At)
+        if (Each.Done_[At] && Each.FirstTask_ + At < Done.size()) {
+          Done[Each.FirstTask_ + At] = true;
+          Any = true;
+        }
+    const bool All = std::find(Done.begin(), Done.end(), false) == Done.end();
+    if (!(Spec.Steps_[Step].Gang_ ? Any : All))
+      return false;
+  }
+  return true;
+}
+
 } // namespace
 
 /// Schedules the progress of some tasks of a step to be stored.
@@ -85,7 +106,7 @@
   if (TargetJob.EndState_)
     return;
   markChanged(TargetJob);
-  const TaskNumber First = firstTaskOf(Step);
+  const TaskNumber First = firstTaskOf(TargetJob, Step.Occurrence_, Step.Step_);
   TargetJob.ProgressRows_.markChanged(First + From, First + To);
   if (TargetJob.ProgressDirty_)
     return;
@@ -93,18 +114,59 @@
   DirtyJobs_.push_back(&TargetJob);
 }
 
-/// Returns the number of occurrences, from the first one on, that are done.
-std::uint32_t Cell::Engine::countDoneOccurrences(const Job &TargetJob) const {
-  const std::size_t StepCount = TargetJob.Spec_->Steps_.size();
-  std::uint32_t Out = TargetJob.DoneOccurrences_;
-  for (;; ++Out) {
-    const std::size_t Begin = (Out - TargetJob.FirstOccurrence_) * StepCount;
-    if (Begin + StepCount > TargetJob.Steps_.size())
-      return Out;
-    for (std::size_t At = Begin; At < Begin + StepCount; ++At)
-      if (!TargetJob.Steps_[At]->isDone())
-        return Out;
+/// Returns the first occurrence from \p From on that is open or has progress.
+std::optional<std::uint32_t>
+Cell::Engine::nextOccurrenceWithProgress(const Job &TargetJob,
+                                         std::uint32_t From) const {
+  std::optional<std::uint32_t> Out =
+      TargetJob.FinishedOccurrences_.firstContained(From);
+  const auto Open = std::lower_bound(
+      TargetJob.Steps_.begin(), TargetJob.Steps_.end(), From,
+      [](const std::unique_ptr<StepRun> &Each, std::uint32_t Wanted) {
+        return Each->Occurrence_ < Wanted;
+      });
+  if (Open != TargetJob.Steps_.end())
+    Out = std::min(Out.value_or((*Open)->Occurrence_), (*Open)->Occurrence_);
+  const auto Unopened = TargetJob.UnopenedProgress_.lower_bound(From);
+  if (Unopened != TargetJob.UnopenedProgress_.end())
+    Out = std::min(Out.value_or(Unopened->first), Unopened->first);
+  return Out;
+}
+
+/// Returns the progress of the tasks of a step from \p From up to, but not
+/// including, \p To, whether or not its occurrence is open.
+StepProgress Cell::Engine::progressOfStep(const Job &TargetJob,
+                                          std::uint32_t Occurrence,
+                                          std::uint32_t Step,
+                                          std::uint32_t From,
+                                          std::uint32_t To) const {
+  if (const StepRun *Open = findStep(TargetJob, Occurrence, Step))
+    return progressOf(*Open, From, To);
+  StepProgress Out;
+  Out.Occurrence_ = Occurrence;
+  Out.Step_ = Step;
+  Out.FirstTask_ = From;
+  Out.Done_.assign(To - From,
+                   TargetJob.FinishedOccurrences_.contains(Occurrence));
+  const auto Unopened = TargetJob.UnopenedProgress_.find(Occurrence);
+  if (Unopened == TargetJob.UnopenedProgress_.end())
+    return Out;
+  std::set<std::pair<std::uint32_t, std::uint64_t>> Failures;
+  for (const StepProgress &Each : Unopened->second) {
+    if (Each.Step_ != Step)
+      continue;
+    for (std::size_t At = 0; At < Each.Done_.size(); ++At) {
+      const std::size_t Index = Each.FirstTask_ + At;
+      if (Each.Done_[At] && Index >= From && Index < To)
+        Out.Done_[Index - From] = true;
+    }
+    for (const Failure &Failed : Each.Failures_)
+      if (Failed.Task_ >= From && Failed.Task_ < To)
+        Failures.emplace(Failed.Task_, Failed.Attempt_);
   }
+  for (const auto &[Index, Attempt] : Failures)
+    Out.Failures_.push_back({Index, Attempt});
+  return Out;
 }
 
 /// Collects the progress that a row covers. The first row states \p Done
@@ -119,28 +181,30 @@
   const TaskNumber End = TargetJob.ProgressRows_.endOf(First);
   const TaskNumber Begin =
       std::max(First, Skipped * TargetJob.tasksPerOccurrence());
-  const std::size_t Past =
-      Begin / TargetJob.tasksPerOccurrence() - TargetJob.FirstOccurrence_;
-  for (std::size_t At = Past * TargetJob.Spec_->Steps_.size();
-       At < TargetJob.Steps_.size(); ++At) {
-    const StepRun &Step = *TargetJob.Steps_[At];
-    const TaskNumber FirstTask = firstTaskOf(Step);
-    const TaskNumber LastTask = FirstTask + Step.Tasks_.size();
-    if (FirstTask >= End)
-      break;
-    if (LastTask <= Begin)
-      continue;
-    StepProgress Row = progressOf(
-        Step,
-        static_cast<std::uint32_t>(std::max(Begin, FirstTask) - FirstTask),
-        static_cast<std::uint32_t>(std::min(End, LastTask) - FirstTask));
-    if (isEmpty(Row))
-      continue;
-    // An owner of an earlier version reads the first row.
-    if (First != 0)
-      trim(Row);
-    Out.Steps_.push_back(std::move(Row));
-  }
+  const auto StepCount =
+      static_cast<std::uint32_t>(TargetJob.Spec_->Steps_.size());
+  const auto FirstOccurrence =
+      static_cast<std::uint32_t>(Begin / TargetJob.tasksPerOccurrence());
+  for (auto At = nextOccurrenceWithProgress(TargetJob, FirstOccurrence);
+       At && firstTaskOf(TargetJob, *At, 0) < End;
+       At = nextOccurrenceWithProgress(TargetJob, *At + 1))
+    for (std::uint32_t Step = 0; Step < StepCount; ++Step) {
+      const TaskNumber FirstTask = firstTaskOf(TargetJob, *At, Step);
+      const TaskNumber LastTask =
+          FirstTask + TargetJob.Spec_->Steps_[Step].Count_;
+      if (FirstTask >= End || LastTask <= Begin)
+        continue;
+      StepProgress Row = progressOfStep(
+          TargetJob, *At, Step,
+          static_cast<std::uint32_t>(std::max(Begin, FirstTask) - FirstTask),
+          static_cast<std::uint32_t>(std::min(End, LastTask) - FirstTask));
+      if (isEmpty(Row))
+        continue;
+      // An owner of an earlier version reads the first row.
+      if (First != 0)
+        trim(Row);
+      Out.Steps_.push_back(std::move(Row));
+    }
   return Out;
 }
 
@@ -232,7 +296,6 @@
         Each.DoneOccurrences_ * TargetJob.tasksPerOccurrence();
     for (const TaskNumber First : TargetJob.ProgressRows_.removeBefore(End))
       dropProgressRow(TargetJob.Id_, First);
-    forgetDoneOccurrences(TargetJob);
   }
 }
 
@@ -242,28 +305,6 @@
       {ProgressTable, encode(ProgressKey{Id, First}), std::nullopt});
 }
 
-/// Destroys the steps of the occurrences that are stored as done, up to the
-/// first one that still has runs.
-void Cell::Engine::forgetDoneOccurrences(Job &TargetJob) {
-  if (TargetJob.EndState_)
-    return;
-  const auto StepCount =
-      static_cast<std::ptrdiff_t>(TargetJob.Spec_->Steps_.size());
-  const auto Begin = TargetJob.Steps_.begin();
-  const auto HasRuns = [](const std::unique_ptr<StepRun> &Step) {
-    return Step->LiveRuns_ > 0;
-  };
-  auto End = Begin;
-  while (TargetJob.FirstOccurrence_ < TargetJob.DoneOccurrences_ &&
-         std::none_of(End, End + StepCount, HasRuns)) {
-    End += StepCount;
-    ++TargetJob.FirstOccurrence_;
-  }
-  for (auto It = Begin; It != End; ++It)
-    detachStep(**It);
-  TargetJob.Steps_.erase(Begin, End);
-}
-
 /// Restores the progress of all jobs from the stored rows. The first row of a
 /// job tells which occurrences have no entries.
 void Cell::Engine::restoreProgress(const StoredCell &Stored) {
@@ -289,9 +330,9 @@
     restoreDoneOccurrences(*TargetJob, Progress->DoneOccurrences_);
     Restored.emplace_back(TargetJob, std::move(*Progress));
   }
-  for (const auto &[TargetJob, Progress] : Restored)
-    for (const StepProgress &Each : Progress.Steps_)
-      applyProgress(*TargetJob, Each);
+  for (auto &[TargetJob, Progress] : Restored)
+    for (StepProgress &Each : Progress.Steps_)
+      restoreStepProgress(*TargetJob, std::move(Each));
 }
 
 /// Lets a restored job begin after the occurrences that are stored as done.
@@ -300,28 +341,38 @@
     return;
   TargetJob.CompactsProgress_ = true;
   TargetJob.DoneOccurrences_ = Done;
-  TargetJob.FirstOccurrence_ = Done;
+  TargetJob.FinishedOccurrences_.add(0, Done);
   TargetJob.Started_ = true;
   countJob(TargetJob);
 }
 
-/// Restores the finished tasks and the failures of a step.
-void Cell::Engine::applyProgress(Job &TargetJob, const StepProgress &Row) {
-  const std::uint32_t Occurrences =
-      std::max<std::uint32_t>(1, TargetJob.Spec_->Occurrences_);
-  if (Row.Occurrence_ < TargetJob.FirstOccurrence_ ||
-      Row.Occurrence_ >= Occurrences ||
-      Row.Step_ >= TargetJob.Spec_->Steps_.size())
+/// Notes the stored progress of a step until its occurrence is opened. An
+/// occurrence that is done isn't opened any more.
+void Cell::Engine::restoreStepProgress(Job &TargetJob, StepProgress Row) {
+  const std::uint32_t Occurrence = Row.Occurrence_;
+  if (Occurrence >= TargetJob.occurrences() ||
+      Row.Step_ >= TargetJob.Spec_->Steps_.size() ||
+      TargetJob.FinishedOccurrences_.contains(Occurrence))
+    return;
+  if (std::find(Row.Done_.begin(), Row.Done_.end(), true) != Row.Done_.end()) {
+    TargetJob.Started_ = true;
+    countJob(TargetJob);
+  }
+  std::vector<StepProgress> &Rows = TargetJob.UnopenedProgress_[Occurrence];
+  Rows.push_back(std::move(Row));
+  if (!isComplete(*TargetJob.Spec_, Rows))
     return;
-  while (openedOccurrences(TargetJob) <= Row.Occurrence_)
-    openOccurrence(TargetJob, openedOccurrences(TargetJob));
-  StepRun &Step = *findStep(TargetJob, Row.Occurrence_, Row.Step_);
+  TargetJob.FinishedOccurrences_.add(Occurrence);
+  TargetJob.UnopenedProgress_.erase(Occurrence);
+}
+
+/// Applies the stored progress of a step that has just been opened.
+void Cell::Engine::applyProgress(StepRun &Step, const StepProgress &Row) {
   for (std::size_t At = 0; At < Row.Done_.size(); ++At) {
     const std::size_t Index = Row.FirstTask_ + At;
     if (!Row.Done_[At] || Index >= Step.Tasks_.size() ||
         Step.Tasks_[Index].Phase_ == Task::Phase::Done)
       continue;
-    TargetJob.Started_ = true;
     // The members of a gang are done together, but their rows may not all have
     // been stored.
     if (Step.spec().Gang_) {
@@ -331,7 +382,6 @@
     Step.Tasks_[Index].Phase_ = Task::Phase::Done;
     ++Step.DoneCount_;
   }
-  countJob(TargetJob);
   for (const Failure &Each : Row.Failures_)
     if (Each.Task_ < Step.Tasks_.size())
       Step.Tasks_[Each.Task_].FailedAttempts_.insert(Each.Attempt_);
--- a/src/cell/engine_reports.cc
+++ b/src/cell/engine_reports.cc
@@ -122,7 +122,10 @@
                "open_steps=" + std::to_string(Stats.OpenSteps_) +
                    " open_tasks=" + std::to_string(Stats.OpenTasks_) +
                    " runs=" + std::to_string(Stats.Running_) +
-                   " orders=" + std::to_string(Stats.OpenOrders_),
+                   " orders=" + std::to_string(Stats.OpenOrders_) +
+                   " overdue_jobs=" + std::to_string(Stats.OverdueJobs_) +
+                   " held=" + std::to_string(Stats.WorkMemoryHeld_) +
+                   " limit=" + std::to_string(Stats.WorkMemoryLimit_),
                0});
 }
 
@@ -131,11 +134,11 @@
   Out.Jobs_ = Jobs_.size();
   Out.EndedJobs_ = EndedRecords_.size();
   Out.WaitingSteps_ = WaitingSteps_.size();
-  for (const auto &[Id, Each] : Jobs_)
-    Out.OpenSteps_ += Each->Steps_.size();
-  for (const auto &[Id, Each] : Jobs_)
-    for (const auto &Step : Each->Steps_)
-      Out.OpenTasks_ += Step->Tasks_.size();
+  Out.OpenSteps_ = OpenSteps_;
+  Out.OpenTasks_ = OpenTasks_;
+  Out.OverdueJobs_ = OverdueJobs_.size();
+  Out.WorkMemoryLimit_ = Memory_.limit();
+  Out.WorkMemoryHeld_ = Memory_.held();
   std::int64_t Used = 0;
   std::int64_t All = 0;
   for (const auto &[Id, Each] : Workers_) {
@@ -159,6 +162,7 @@
   Out.PlaceLossMs_ = PlaceWaits_.LostMs_;
   Out.RefusedHopeless_ = RefusedHopeless_;
   Out.RefusedOverShare_ = RefusedOverShare_;
+  Out.RefusedForMemory_ = RefusedForMemory_;
   Out.UsedShare_ =
       All == 0 ? 0 : static_cast<double>(Used) / static_cast<double>(All);
   return Out;
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -264,6 +264,7 @@
   }
   addNeedSum(Target, NewRun);
   Target.Runs_[Name] = std::move(NewRun);
+  ++LiveRuns_;
   updateUsedWorker(Target);
 }
 
@@ -274,6 +275,7 @@
     return;
   const Run Gone = It->second;
   Target.Runs_.erase(It);
+  --LiveRuns_;
   updateUsedWorker(Target);
   const Resources UsedBefore = Target.Used_;
   Target.Used_ = Target.Used_ - Gone.Need_;
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -1,14 +1,19 @@
 #ifndef OLEANDERGAUGE_CELL_MODEL_H
 #define OLEANDERGAUGE_CELL_MODEL_H
 
+#include <algorithm>
 #include <deque>
+#include <map>
 #include <memory>
+#include <span>
 #include <unordered_map>
 #include <unordered_set>
 
 #include "cell/admission.h"
 #include "cell/cell.h"
+#include "cell/occurrence_set.h"
 #include "cell/progress_rows.h"
+#include "cell/work_memory.h"
 
 namespace oleandergauge::cell::detail {
 
@@ -263,10 +268,20 @@
   std::optional<Millis> ForecastWait_;
   std::optional<EndState> EndState_;
   Millis EndedAt_ = 0; ///< When EndState_ was set.
-  /// Ordered by occurrence and step, from FirstOccurrence_ on.
+  /// The steps of the open occurrences, ordered by occurrence and step.
   std::vector<std::unique_ptr<StepRun>> Steps_;
-  /// The first occurrence in Steps_. Earlier ones are stored as done.
-  std::uint32_t FirstOccurrence_ = 0;
+  /// Occurrences that are done and no longer open.
+  OccurrenceSet FinishedOccurrences_;
+  /// Each earlier occurrence is open or finished.
+  std::uint32_t NextOccurrence_ = 0;
+  /// The next one to open of those that can still be of value, which go before
+  /// older ones.
+  std::uint32_t NextRecentOccurrence_ = 0;
+  /// Progress, as it was stored, of occurrences that are neither open nor done.
+  std::map<std::uint32_t, std::vector<StepProgress>> UnopenedProgress_;
+  JobMemory Memory_;
+  /// Some occurrences are due but not open, and the job is in OverdueJobs_.
+  bool Overdue_ = false;
   /// Number of tasks in an occurrence before each step, and of all.
   std::vector<TaskNumber> StepOffsets_;
   std::size_t LiveRuns_ = 0;
@@ -282,6 +297,27 @@
   std::uint32_t DoneOccurrences_ = 0; ///< That number, as it is stored.
 
   TaskNumber tasksPerOccurrence() const { return StepOffsets_.back(); }
+  /// Returns how often the steps run.
+  std::uint32_t occurrences() const {
+    return std::max<std::uint32_t>(1, Spec_->Occurrences_);
+  }
+  /// Returns the steps of an occurrence; none if it is not open.
+  std::span<const std::unique_ptr<StepRun>>
+  stepsOf(std::uint32_t Occurrence) const {
+    const auto First = std::lower_bound(
+        Steps_.begin(), Steps_.end(), Occurrence,
+        [](const std::unique_ptr<StepRun> &Each, std::uint32_t Wanted) {
+          return Each->Occurrence_ < Wanted;
+        });
+    if (First == Steps_.end() || (*First)->Occurrence_ != Occurrence)
+      return {};
+    return {First, Spec_->Steps_.size()};
+  }
+  std::uint32_t openOccurrences() const {
+    const std::size_t StepCount =
+        std::max<std::size_t>(1, Spec_->Steps_.size());
+    return static_cast<std::uint32_t>(Steps_.size() / StepCount);
+  }
 };
 
 /// A worker as this owner knows it.
--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -19,6 +19,8 @@
 /// which also advances while the machine is suspended.
 using Millis = std::int64_t;
 
+constexpr std::uint64_t BytesPerMib = 1 << 20;
+
 /// One step of a job, which consists of Count_ identical tasks.
 struct StepSpec {
   std::uint32_t Count_ = 1;
@@ -206,6 +208,8 @@
   /// Duration of a machine's upkeep.
   Millis UpkeepTime_ = 2000;
   std::size_t RowBytes_ = 65536; ///< The store accepts no larger row.
+  /// Memory of the owner's process, which ends if it takes more.
+  std::uint64_t MemoryBytes_ = 260 * BytesPerMib;
   /// Factor by which a task runs longer away from its preferred rack, or a gang
   /// for one rack on several. Below 1 it is not known: tasks do not wait for
   /// their rack, and gangs wait without limit.
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -367,6 +367,10 @@
   Publish("waiting_steps", Stats.WaitingSteps_);
   Publish("open_steps", Stats.OpenSteps_);
   Publish("open_tasks", Stats.OpenTasks_);
+  Publish("overdue_jobs", Stats.OverdueJobs_);
+  Publish("work_memory_bytes", Stats.WorkMemoryHeld_);
+  Publish("work_memory_limit_bytes", Stats.WorkMemoryLimit_);
+  Publish("refused_for_memory", Stats.RefusedForMemory_);
   Publish("open_orders", Stats.OpenOrders_);
   Publish("repeated_starts", Stats.RepeatedStarts_);
   Publish("oldest_unstored_end_ms", Stats.OldestUnstoredEnd_);
