cell: keep the checkpoint of the latest run of a task

An end of an earlier run, which a worker lists late since its answers name a limited number of ends, replaced the checkpoint that a later run had saved, so that a third run repeated work. The task now notes which run saved its checkpoint. A next owner takes the checkpoint of a listed run as well.

The simulated workers list checkpoints and take them from start orders. CellLists.AnEndOfAnEarlierRunLeavesTheLaterCheckpoint guards it.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -250,6 +250,9 @@
   void recordDuration(std::string_view What, const Job &TargetJob);
   void requeueTask(StepRun &Step, std::uint32_t Index);
   void finishGang(StepRun &Step);
+  static void keepCheckpoint(StepRun &Step, std::uint32_t Index,
+                             std::uint64_t Attempt,
+                             const std::string &Checkpoint);
   static bool hasOtherAttempt(const Worker &Target, const std::string &Task,
                               std::uint64_t Attempt);
   void stopOtherRuns(StepRun &Step, std::uint32_t Index, std::uint64_t Attempt);
--- a/src/cell/engine_jobs.cc
+++ b/src/cell/engine_jobs.cc
@@ -512,6 +512,24 @@
   return It != Target.Runs_.end() && It->second.Attempt_ != Attempt;
 }
 
+/// Keeps the checkpoint that a run of the task has saved, unless a later run
+/// has saved one: an end may be listed after later runs have made progress. The
+/// members of a gang share a checkpoint.
+void Cell::Engine::keepCheckpoint(StepRun &Step, std::uint32_t Index,
+                                  std::uint64_t Attempt,
+                                  const std::string &Checkpoint) {
+  if (Checkpoint.empty())
+    return;
+  for (std::uint32_t At = 0; At < Step.Tasks_.size(); ++At) {
+    Task &Each = Step.Tasks_[At];
+    const bool Concerned = At == Index || Step.spec().Gang_;
+    if (!Concerned || Attempt < Each.CheckpointAttempt_)
+      continue;
+    Each.Checkpoint_ = Checkpoint;
+    Each.CheckpointAttempt_ = Attempt;
+  }
+}
+
 /// Applies the end of a run to its task: completes it, counts a failure, or
 /// requeues it. An end may be listed after a later run has started on the same
 /// worker, whose answers name a limited number of ends.
@@ -520,10 +538,7 @@
   Task &TargetTask = Step.Tasks_[Index];
   Job &TargetJob = *Step.Job_;
   markStarted(TargetJob);
-  if (!End.Checkpoint_.empty())
-    for (Task &Each : Step.Tasks_)
-      if (&Each == &TargetTask || Step.spec().Gang_)
-        Each.Checkpoint_ = End.Checkpoint_;
+  keepCheckpoint(Step, Index, End.Attempt_, End.Checkpoint_);
   if (TargetJob.EndState_ || TargetTask.Phase_ == Task::Phase::Done)
     return;
   const bool IsService = Step.spec().Service_;
--- a/src/cell/engine_lists.cc
+++ b/src/cell/engine_lists.cc
@@ -84,6 +84,7 @@
     ++Step.ActiveCount_;
     countWaitingWork(Step);
   }
+  keepCheckpoint(Step, Index, Entry.Attempt_, Entry.Checkpoint_);
   markStarted(*Step.Job_);
   addRun(Target, Entry.Task_, std::move(NewRun));
 }
@@ -110,12 +111,9 @@
     if (!Entry.Checkpoint_.empty() &&
         Entry.Checkpoint_ != TargetRun.Checkpoint_) {
       TargetRun.Checkpoint_ = Entry.Checkpoint_;
-      if (TargetRun.Step_ != nullptr) {
-        StepRun &Step = *TargetRun.Step_;
-        for (std::uint32_t At = 0; At < Step.Tasks_.size(); ++At)
-          if (At == TargetRun.Index_ || Step.spec().Gang_)
-            Step.Tasks_[At].Checkpoint_ = Entry.Checkpoint_;
-      }
+      if (TargetRun.Step_ != nullptr)
+        keepCheckpoint(*TargetRun.Step_, TargetRun.Index_, Entry.Attempt_,
+                       Entry.Checkpoint_);
     }
     recordProgress(TargetRun, Entry);
     TargetRun.Usage_ = Entry.Usage_;
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -78,7 +78,8 @@
   std::uint32_t Starts_ = 0; ///< Runs started by this owner.
   std::set<std::uint64_t> FailedAttempts_;
   std::string Checkpoint_;
-  Millis NotBefore_ = 0; ///< Earliest time of the next start.
+  std::uint64_t CheckpointAttempt_ = 0; ///< The run that saved it.
+  Millis NotBefore_ = 0;                ///< Earliest time of the next start.
 };
 
 /// The permission to run a step on a worker. It never changes; only the ticket
--- a/test/cell/cell_lists_test.cc
+++ b/test/cell/cell_lists_test.cc
@@ -132,5 +132,27 @@
   EXPECT_TRUE(Sim.violations().empty()) << Sim.violations().front();
 }
 
+// Guards against progress that is lost: a checkpoint in the end of an earlier
+// run, which is listed late, replaced the one that a later run had saved.
+TEST(CellLists, AnEndOfAnEarlierRunLeavesTheLaterCheckpoint) {
+  constexpr std::uint32_t Count = 40;
+  CellSimulation Sim = cellWithHiddenEndsOfEarlierRuns(Count);
+  for (EndEntry &Each : Sim.worker(0).Ends_)
+    Each.Checkpoint_ = "earlier";
+  Sim.BeforeTick_ = [&Sim] {
+    for (auto &[Task, Each] : Sim.worker(0).Runs_)
+      Each.Checkpoint_ = "later";
+  };
+  Sim.run(1500);
+  ASSERT_EQ(Sim.starts(), 2 * Count);
+  Sim.restartWorker(0);
+  Sim.worker(0).Capacity_.CpuMilli_ = 0;
+  Sim.worker(1).Capacity_.CpuMilli_ = 4000;
+  Sim.run(12000);
+  ASSERT_EQ(Sim.worker(1).Runs_.size(), Count);
+  for (const auto &[Task, Each] : Sim.worker(1).Runs_)
+    EXPECT_EQ(Each.Checkpoint_, "later") << Task;
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
--- a/test/cell/fake_orders.h
+++ b/test/cell/fake_orders.h
@@ -175,6 +175,7 @@
         Order.Attempt_, Spec.Need_, Core_.drawBetween(50, 900),
         Core_.drawChance(Core_.Faults_.FailedRun_), std::nullopt};
     Out.Gang_ = Spec.Gang_;
+    Out.Checkpoint_ = Order.Checkpoint_;
     if (Core_.TaskBehaviour_)
       std::tie(Out.RemainingWork_, Out.Fails_) =
           Core_.TaskBehaviour_(Order.Task_);
--- a/test/cell/fake_renewals.h
+++ b/test/cell/fake_renewals.h
@@ -97,7 +97,8 @@
     Out.Incarnation_ = Receiver.Incarnation_;
     for (const auto &[Name, Each] : Receiver.Runs_)
       Out.Running_.push_back(
-          {Name, Each.Attempt_, "", Each.Gang_ && !Each.Assembled_ ? 0 : 100,
+          {Name, Each.Attempt_, Each.Checkpoint_,
+           Each.Gang_ && !Each.Assembled_ ? 0 : 100,
            Core_.ReportedTail_ ? Core_.ReportedTail_(Name) : 0});
     Out.AllRuns_ = true;
     const std::size_t Count =
--- a/test/cell/fake_worker.h
+++ b/test/cell/fake_worker.h
@@ -29,6 +29,7 @@
     bool Gang_ = false;
     bool Assembled_ = false; ///< All members of the gang's attempt are present.
     Millis WaitedForMembers_ = 0; ///< Time spent waiting for the other members.
+    std::string Checkpoint_; ///< As the start order named it, or a test set it.
   };
 
   /// Milliseconds since 1970 at the time zero of a simulation.
@@ -84,7 +85,8 @@
     Runs_.erase(Task);
     HighestEndedAttempt_[Task] =
         std::max(HighestEndedAttempt_[Task], Over.Attempt_);
-    Ends_.push_back({++LastEndNumber_, Task, Over.Attempt_, Kind, ""});
+    Ends_.push_back(
+        {++LastEndNumber_, Task, Over.Attempt_, Kind, Over.Checkpoint_});
   }
 
   /// Advances the runs by \p Elapsed and returns those that end.
