owner: ask for each order when it is sent, and take back abandoned ones

The condition of a call was asked only for calls that had waited in the queue. Stops waited behind starts.

The pool asks the condition right before each call is sent. Upkeep orders that end without an answer are taken back by a reset of their connection. Stops leave before starts that wait.

--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -69,8 +69,22 @@
     closeLink();
   }
   void closeLink() {
-    if (Link_ != nullptr)
-      evhttp_connection_free(std::exchange(Link_, nullptr));
+    if (Link_ == nullptr)
+      return;
+    if (Busy_ && Pool_->Abandoned_ == AbandonedCall::IsTakenBack)
+      reset();
+    evhttp_connection_free(std::exchange(Link_, nullptr));
+  }
+  /// Resets the connection, which discards what it has not delivered. libevent
+  /// would first end it in order, and what was written before that counts.
+  void reset() {
+    const evutil_socket_t Socket =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(Link_));
+    const linger Discard = {1, 0};
+    setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Discard, sizeof Discard);
+    sockaddr Nobody = {};
+    Nobody.sa_family = AF_UNSPEC;
+    connect(Socket, &Nobody, sizeof Nobody);
   }
   /// Gives the call at least \p Count turns from now on.
   void allowTurns(std::uint64_t Count) {
@@ -86,8 +100,10 @@
 
 HttpConnectionPool::HttpConnectionPool(EventLoop &Loop,
                                        const std::string &Address,
-                                       std::size_t MaxConnections)
-    : Loop_(Loop), Address_(Address), MaxConnections_(MaxConnections) {
+                                       std::size_t MaxConnections,
+                                       AbandonedCall Abandoned)
+    : Loop_(Loop), Address_(Address), MaxConnections_(MaxConnections),
+      Abandoned_(Abandoned) {
   const auto To = parseSocketAddress(Address).value_or(SocketAddress{});
   Ip_ = To.Ip_;
   Port_ = To.Port_;
@@ -101,7 +117,7 @@
 }
 
 void HttpConnectionPool::send(HttpCall Call, Millis Timeout, ReplyHandler Then,
-                              std::function<bool()> MayStart) {
+                              std::function<bool()> MayStart, CallOrder Order) {
   if (Port_ == 0) {
     Loop_.runAfter(0, [Then = std::move(Then), Alive = Alive_] {
       if (*Alive)
@@ -111,15 +127,20 @@
   }
   QueuedCall Next{std::move(Call), Timeout, std::move(Then),
                   std::move(MayStart)};
-  for (const auto &Each : Connections_)
-    if (!Each->Busy_) {
-      startCall(*Each, std::move(Next));
-      return;
-    }
-  if (Connections_.size() >= MaxConnections_) {
-    QueuedCalls_.push_back(std::move(Next));
+  if (hasFreeConnection()) {
+    startOrWithdraw(std::move(Next));
     return;
   }
+  (Order == CallOrder::First ? FirstCalls_ : QueuedCalls_)
+      .push_back(std::move(Next));
+}
+
+/// Returns a connection without a call. There must be one, or fewer than the
+/// limit.
+HttpConnectionPool::Connection &HttpConnectionPool::freeConnection() {
+  for (const auto &Each : Connections_)
+    if (!Each->Busy_)
+      return *Each;
   auto NewConnection = std::make_unique<Connection>();
   NewConnection->Pool_ = this;
   NewConnection->Link_ =
@@ -132,7 +153,21 @@
   bufferevent_set_max_single_write(Stream, MaxBytesPerTurn);
   evbuffer_add_cb(bufferevent_get_input(Stream), onInput, NewConnection.get());
   Connections_.push_back(std::move(NewConnection));
-  startCall(*Connections_.back(), std::move(Next));
+  return *Connections_.back();
+}
+
+/// Sends a call on a free connection, or ends it if it may not start. Returns
+/// whether it was sent.
+bool HttpConnectionPool::startOrWithdraw(QueuedCall Next) {
+  if (!Next.MayStart_ || Next.MayStart_()) {
+    startCall(freeConnection(), std::move(Next));
+    return true;
+  }
+  Loop_.runAfter(0, [Then = std::move(Next.Handler_), Alive = Alive_] {
+    if (*Alive)
+      Then({0, "", false});
+  });
+  return false;
 }
 
 std::size_t HttpConnectionPool::countBusy() const {
@@ -227,17 +262,15 @@
 /// A handler that has just sent a call may have taken the connection; then all
 /// queued calls keep waiting in their order.
 void HttpConnectionPool::startQueuedCall() {
-  while (!QueuedCalls_.empty() && hasFreeConnection()) {
-    QueuedCall Next = std::move(QueuedCalls_.front());
-    QueuedCalls_.pop_front();
-    if (!Next.MayStart_ || Next.MayStart_()) {
-      send(std::move(Next.Call_), Next.Timeout_, std::move(Next.Handler_));
+  while (hasFreeConnection()) {
+    std::deque<QueuedCall> &Calls =
+        FirstCalls_.empty() ? QueuedCalls_ : FirstCalls_;
+    if (Calls.empty())
+      return;
+    QueuedCall Next = std::move(Calls.front());
+    Calls.pop_front();
+    if (startOrWithdraw(std::move(Next)))
       return;
-    }
-    Loop_.runAfter(0, [Then = std::move(Next.Handler_), Alive = Alive_] {
-      if (*Alive)
-        Then({0, "", false});
-    });
   }
 }
 
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -19,6 +19,21 @@
 
 using ReplyHandler = std::function<void(HttpReply Reply)>;
 
+/// When a queued call is sent.
+enum class CallOrder {
+  InTurn, ///< After all calls that were queued before.
+  First   ///< Before queued calls that go in turn.
+};
+
+/// What becomes of a call that ends without an answer, by its timeout or with
+/// its pool.
+enum class AbandonedCall {
+  MayArrive, ///< What was written may still be delivered.
+  /// The connection is reset, so that a call that a partition has held up is
+  /// not delivered when the partition ends.
+  IsTakenBack
+};
+
 /// A connection pool to one address for one kind of call. A connection carries
 /// one call at a time. It is closed if an answer is missing, because no further
 /// answers arrive on such a connection. Calls are not retried.
@@ -27,17 +42,20 @@
   /// \p MaxConnections limits the calls in flight; further calls are queued.
   /// \p Address is "ip:port"; at any other address calls get no answer.
   HttpConnectionPool(EventLoop &Loop, const std::string &Address,
-                     std::size_t MaxConnections);
+                     std::size_t MaxConnections,
+                     AbandonedCall Abandoned = AbandonedCall::MayArrive);
   ~HttpConnectionPool();
   HttpConnectionPool(const HttpConnectionPool &) = delete;
   HttpConnectionPool &operator=(const HttpConnectionPool &) = delete;
 
   /// Sends a call or queues it. \p Then receives the answer, or status 0 if the
   /// connection breaks or \p Timeout passes after sending; the time in the
-  /// queue does not count. A queued call for which \p MayStart then returns
-  /// false is withdrawn, and \p Then receives a reply that says so.
+  /// queue does not count. \p MayStart is asked right before the call is sent;
+  /// if it returns false, the call is withdrawn, and \p Then receives a reply
+  /// that says so.
   void send(HttpCall Call, Millis Timeout, ReplyHandler Then,
-            std::function<bool()> MayStart = nullptr);
+            std::function<bool()> MayStart = nullptr,
+            CallOrder Order = CallOrder::InTurn);
   /// Returns the number of calls in flight.
   std::size_t countBusy() const;
 
@@ -49,6 +67,8 @@
     ReplyHandler Handler_;
     std::function<bool()> MayStart_; ///< Null if it may always start.
   };
+  Connection &freeConnection();
+  bool startOrWithdraw(QueuedCall Next);
   void startCall(Connection &Target, QueuedCall Next);
   void finishCall(Connection &Target, HttpReply Reply);
   bool hasFreeConnection() const;
@@ -63,7 +83,9 @@
   std::string Address_;
   unsigned short Port_ = 0;
   std::size_t MaxConnections_;
+  AbandonedCall Abandoned_;
   std::vector<std::unique_ptr<Connection>> Connections_;
+  std::deque<QueuedCall> FirstCalls_; ///< Queued with CallOrder::First.
   std::deque<QueuedCall> QueuedCalls_;
   /// Set to false by the destructor, so that late callbacks do nothing.
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
--- a/src/node/owner.cc
+++ b/src/node/owner.cc
@@ -84,7 +84,7 @@
   if (!Context.Settings_.MachinesAddress_.empty()) {
     MachineService_ = std::make_unique<HttpConnectionPool>(
         Context.Loop_, Context.Settings_.MachinesAddress_,
-        MachineServiceConnections);
+        MachineServiceConnections, AbandonedCall::IsTakenBack);
     MachineLists_ = std::make_unique<HttpConnectionPool>(
         Context.Loop_, Context.Settings_.MachinesAddress_,
         MachineListConnections);
@@ -480,10 +480,11 @@
   return Out;
 }
 
-/// Sends an order, or queues it behind others to the worker. A queued one is
-/// withdrawn if it is not wanted any more when its turn comes.
+/// Sends an order, or queues it behind others to the worker. It is withdrawn if
+/// it is not wanted any more when its turn comes.
 void Owner::sendOrder(const cell::WorkerAddress &To, cell::Token Order,
-                      HttpCall Call, std::function<bool()> MaySend) {
+                      HttpCall Call, std::function<bool()> MaySend,
+                      CallOrder Place) {
   connectionsTo(To).OrderPool_->send(
       std::move(Call), OrderTimeout,
       [this, Order, Alive = Alive_](const HttpReply &Reply) {
@@ -493,24 +494,31 @@
         Cell_->handle(bootTime(), platform::decodeOrderAnswer(Order, Reply));
         performEffects();
       },
-      std::move(MaySend));
+      std::move(MaySend), Place);
 }
 
 void Owner::perform(const cell::SendStart &Effect) {
-  sendOrder(Effect.Worker_, Effect.Token_, platform::encodeStart(Effect),
-            [this, Order = Effect.Token_] {
-              return mayAct() && Cell_->maySend(Order);
-            });
+  sendOrder(
+      Effect.Worker_, Effect.Token_, platform::encodeStart(Effect),
+      [this, Order = Effect.Token_] {
+        return mayAct() && Cell_->maySend(Order);
+      },
+      CallOrder::InTurn);
 }
 
 void Owner::perform(const cell::SendStop &Effect) {
-  sendOrder(Effect.Worker_, Effect.Token_, platform::encodeStop(Effect),
-            [this, Order = Effect.Token_] { return Cell_->maySend(Order); });
+  // Starts that wait may be many, and a stop is due at once.
+  sendOrder(
+      Effect.Worker_, Effect.Token_, platform::encodeStop(Effect),
+      [this, Order = Effect.Token_] { return Cell_->maySend(Order); },
+      CallOrder::First);
 }
 
 void Owner::perform(const cell::SendPace &Effect) {
-  sendOrder(Effect.Worker_, Effect.Token_, platform::encodePace(Effect),
-            [this, Order = Effect.Token_] { return Cell_->maySend(Order); });
+  sendOrder(
+      Effect.Worker_, Effect.Token_, platform::encodePace(Effect),
+      [this, Order = Effect.Token_] { return Cell_->maySend(Order); },
+      CallOrder::InTurn);
 }
 
 void Owner::perform(const cell::SendRenewal &Effect) {
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -100,7 +100,7 @@
   void stepDown(const std::string &Why);
   WorkerConnections &connectionsTo(const cell::WorkerAddress &To);
   void sendOrder(const cell::WorkerAddress &To, cell::Token Order,
-                 HttpCall Call, std::function<bool()> MaySend);
+                 HttpCall Call, std::function<bool()> MaySend, CallOrder Place);
   void perform(const cell::Reply &Effect);
   void perform(const cell::SendStart &Effect);
   void perform(const cell::SendStop &Effect);
--- a/src/node/owner_upkeep.cc
+++ b/src/node/owner_upkeep.cc
@@ -23,7 +23,9 @@
   });
 }
 
-/// Sends an order, unless another host may have taken over while it was queued.
+/// Sends an order, unless another host may have taken over since it was
+/// decided. The machine service does not compare fences, so an order that ends
+/// without an answer is taken back as far as possible.
 void Owner::perform(const cell::OrderUpkeep &Effect) {
   MachineService_->send(
       platform::encodeUpkeepOrder(Effect, OwnerLog_.row()), MachineCallTimeout,
--- a/test/node/http_client_test.cc
+++ b/test/node/http_client_test.cc
@@ -44,6 +44,9 @@
   bool isListening() const { return Listening_; }
   /// Number of requests received so far.
   int countRequests() const { return Requests_; }
+  /// Whether the connection has ended, and by a reset.
+  bool hasEnded() const { return Ended_; }
+  bool wasReset() const { return WasReset_; }
   /// Accepts requests, but leaves them without an answer.
   void setSilent() { Silent_ = true; }
 
@@ -51,11 +54,14 @@
   void serve() {
     const int Connection = accept(Listener_, nullptr, nullptr);
     char Buffer[4096];
-    while (recv(Connection, Buffer, sizeof Buffer, 0) > 0) {
+    ssize_t Received = 0;
+    while ((Received = recv(Connection, Buffer, sizeof Buffer, 0)) > 0) {
       ++Requests_;
       if (!Silent_)
         answer(Connection);
     }
+    WasReset_ = Received < 0 && errno == ECONNRESET;
+    Ended_ = true;
     close(Connection);
   }
   void answer(int Connection) {
@@ -71,6 +77,8 @@
   bool Listening_ = false;
   int Port_ = 0;
   std::atomic<bool> Silent_ = false;
+  std::atomic<bool> Ended_ = false;
+  std::atomic<bool> WasReset_ = false;
   std::atomic<int> Requests_ = 0;
   std::thread Thread_;
 };
@@ -212,6 +220,78 @@
   EXPECT_EQ(Server.countRequests(), 2);
 }
 
+// Guards against an order that is sent on a free connection although the
+// permission for it has run out since it was decided.
+TEST(HttpConnectionPoolTest, CallThatMayNotStartIsNotSentOnAFreeConnection) {
+  FakeHttpServer Server;
+  EventLoop Loop;
+  HttpConnectionPool Pool(Loop, Server.address(), 1);
+  HttpReply Seen;
+  Pool.send(
+      {HttpMethod::Get, "/", {}, ""}, CallTimeout,
+      [&](const HttpReply &Reply) {
+        Seen = Reply;
+        Loop.stop();
+      },
+      [] { return false; });
+  Loop.runAfter(TestTimeout, [&] { Loop.stop(); });
+  Loop.run();
+  EXPECT_FALSE(Seen.Sent_);
+  EXPECT_EQ(Server.countRequests(), 0);
+  EXPECT_EQ(Pool.countBusy(), 0U);
+  // The server's thread waits for a connection.
+  Pool.send({HttpMethod::Get, "/", {}, ""}, CallTimeout,
+            [&](const HttpReply &) { Loop.stop(); });
+  Loop.run();
+}
+
+// Guards against stops that wait behind many starts.
+TEST(HttpConnectionPoolTest, FirstCallsLeaveBeforeThoseInTurn) {
+  FakeHttpServer Server;
+  EventLoop Loop;
+  HttpConnectionPool Pool(Loop, Server.address(), 1);
+  std::vector<int> Ends;
+  auto Record = [&](int Number) {
+    return [&, Number](const HttpReply &) {
+      Ends.push_back(Number);
+      if (Ends.size() == 4)
+        Loop.stop();
+    };
+  };
+  const HttpCall Call{HttpMethod::Get, "/", {}, ""};
+  Pool.send(Call, CallTimeout, Record(1));
+  Pool.send(Call, CallTimeout, Record(2));
+  Pool.send(Call, CallTimeout, Record(3), nullptr, CallOrder::First);
+  Pool.send(Call, CallTimeout, Record(4), nullptr, CallOrder::First);
+  Loop.runAfter(TestTimeout, [&] { Loop.stop(); });
+  Loop.run();
+  EXPECT_EQ(Ends, (std::vector<int>{1, 3, 4, 2}));
+}
+
+/// Returns whether the server's connection was reset, after a call without an
+/// answer has timed out.
+bool resetsAfterTimeout(AbandonedCall Abandoned) {
+  FakeHttpServer Server;
+  Server.setSilent();
+  EventLoop Loop;
+  HttpConnectionPool Pool(Loop, Server.address(), 1, Abandoned);
+  Pool.send({HttpMethod::Get, "/", {}, ""}, CallTimeout,
+            [&](const HttpReply &) { Loop.stop(); });
+  Loop.runAfter(TestTimeout, [&] { Loop.stop(); });
+  Loop.run();
+  for (Millis Waited = 0; !Server.hasEnded() && Waited < TestTimeout;
+       Waited += ShortTurn)
+    std::this_thread::sleep_for(std::chrono::milliseconds(ShortTurn));
+  return Server.wasReset();
+}
+
+// Guards against an upkeep order of a former owner that a partition has held up
+// and that is delivered after the order of the next one.
+TEST(HttpConnectionPoolTest, AnAbandonedCallIsTakenBackByAReset) {
+  EXPECT_TRUE(resetsAfterTimeout(AbandonedCall::IsTakenBack));
+  EXPECT_FALSE(resetsAfterTimeout(AbandonedCall::MayArrive));
+}
+
 // A connection is kept for the next call.
 TEST(HttpConnectionPoolTest, CallsShareAConnection) {
   FakeHttpServer Server;
