cell: check the sums over runs against a new count

CellStats::WrongSums_ counts the sums of workers, teams and steps anew; the gauge wrong_sums shows it, and the fuzz of the cell demands zero while it changes priorities. The sums that depend on phases and priorities are one struct, NeedSums, which can be counted for a worker as a whole.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -269,6 +269,9 @@
   std::size_t ReachableWorkers_ = 0;
   double UsedShare_ = 0;       ///< Share of the processor capacity in use.
   std::size_t OpenOrders_ = 0; ///< Orders without an outcome so far.
+  /// Sums over runs, of workers, teams and steps, that differ from a new count;
+  /// zero unless there is a fault.
+  std::size_t WrongSums_ = 0;
   /// Starts that were sent again, or stopped, for want of an answer.
   std::uint64_t RepeatedStarts_ = 0;
   /// Age of the oldest end of a job that is not stored yet; zero if there is
--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -415,6 +415,7 @@
   void reportWait(StepRun &Step);
   void reportUsage();
   void reportOpenWork();
+  std::size_t countWrongSums() const;
 
   // engine_pace.cc
   void adjustFillerPaces(Worker &Target);
@@ -454,11 +455,12 @@
   int minPreemptiblePriority(const StepRun &Step) const;
   bool runsTaskWithTailGoal(const Worker &Target) const;
   void setPhase(Worker &Target, Run &TargetRun, Run::Phase Phase);
-  Resources *needSumOf(Worker &Target, const Run &TargetRun);
+  Resources *needSumOf(NeedSums &Sums, const Run &TargetRun) const;
   bool isUrgent(const Run &TargetRun) const;
+  void addNeeds(NeedSums &Sums, const Run &TargetRun) const;
+  void subtractNeeds(NeedSums &Sums, const Run &TargetRun) const;
+  NeedSums countNeeds(const Worker &Target) const;
   void refreshRunPriorities();
-  void addNeedSum(Worker &Target, const Run &TargetRun);
-  void subtractNeedSum(Worker &Target, const Run &TargetRun);
   std::vector<Worker *> eligibleWorkers(const StepRun &Step);
   void placeStep(StepRun &Step);
   bool isUnpreferred(const Worker &Target, const StepRun &Step) const;
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -89,7 +89,8 @@
       Now_ < Step.LatestStart_) {
     const auto Reserve = static_cast<std::int64_t>(
         UrgentReserveShare * static_cast<double>(Target.Capacity_.CpuMilli_));
-    Free.CpuMilli_ -= std::max<std::int64_t>(0, Reserve - Target.UrgentCpu_);
+    Free.CpuMilli_ -=
+        std::max<std::int64_t>(0, Reserve - Target.Needs_.UrgentCpu_);
   }
   return Free;
 }
@@ -116,67 +117,69 @@
          isPreemptible(Victim);
 }
 
-/// Returns the worker's sum that contains the run in its present phase, or
-/// null.
-Resources *Cell::Engine::needSumOf(Worker &Target, const Run &TargetRun) {
-  if (TargetRun.Phase_ == Run::Phase::Stopping)
-    return &Target.StoppingNeed_;
-  if (isPreemptible(TargetRun))
-    return &Target.PreemptibleNeed_[TargetRun.Priority_];
-  return nullptr;
-}
-
 /// Returns whether a run uses what is reserved for the highest priority. The
 /// queue of a run that was more urgent may have been removed.
 bool Cell::Engine::isUrgent(const Run &TargetRun) const {
   return TargetRun.Step_ != nullptr && TargetRun.Priority_ <= HighestPriority_;
 }
 
-void Cell::Engine::addNeedSum(Worker &Target, const Run &TargetRun) {
-  if (Resources *Sum = needSumOf(Target, TargetRun))
+/// Returns the sum that contains the run in its present phase, or null.
+Resources *Cell::Engine::needSumOf(NeedSums &Sums, const Run &TargetRun) const {
+  if (TargetRun.Phase_ == Run::Phase::Stopping)
+    return &Sums.Stopping_;
+  if (isPreemptible(TargetRun))
+    return &Sums.Preemptible_[TargetRun.Priority_];
+  return nullptr;
+}
+
+void Cell::Engine::addNeeds(NeedSums &Sums, const Run &TargetRun) const {
+  if (Resources *Sum = needSumOf(Sums, TargetRun))
     *Sum = *Sum + TargetRun.Need_;
   if (isUrgent(TargetRun))
-    Target.UrgentCpu_ += TargetRun.Need_.CpuMilli_;
+    Sums.UrgentCpu_ += TargetRun.Need_.CpuMilli_;
 }
 
-void Cell::Engine::subtractNeedSum(Worker &Target, const Run &TargetRun) {
-  if (Resources *Sum = needSumOf(Target, TargetRun))
+void Cell::Engine::subtractNeeds(NeedSums &Sums, const Run &TargetRun) const {
+  if (Resources *Sum = needSumOf(Sums, TargetRun))
     *Sum = *Sum - TargetRun.Need_;
   if (isUrgent(TargetRun))
-    Target.UrgentCpu_ -= TargetRun.Need_.CpuMilli_;
+    Sums.UrgentCpu_ -= TargetRun.Need_.CpuMilli_;
+}
+
+/// Counts the sums over the runs of a worker anew.
+NeedSums Cell::Engine::countNeeds(const Worker &Target) const {
+  NeedSums Out;
+  for (const auto &[Name, Each] : Target.Runs_)
+    addNeeds(Out, Each);
+  return Out;
 }
 
 /// Gives all runs the present priorities of their queues. The sums depend on
-/// these and on the highest priority, so they are computed anew.
+/// these and on the highest priority, so they are counted anew.
 void Cell::Engine::refreshRunPriorities() {
-  for (const auto &[Id, Each] : Workers_) {
-    Worker &Target = *Each;
-    Target.UrgentCpu_ = 0;
-    Target.StoppingNeed_ = {};
-    Target.PreemptibleNeed_.clear();
-    for (auto &[Name, TargetRun] : Target.Runs_) {
-      if (TargetRun.Step_ != nullptr)
-        TargetRun.Priority_ = priorityOf(*TargetRun.Step_);
-      addNeedSum(Target, TargetRun);
-    }
+  for (const auto &[Id, Target] : Workers_) {
+    for (auto &[Name, Each] : Target->Runs_)
+      if (Each.Step_ != nullptr)
+        Each.Priority_ = priorityOf(*Each.Step_);
+    Target->Needs_ = countNeeds(*Target);
   }
 }
 
 /// Sets the phase of a run that the worker's sums contain.
 void Cell::Engine::setPhase(Worker &Target, Run &TargetRun, Run::Phase Phase) {
-  subtractNeedSum(Target, TargetRun);
+  subtractNeeds(Target.Needs_, TargetRun);
   TargetRun.Phase_ = Phase;
-  addNeedSum(Target, TargetRun);
+  addNeeds(Target.Needs_, TargetRun);
 }
 
 /// Returns the resources on the worker that \p Step can gain from preemption
 /// and from runs that are already stopping.
 Resources Cell::Engine::preemptibleRoom(const Worker &Target,
                                         const StepRun &Step) const {
-  Resources Out = Target.StoppingNeed_;
+  Resources Out = Target.Needs_.Stopping_;
   const auto First =
-      Target.PreemptibleNeed_.lower_bound(minPreemptiblePriority(Step));
-  for (auto It = First; It != Target.PreemptibleNeed_.end(); ++It)
+      Target.Needs_.Preemptible_.lower_bound(minPreemptiblePriority(Step));
+  for (auto It = First; It != Target.Needs_.Preemptible_.end(); ++It)
     Out = Out + It->second;
   return Out;
 }
@@ -359,7 +362,7 @@
                                      std::uint32_t Copies, Millis Until) {
   const Resources &Need = Step.spec().Need_;
   Resources Free = freeResourcesFor(Target, Step);
-  Free = Free + Target.StoppingNeed_;
+  Free = Free + Target.Needs_.Stopping_;
   std::vector<std::string> Victims;
   auto Fitting = [&] {
     std::uint32_t Out = 0;
--- a/src/cell/engine_reports.cc
+++ b/src/cell/engine_reports.cc
@@ -39,6 +39,22 @@
   return std::to_string(All == 0 ? 0 : 100 * Part / All) + "%";
 }
 
+/// Returns whether the sums are equal. A priority without a sum has the sum
+/// zero.
+bool equalSums(const NeedSums &A, const NeedSums &B) {
+  const auto Contains = [](const NeedSums &Outer, const NeedSums &Inner) {
+    return std::all_of(Inner.Preemptible_.begin(), Inner.Preemptible_.end(),
+                       [&](const auto &Each) {
+                         const auto It = Outer.Preemptible_.find(Each.first);
+                         return It == Outer.Preemptible_.end()
+                                    ? Each.second == Resources{}
+                                    : Each.second == It->second;
+                       });
+  };
+  return A.UrgentCpu_ == B.UrgentCpu_ && A.Stopping_ == B.Stopping_ &&
+         Contains(A, B) && Contains(B, A);
+}
+
 } // namespace
 
 /// Returns what a waiting gang has and what it lacks.
@@ -88,7 +104,7 @@
   for (const Worker *Each : UsableWorkers_) {
     All += Each->Capacity_.CpuMilli_;
     Used += Each->Used_.CpuMilli_;
-    Stopping += Each->StoppingNeed_.CpuMilli_;
+    Stopping += Each->Needs_.Stopping_.CpuMilli_;
     for (const Reservation &Kept : Each->Reservations_)
       if (Now_ < Kept.Until_)
         Reserved += Kept.Step_->spec().Need_.CpuMilli_ * Kept.Copies_;
@@ -129,6 +145,33 @@
                0});
 }
 
+/// Counts the sums over runs anew and returns the number of those that differ
+/// from what is kept. A wrong sum keeps room that nobody uses, or gives it away
+/// twice.
+std::size_t Cell::Engine::countWrongSums() const {
+  std::size_t Out = 0;
+  std::map<std::string, Resources> Teams;
+  std::unordered_map<const StepRun *, std::size_t> Live;
+  for (const auto &[Id, Target] : Workers_) {
+    Resources Used;
+    for (const auto &[Name, Each] : Target->Runs_) {
+      Used = Used + Each.Need_;
+      if (Each.Step_ == nullptr)
+        continue;
+      Resources &Team = Teams[Each.Step_->Job_->Team_];
+      Team = Team + Each.TeamNeed_;
+      ++Live[Each.Step_];
+    }
+    Out += Used == Target->Used_ ? 0 : 1;
+    Out += equalSums(countNeeds(*Target), Target->Needs_) ? 0 : 1;
+  }
+  for (const auto &[Team, Usage] : TeamUsage_)
+    Out += Teams[Team] == Usage ? 0 : 1;
+  for (const auto &[Step, Count] : Live)
+    Out += Step->LiveRuns_ == Count ? 0 : 1;
+  return Out;
+}
+
 CellStats Cell::Engine::stats() const {
   CellStats Out;
   Out.Jobs_ = Jobs_.size();
@@ -149,6 +192,7 @@
     All += Each->Listed_ ? Each->Capacity_.CpuMilli_ : 0;
   }
   Out.OpenOrders_ = PendingOrders_.size();
+  Out.WrongSums_ = countWrongSums();
   Out.RepeatedStarts_ = RepeatedStarts_;
   for (const Job *Each : EndingJobs_)
     Out.OldestUnstoredEnd_ =
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -262,7 +262,7 @@
     ++NewRun.Step_->LiveRuns_;
     ++NewRun.Step_->Job_->LiveRuns_;
   }
-  addNeedSum(Target, NewRun);
+  addNeeds(Target.Needs_, NewRun);
   Target.Runs_[Name] = std::move(NewRun);
   ++LiveRuns_;
   updateUsedWorker(Target);
@@ -280,7 +280,7 @@
   const Resources UsedBefore = Target.Used_;
   Target.Used_ = Target.Used_ - Gone.Need_;
   recordFreed(Target, UsedBefore);
-  subtractNeedSum(Target, Gone);
+  subtractNeeds(Target.Needs_, Gone);
   PlacementNeeded_ = true;
   abortGangOf(Gone, "member ended or was lost");
   if (Gone.Step_ == nullptr)
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -321,6 +321,16 @@
   }
 };
 
+/// Sums over the runs of a worker. They depend on the phases and priorities of
+/// the runs and on the highest priority of the desired state.
+struct NeedSums {
+  /// Milli-cores in use by work of the highest priority, or of a higher one
+  /// whose queue was removed.
+  std::int64_t UrgentCpu_ = 0;
+  Resources Stopping_;                   ///< Of stopping runs.
+  std::map<int, Resources> Preemptible_; ///< Of preemptible runs by priority.
+};
+
 /// A worker as this owner knows it.
 struct Worker {
   std::string Id_;
@@ -368,7 +378,6 @@
   std::uint64_t LastCommitEnd_ = 0;
   /// Processed ends after LastStoredEnd_, by number.
   std::deque<UnstoredEnd> UnstoredEnds_;
-  Resources Used_;
   std::unordered_map<std::string, Run> Runs_; ///< By task name.
   /// The worker rejected a start or left one unanswered and gets no gang
   /// members before this time.
@@ -383,13 +392,8 @@
   /// not.
   Millis BelowGoalSince_ = 0;
   std::vector<Reservation> Reservations_; ///< At most one for each step.
-  /// Milli-cores in use by work of the highest priority, or of a higher one
-  /// whose queue was removed.
-  std::int64_t UrgentCpu_ = 0;
-  /// Sums over Runs_: resources of stopping runs, and resources of preemptible
-  /// runs by priority.
-  Resources StoppingNeed_;
-  std::map<int, Resources> PreemptibleNeed_;
+  Resources Used_;                        ///< Sum of the resources of Runs_.
+  NeedSums Needs_;
   /// Learned speed relative to the median worker; 1 if it is not known.
   double Speed_ = 1;
 
--- a/test/cell/cell_fuzz_test.cc
+++ b/test/cell/cell_fuzz_test.cc
@@ -106,6 +106,21 @@
   }
 }
 
+/// Sometimes changes the priority of a queue while its jobs run.
+void changePriorities(CellSimulation &Sim, std::mt19937_64 &Random) {
+  constexpr int Priorities = 3;
+  if (!Sim.hasOwner() || Random() % 8 != 0)
+    return;
+  Sim.setPriority(Random() % 2 == 0 ? "fast" : "slow",
+                  static_cast<int>(Random() % Priorities));
+  Sim.publishDesiredState();
+}
+
+void checkSums(CellSimulation &Sim) {
+  if (Sim.hasOwner())
+    RC_ASSERT(Sim.cell().stats(Sim.now()).WrongSums_ == 0U);
+}
+
 void clearFaults(CellSimulation &Sim) {
   for (std::size_t At = 0; At < Sim.workerCount(); ++At) {
     Sim.worker(At).Disconnected_ = false;
@@ -152,6 +167,8 @@
     }
     Sim.run(std::uniform_int_distribution<Millis>(20, 60)(Random) * 5);
     injectFault(Sim, Random);
+    changePriorities(Sim, Random);
+    checkSums(Sim);
   }
   clearFaults(Sim);
   Sim.run(RecoveryTime);
--- a/test/cell/cell_priority_test.cc
+++ b/test/cell/cell_priority_test.cc
@@ -35,5 +35,30 @@
   EXPECT_EQ(Sim.starts(), Tasks + 1);
 }
 
+// Guards against sums over runs that outlive the priorities that they were
+// counted with, where these change back and forth while runs last.
+TEST(CellPriority, SumsOverRunsFollowEachChangeOfPriorities) {
+  CellSimulation Sim(2);
+  Sim.TaskBehaviour_ = [](const std::string &) {
+    return std::pair(Millis{700}, false);
+  };
+  Sim.takeOver();
+  Sim.run(300);
+  constexpr int Rounds = 12;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    JobSpec Spec = simpleJob(3, 400);
+    Spec.Steps_.front().Checkpointed_ = Round % 2 == 0;
+    Sim.submit("0000000000000c0" + std::to_string(Round % 10), Spec,
+               Round % 3 == 0 ? "fast" : "slow");
+    Sim.run(150);
+    Sim.setPriority("fast", Round % 4);
+    Sim.setPriority("slow", Round % 5);
+    Sim.publishDesiredState();
+    EXPECT_EQ(Sim.cell().stats(Sim.now()).WrongSums_, 0U) << Round;
+  }
+  Sim.run(5000);
+  EXPECT_EQ(Sim.cell().stats(Sim.now()).WrongSums_, 0U);
+}
+
 } // namespace
 } // namespace oleandergauge::cell::test
