cell: let tasks that do not fit beside the reserve use it

A tenth of each worker is kept for the highest priority until the latest start of a step.

Before, CellPriority.ATaskThatNeedsNearlyAWholeWorkerStartsAtOnce failed.

--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -89,8 +89,11 @@
       Now_ < Step.LatestStart_) {
     const auto Reserve = static_cast<std::int64_t>(
         UrgentReserveShare * static_cast<double>(Target.Capacity_.CpuMilli_));
-    Free.CpuMilli_ -=
-        std::max<std::int64_t>(0, Reserve - Target.Needs_.UrgentCpu_);
+    // A task that does not fit beside the reserve would wait on an idle worker.
+    if (workerNeed(Step.spec()).CpuMilli_ <=
+        Target.Capacity_.CpuMilli_ - Reserve)
+      Free.CpuMilli_ -=
+          std::max<std::int64_t>(0, Reserve - Target.Needs_.UrgentCpu_);
   }
   return Free;
 }
--- a/test/cell/cell_priority_test.cc
+++ b/test/cell/cell_priority_test.cc
@@ -35,6 +35,19 @@
   EXPECT_EQ(Sim.starts(), Tasks + 1);
 }
 
+// Guards against a task that waits on an idle cell, since it needs some of what
+// each worker keeps for the highest priority.
+TEST(CellPriority, ATaskThatNeedsNearlyAWholeWorkerStartsAtOnce) {
+  CellSimulation Sim(1, 2);
+  Sim.takeOver();
+  Sim.run(300);
+  JobSpec Large = simpleJob(1, 3800);
+  Large.Steps_.front().Estimate_ = 8000;
+  Sim.submit(JobId, Large, "slow");
+  Sim.run(1000);
+  EXPECT_EQ(Sim.starts(), 1U);
+}
+
 // Guards against sums over runs that outlive the priorities that they were
 // counted with, where these change back and forth while runs last.
 TEST(CellPriority, SumsOverRunsFollowEachChangeOfPriorities) {
