cell: keep room for services that wait

Callers saw a task that lasts stay away for 34 s and more after its worker was lost, while short tasks used the other workers. A placement pass sees only room that is free at once or that preemption can free, and shorter work took what became free in pieces.

A service without room now keeps what becomes free on the worker with the most free room that could hold a task of it, up to a quarter of the usable processors for all services. Steps of a higher priority do not use room that is kept for a service.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -467,6 +467,9 @@
   Worker *bestWorker(const StepRun &Step, const std::vector<Worker *> &Open,
                      std::optional<double> Required);
   void placeTasks(StepRun &Step);
+  bool fitsBesideServices(const Worker &Target, const StepRun &Step) const;
+  void collectServiceRoom(StepRun &Step, const std::vector<Worker *> &Open,
+                          std::uint32_t Tasks);
   void startTask(StepRun &Step, std::uint32_t Index, Worker &Target,
                  std::uint64_t Attempt);
   Urgency::Class urgencyClassOf(const StepRun &Step) const;
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -26,6 +26,11 @@
 /// Time for which room on a worker stays reserved for the step that it was
 /// freed for.
 constexpr Millis ReservationTime = 700;
+/// Time for which room that becomes free is kept for a service. Each pass
+/// renews it as long as the service waits.
+constexpr Millis ServiceCollectTime = 200;
+/// Share of the usable processors that is kept in this way, at most.
+constexpr double MaxServiceCollectShare = 0.25;
 /// Run numbers available in each epoch; the next owner continues above them.
 constexpr std::uint64_t AttemptsPerEpoch = 1U << 16;
 /// Age at which the estimate of unseen usage is renewed. It examines all steps,
@@ -496,10 +501,54 @@
       Left -= std::min(Left, makeRoom(*Each, Step, std::min(Left, Copies),
                                       Now_ + ReservationTime));
   }
+  if (Left > 0 && Spec.Service_)
+    collectServiceRoom(Step, Open, Left);
   if (Left > 0)
     requestAdvice(Step);
 }
 
+/// Returns whether a task of the step fits on the worker once all runs there
+/// have ended that end by themselves.
+bool Cell::Engine::fitsBesideServices(const Worker &Target,
+                                      const StepRun &Step) const {
+  Resources Room = Target.Capacity_ - reservedForOthers(Target, Step);
+  std::uint32_t Here = 0;
+  for (const auto &[Name, Each] : Target.Runs_) {
+    if (Each.Step_ == nullptr || Each.Step_->spec().Service_)
+      Room = Room - Each.Need_;
+    Here += Each.Step_ == &Step ? 1 : 0;
+  }
+  const std::uint32_t Most = Step.spec().MaxPerWorker_;
+  return fits(workerNeed(Step.spec()), Room) && (Most == 0 || Here < Most);
+}
+
+/// Keeps what becomes free on some workers for tasks of a service. Otherwise
+/// shorter work, which fits into smaller pieces, takes it for as long as there
+/// is such work.
+void Cell::Engine::collectServiceRoom(StepRun &Step,
+                                      const std::vector<Worker *> &Open,
+                                      std::uint32_t Tasks) {
+  const std::int64_t Need = workerNeed(Step.spec()).CpuMilli_;
+  const auto Limit = static_cast<std::int64_t>(MaxServiceCollectShare *
+                                               static_cast<double>(UsableCpu_));
+  const auto FreeCpu = [](const Worker &Each) {
+    return Each.Capacity_.CpuMilli_ - Each.Used_.CpuMilli_;
+  };
+  for (; Tasks > 0; --Tasks) {
+    if (CollectedCpu_ > 0 && CollectedCpu_ + Need > Limit)
+      return;
+    Worker *Best = nullptr;
+    for (Worker *Each : Open)
+      if (reservedCopies(*Each, Step) == 0 && fitsBesideServices(*Each, Step) &&
+          (Best == nullptr || FreeCpu(*Each) > FreeCpu(*Best)))
+        Best = Each;
+    if (Best == nullptr)
+      return;
+    CollectedCpu_ += Need;
+    reserve(*Best, Step, 1, Now_ + ServiceCollectTime);
+  }
+}
+
 void Cell::Engine::placeStep(StepRun &Step) {
   if (!Step.Job_->Stored_ || (Step.Job_->Inherited_ && isRecovering())) {
     if (!Step.Job_->Stored_ && Step.spec().Gang_)
--- a/src/cell/engine_reservations.cc
+++ b/src/cell/engine_reservations.cc
@@ -57,14 +57,17 @@
 
 /// Returns the resources on the worker that are reserved for other steps. A
 /// step of a higher priority may use room that is reserved for single tasks,
-/// but not the room of a gang, which needs all of it at once.
+/// but not the room of a gang, which needs all of it at once, or of a service,
+/// which goes before all other work.
 Resources Cell::Engine::reservedForOthers(const Worker &Target,
                                           const StepRun &Step) const {
   Resources Out;
   for (const Reservation &Each : Target.Reservations_) {
     if (Each.Step_ == &Step || Now_ >= Each.Until_)
       continue;
-    if (!Each.Step_->spec().Gang_ && priorityOf(Step) < priorityOf(*Each.Step_))
+    const StepSpec &Spec = Each.Step_->spec();
+    if (!Spec.Gang_ && !Spec.Service_ &&
+        priorityOf(Step) < priorityOf(*Each.Step_))
       continue;
     const Resources Need = workerNeed(Each.Step_->spec());
     for (std::uint32_t Copy = 0; Copy < Each.Copies_; ++Copy)
