cell: use a restarted worker only by the entry of its present incarnation

Callers saw tasks start on a worker without the label that they require. A worker that is back under its id as another kind is known by its list of runs, up to 0.7 s before its entry is read, and was used with the labels, rack and capacity of its former incarnation.

A worker gets new tasks only if the entry that describes it is of its present incarnation, and an entry of an earlier one changes nothing of that.

--- a/src/cell/engine.h
+++ b/src/cell/engine.h
@@ -295,6 +295,7 @@
   void forgetLoadWindows();
 
   // engine_workers.cc
+  static void describeWorker(Worker &Target, const WorkerEntry &Entry);
   Worker *findWorker(const std::string &Id);
   Worker *workerAt(WorkerNumber Number) const;
   void markDue(Worker &Target);
--- a/src/cell/engine_placement.cc
+++ b/src/cell/engine_placement.cc
@@ -61,10 +61,13 @@
 
 } // namespace
 
-/// Returns whether the worker accepts new tasks.
+/// Returns whether the worker accepts new tasks. One that has restarted may be
+/// of another kind, which only its entry tells.
 bool Cell::Engine::acceptsTasks(const Worker &Target) const {
-  return Target.Listed_ && !Target.Draining_ && !Target.DrainingForUpkeep_ &&
-         Target.Reachable_ && Target.FenceAccepted_ && Target.Recorded_ &&
+  return Target.Listed_ &&
+         Target.DescribedIncarnation_ >= Target.Incarnation_ &&
+         !Target.Draining_ && !Target.DrainingForUpkeep_ && Target.Reachable_ &&
+         Target.FenceAccepted_ && Target.Recorded_ &&
          Now_ >= Target.QuarantineUntil_ &&
          WithdrawnDomains_.count(Target.Domain_) == 0;
 }
--- a/src/cell/engine_workers.cc
+++ b/src/cell/engine_workers.cc
@@ -120,6 +120,21 @@
   PlacementNeeded_ = true;
 }
 
+/// Takes from an entry what the worker is, unless a list has shown a later
+/// incarnation than the one that wrote the entry.
+void Cell::Engine::describeWorker(Worker &Target, const WorkerEntry &Entry) {
+  const bool HasIncarnation = Entry.Incarnation_ != 0;
+  if (HasIncarnation && Entry.Incarnation_ < Target.Incarnation_)
+    return;
+  Target.DescribedIncarnation_ =
+      HasIncarnation ? Entry.Incarnation_ : Target.Incarnation_;
+  Target.Service_ = Entry.Service_;
+  Target.Domain_ = Entry.Domain_;
+  Target.Labels_ = Entry.Labels_;
+  Target.Rack_ = Entry.Rack_;
+  Target.Capacity_ = Entry.Capacity_;
+}
+
 void Cell::Engine::setWorkers(const std::vector<WorkerEntry> &Entries,
                               bool Fresh) {
   std::set<std::string> Present;
@@ -139,12 +154,8 @@
       Effects_.push_back(Decision{"worker_found", Entry.Id_, Entry.Domain_, 0});
     }
     Worker &Target = *Slot;
-    Target.Service_ = Entry.Service_;
     Target.Address_ = Entry.Address_;
-    Target.Domain_ = Entry.Domain_;
-    Target.Labels_ = Entry.Labels_;
-    Target.Rack_ = Entry.Rack_;
-    Target.Capacity_ = Entry.Capacity_;
+    describeWorker(Target, Entry);
     if (Entry.Draining_ && !Target.Draining_)
       Effects_.push_back(Decision{"worker_draining", Entry.Id_, "listed", 0});
     Target.Draining_ = Entry.Draining_;
--- a/src/cell/model.h
+++ b/src/cell/model.h
@@ -348,6 +348,8 @@
   /// The machine is being drained for upkeep; nothing new starts on it.
   bool DrainingForUpkeep_ = false;
   Millis Incarnation_ = 0;
+  /// The incarnation whose entry tells the service, labels, rack and capacity.
+  Millis DescribedIncarnation_ = 0;
   /// Number of restarts that this owner has seen.
   std::uint32_t RestartCount_ = 0;
   std::uint64_t Fence_ = 0;
--- a/test/cell/fake_worker.h
+++ b/test/cell/fake_worker.h
@@ -39,6 +39,7 @@
   std::string Address_;
   std::string Domain_ = "d1";
   std::string Rack_ = "r1";
+  std::vector<std::string> Labels_;
   Resources Capacity_{4000, 8000, 0, 0, 0};
   double Speed_ = 1; ///< Work done per unit of time.
   Millis Incarnation_ = 1000;
--- a/test/cell/task_checks.h
+++ b/test/cell/task_checks.h
@@ -60,6 +60,7 @@
     checkHistory(Order.Task_);
     checkCapacity(Receiver, specOf(Order.Task_));
     checkEarlierSteps(Order.Task_);
+    checkLabel(Receiver, specOf(Order.Task_));
     if (Core_.Accepted_.count(Job) == 0 &&
         Core_.Rows_.count({JobTable, Job}) == 0)
       Core_.addViolation("started a job that is not stored: " + Job);
@@ -142,6 +143,14 @@
       Core_.addViolation("team above its limit");
   }
 
+  void checkLabel(const FakeWorker &Receiver, const StepSpec &Spec) {
+    const auto &Labels = Receiver.Labels_;
+    if (!Spec.RequiredLabel_.empty() &&
+        std::find(Labels.begin(), Labels.end(), Spec.RequiredLabel_) ==
+            Labels.end())
+      Core_.addViolation("started without the required label: " + Receiver.Id_);
+  }
+
   void checkEarlierSteps(const std::string &Task) {
     const std::string Job = jobOf(Task);
     const std::string Occurrence =
