--- a/test/cell/fake_fleet.h
+++ b/test/cell/fake_fleet.h
@@ -46,15 +46,9 @@
     std::vector<WorkerEntry> Entries;
     for (const FakeWorker &Each : Workers_)
       if (Unlisted_.count(Each.Id_) == 0)
-        Entries.push_back({Each.Id_,
-                           "svc",
-                           Each.Address_,
-                           Each.Domain_,
-                           Each.Labels_,
-                           Each.Rack_,
-                           Each.Capacity_,
-                           Each.Draining_,
-                           Each.Incarnation_});
+        Entries.push_back({Each.Id_, "svc", Each.Address_, Each.Domain_,
+                           Each.Labels_, Each.Rack_, Each.Capacity_,
+                           Each.Draining_, Each.Incarnation_});
     Core_.cell().setWorkers(Core_.now(), Entries, true);
   }
 
