--- a/src/node/http_client.cc
+++ b/src/node/http_client.cc
@@ -84,7 +84,7 @@
     setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Discard, sizeof Discard);
     sockaddr Nobody = {};
     Nobody.sa_family = AF_UNSPEC;
-    connect(Socket, &Nobody, sizeof Nobody);
+    static_cast<void>(connect(Socket, &Nobody, sizeof Nobody));
   }
   /// Gives the call at least \p Count turns from now on.
   void allowTurns(std::uint64_t Count) {
